--- /dev/null
+++ b/crew/crew.go
@@ -0,0 +1,73 @@
+// Package crew is the one place that starts goroutines: a thread per duty,
+// gathered in an oklog/run group so that all end when one does.
+package crew
+
+import (
+	"context"
+	"os/signal"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/oklog/run"
+)
+
+// Crew gathers the duties of one process.
+type Crew struct{ group run.Group }
+
+// Duty adds a thread that works until stop is called.
+func (c *Crew) Duty(work func() error, stop func()) {
+	var once sync.Once
+	c.group.Add(work, func(error) { once.Do(stop) })
+}
+
+// Beat adds a thread that calls beat at each interval.
+func (c *Crew) Beat(everyMs int64, beat func()) {
+	done := make(chan struct{})
+	c.Duty(func() error {
+		ticker := time.NewTicker(time.Duration(everyMs) * time.Millisecond)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-done:
+				return nil
+			case <-ticker.C:
+				beat()
+			}
+		}
+	}, func() { close(done) })
+}
+
+// Signals adds the thread that ends the crew on SIGTERM or SIGINT. Leave is
+// called first, so that a planned stop can hand work back.
+func (c *Crew) Signals(leave func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	c.Duty(func() error {
+		noted, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+		defer stop()
+		<-noted.Done()
+		if ctx.Err() == nil && leave != nil {
+			leave()
+		}
+		return nil
+	}, cancel)
+}
+
+// Until adds a thread that ends the crew when done is closed.
+func (c *Crew) Until(done <-chan struct{}) {
+	stop := make(chan struct{})
+	c.Duty(func() error {
+		select {
+		case <-done:
+		case <-stop:
+		}
+		return nil
+	}, func() { close(stop) })
+}
+
+// Run starts all duties and waits until all have ended.
+func (c *Crew) Run() error { return c.group.Run() }
+
+// Side starts one short errand beside the duties, such as a call outward.
+// The caller bounds how many run at once.
+func Side(errand func()) { go errand() }
--- /dev/null
+++ b/defect/answer.go
@@ -0,0 +1,36 @@
+package defect
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+)
+
+// Answer is the JSON body of every answer that is not the wanted one.
+type Answer struct {
+	Kind   Kind     `json:"kind"`
+	Detail string   `json:"detail,omitempty"`
+	Faults []string `json:"faults,omitempty"`
+	// Ran is "no" for a drop; otherwise the caller can't know.
+	Ran     string `json:"ran"`
+	Request string `json:"request,omitempty"`
+	// Revision is the revision in force, where that helps an operator.
+	Revision uint64 `json:"revision,omitempty"`
+	Primary  string `json:"primary,omitempty"`
+}
+
+// Write sends the answer as its kind says.
+func (a Answer) Write(w http.ResponseWriter) {
+	reply := a.Kind.Reply()
+	a.Ran = "unknown"
+	if reply.Drop {
+		a.Ran = "no"
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// A caller that may come back is told when, rather than kept waiting.
+	if reply.RetryAfterSec > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(reply.RetryAfterSec))
+	}
+	w.WriteHeader(reply.Status)
+	_ = json.NewEncoder(w).Encode(a)
+}
--- /dev/null
+++ b/description/node.go
@@ -0,0 +1,186 @@
+package description
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+)
+
+// node is one value of a JSON text with its path, kept in order so that
+// doubled fields can be named.
+type node struct {
+	path  string
+	value any
+}
+
+// fields is a JSON object in the order it was written.
+type fields struct {
+	names  []string
+	values map[string]node
+}
+
+// reader walks a JSON text by hand and gathers faults with their paths.
+type reader struct {
+	tokens *json.Decoder
+	faults []string
+}
+
+func (r *reader) fault(path, format string, args ...any) {
+	if path == "" {
+		path = "."
+	}
+	r.faults = append(r.faults, path+": "+fmt.Sprintf(format, args...))
+}
+
+// read turns the text into nodes. A text that is not JSON gives one fault.
+func (r *reader) read(text []byte) (node, bool) {
+	r.tokens = json.NewDecoder(bytes.NewReader(text))
+	r.tokens.UseNumber()
+	root, err := r.next("")
+	if err == nil {
+		if _, trailing := r.tokens.Token(); trailing != io.EOF {
+			err = fmt.Errorf("text after the end")
+		}
+	}
+	if err != nil {
+		r.fault("", "not JSON: %v (at byte %d)", err, r.tokens.InputOffset())
+		return node{}, false
+	}
+	return root, true
+}
+
+func (r *reader) next(path string) (node, error) {
+	token, err := r.tokens.Token()
+	if err != nil {
+		return node{}, err
+	}
+	switch token {
+	case json.Delim('{'):
+		object := fields{values: map[string]node{}}
+		for r.tokens.More() {
+			key, err := r.tokens.Token()
+			if err != nil {
+				return node{}, err
+			}
+			name := key.(string)
+			inner, err := r.next(strings.TrimPrefix(path+"."+name, "."))
+			if err != nil {
+				return node{}, err
+			}
+			if _, twice := object.values[name]; twice {
+				r.fault(inner.path, "is given twice")
+				continue
+			}
+			object.names = append(object.names, name)
+			object.values[name] = inner
+		}
+		_, err := r.tokens.Token()
+		return node{path, object}, err
+	case json.Delim('['):
+		list := []node{}
+		for r.tokens.More() {
+			inner, err := r.next(fmt.Sprintf("%s[%d]", path, len(list)))
+			if err != nil {
+				return node{}, err
+			}
+			list = append(list, inner)
+		}
+		_, err := r.tokens.Token()
+		return node{path, list}, err
+	}
+	return node{path, token}, nil
+}
+
+// object gives the node's fields and names those that are not known.
+func (r *reader) object(n node, known ...string) fields {
+	f, ok := n.value.(fields)
+	if !ok {
+		r.fault(n.path, "must be an object")
+		return fields{values: map[string]node{}}
+	}
+	for _, name := range f.names {
+		unknown := true
+		for _, k := range known {
+			unknown = unknown && k != name
+		}
+		if unknown {
+			r.fault(f.values[name].path, "is not a known field (known: %s)", strings.Join(known, ", "))
+		}
+	}
+	for _, name := range known {
+		if _, ok := f.values[name]; !ok {
+			f.values[name] = node{strings.TrimPrefix(n.path+"."+name, "."), nil}
+		}
+	}
+	return f
+}
+
+func (r *reader) list(n node) []node {
+	if n.value == nil {
+		return nil
+	}
+	list, ok := n.value.([]node)
+	if !ok {
+		r.fault(n.path, "must be a list")
+	}
+	return list
+}
+
+const nameMost = 64
+
+// name reads a plain name: letters, digits, dash, dot, underscore.
+func (r *reader) name(n node) string {
+	text, ok := n.value.(string)
+	if !ok || text == "" {
+		r.fault(n.path, "must be a name")
+		return ""
+	}
+	if len(text) > nameMost {
+		r.fault(n.path, "is longer than %d characters", nameMost)
+		return ""
+	}
+	for _, letter := range text {
+		plain := letter >= 'a' && letter <= 'z' || letter >= 'A' && letter <= 'Z' ||
+			letter >= '0' && letter <= '9' || strings.ContainsRune("-._", letter)
+		if !plain {
+			r.fault(n.path, "has %q; a name is letters, digits, dash, dot and underscore", letter)
+			return ""
+		}
+	}
+	return text
+}
+
+// whole reads a whole number within bounds; an absent one takes the default
+// where there is one (a default below least means that it must be given).
+func (r *reader) whole(n node, least, most, otherwise int64) int64 {
+	if n.value == nil {
+		if otherwise < least {
+			r.fault(n.path, "must be given")
+		}
+		return otherwise
+	}
+	number, ok := n.value.(json.Number)
+	value, err := number.Int64()
+	if !ok || err != nil {
+		r.fault(n.path, "must be a whole number")
+		return least
+	}
+	if value < least || value > most {
+		r.fault(n.path, "is %d; it must be from %d to %d", value, least, most)
+		return least
+	}
+	return value
+}
+
+func (r *reader) flag(n node) bool {
+	if n.value == nil {
+		return false
+	}
+	value, ok := n.value.(bool)
+	if !ok {
+		r.fault(n.path, "must be true or false")
+	}
+	return value
+}
--- /dev/null
+++ b/disk/disk.go
@@ -0,0 +1,303 @@
+// Package disk keeps a daemon's own state in one data folder, through buntdb.
+//
+// What buntdb leaves open is closed here. It ignores errors of its syncs, so
+// it is told never to sync and each change is synced by this package. A
+// transaction of several keys can be torn in its file, so a change is always
+// one key. Its shrink replaces the file without syncing the folder, so it is
+// never used; a fresh file is written, synced and put in place here. It
+// panics after a failed write, so a defect closes the disk for good.
+package disk
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tidwall/buntdb"
+)
+
+const (
+	fileName    = "state.db"
+	nextName    = "state.next"
+	lockName    = "lock"
+	imageKey    = "image"
+	changeKey   = "change/"
+	rewriteMost = 4096
+)
+
+// Write is one change of the disk: all of it lasts or none.
+type Write struct {
+	// Clear names a prefix whose keys are forgotten first, for an image.
+	Clear string `json:"clear,omitempty"`
+	// Sets holds the new values; an empty value forgets the key.
+	Sets map[string]string `json:"sets"`
+}
+
+// Apply brings the change into a table of keys.
+func (w Write) Apply(keys map[string]string) {
+	if w.Clear != "" {
+		for key := range keys {
+			if strings.HasPrefix(key, w.Clear) {
+				delete(keys, key)
+			}
+		}
+	}
+	for key, value := range w.Sets {
+		if value == "" {
+			delete(keys, key)
+			continue
+		}
+		keys[key] = value
+	}
+}
+
+// sealed is how a change lies in the file: with a sum of its text.
+type sealed struct {
+	Sum  string          `json:"sum"`
+	Text json.RawMessage `json:"text"`
+}
+
+func seal(value any) (string, error) {
+	text, err := json.Marshal(value)
+	if err != nil {
+		return "", err
+	}
+	sum := sha256.Sum256(text)
+	out, err := json.Marshal(sealed{hex.EncodeToString(sum[:8]), text})
+	return string(out), err
+}
+
+func unseal(text string, value any) error {
+	var s sealed
+	if err := json.Unmarshal([]byte(text), &s); err != nil {
+		return err
+	}
+	sum := sha256.Sum256(s.Text)
+	if hex.EncodeToString(sum[:8]) != s.Sum {
+		return errors.New("its sum does not fit its text")
+	}
+	return json.Unmarshal(s.Text, value)
+}
+
+// Disk is one open data folder.
+type Disk struct {
+	folder string
+	lock   *os.File
+	db     *buntdb.DB
+	file   *os.File
+	keys   map[string]string
+	count  int
+	defect error
+	// sync is how a file is brought to the platter; tests make it fail.
+	sync func(*os.File) error
+}
+
+// Open takes the folder for this process. An empty folder gets a new random
+// incarnation; one of another site or one that can't be read is refused and
+// left as it was.
+func Open(folder, site string) (*Disk, error) {
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return nil, errors.Wrapf(err, "data folder %s", folder)
+	}
+	lock, err := os.OpenFile(filepath.Join(folder, lockName), os.O_CREATE|os.O_RDWR, 0o644)
+	if err != nil {
+		return nil, errors.Wrapf(err, "data folder %s", folder)
+	}
+	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		_ = lock.Close()
+		return nil, errors.Newf("data folder %s is in use by another process", folder)
+	}
+	d := &Disk{folder: folder, lock: lock, keys: map[string]string{}, sync: (*os.File).Sync}
+	if err := d.load(site); err != nil {
+		d.Close()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Disk) path(name string) string { return filepath.Join(d.folder, name) }
+
+func (d *Disk) load(site string) error {
+	// A next file that was never put in place holds nothing that counts.
+	if err := os.Remove(d.path(nextName)); err != nil && !os.IsNotExist(err) {
+		return errors.Wrapf(err, "data folder %s", d.folder)
+	}
+	_, statErr := os.Stat(d.path(fileName))
+	blank := os.IsNotExist(statErr)
+	if statErr != nil && !blank {
+		return errors.Wrapf(statErr, "data folder %s", d.folder)
+	}
+	if !blank {
+		if err := d.open(); err != nil {
+			return err
+		}
+		if err := d.replay(); err != nil {
+			return err
+		}
+		if d.keys["site"] != site {
+			return errors.Newf("data folder %s belongs to site %q, not to %q", d.folder, d.keys["site"], site)
+		}
+		return nil
+	}
+	token := make([]byte, 8)
+	if _, err := rand.Read(token); err != nil {
+		return err
+	}
+	d.keys["site"] = site
+	d.keys["incarnation"] = hex.EncodeToString(token)
+	return d.rewrite()
+}
+
+func (d *Disk) open() error {
+	db, err := buntdb.Open(d.path(fileName))
+	if err != nil {
+		return errors.Wrapf(err, "data folder %s holds a torn %s; it is left as it is", d.folder, fileName)
+	}
+	if err := db.SetConfig(buntdb.Config{SyncPolicy: buntdb.Never, AutoShrinkDisabled: true}); err != nil {
+		return err
+	}
+	file, err := os.OpenFile(d.path(fileName), os.O_RDWR, 0)
+	if err != nil {
+		return errors.Wrapf(err, "data folder %s", d.folder)
+	}
+	d.db, d.file = db, file
+	return nil
+}
+
+func (d *Disk) replay() error {
+	var fault error
+	err := d.db.View(func(tx *buntdb.Tx) error {
+		text, err := tx.Get(imageKey)
+		if err != nil {
+			return errors.Newf("data folder %s holds no image; it is left as it is", d.folder)
+		}
+		if err := unseal(text, &d.keys); err != nil {
+			return errors.Wrapf(err, "data folder %s: torn image", d.folder)
+		}
+		return tx.AscendKeys(changeKey+"*", func(key, text string) bool {
+			var w Write
+			if fault = unseal(text, &w); fault != nil {
+				fault = errors.Wrapf(fault, "data folder %s: torn %s", d.folder, key)
+				return false
+			}
+			// A gap means that a change was lost under a later one.
+			if key != changeName(d.count) {
+				fault = errors.Newf("data folder %s: %s is missing", d.folder, changeName(d.count))
+				return false
+			}
+			w.Apply(d.keys)
+			d.count++
+			return true
+		})
+	})
+	return errors.CombineErrors(fault, err)
+}
+
+func changeName(number int) string { return fmt.Sprintf("%s%08d", changeKey, number) }
+
+// Keys gives a copy of what the disk holds.
+func (d *Disk) Keys() map[string]string { return maps.Clone(d.keys) }
+
+// Save brings the change to the platter before it returns. After a defect
+// the disk takes nothing more: what was written then is unknown until the
+// folder is opened anew.
+func (d *Disk) Save(w Write) (err error) {
+	if d.defect != nil {
+		return d.defect
+	}
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = errors.Newf("data folder %s: %v", d.folder, cause)
+		}
+		if err != nil {
+			d.defect = err
+		}
+	}()
+	if d.count >= rewriteMost {
+		if err := d.rewrite(); err != nil {
+			return err
+		}
+	}
+	text, err := seal(w)
+	if err != nil {
+		return err
+	}
+	if err := d.db.Update(func(tx *buntdb.Tx) error {
+		_, _, err := tx.Set(changeName(d.count), text, nil)
+		return err
+	}); err != nil {
+		return errors.Wrapf(err, "data folder %s", d.folder)
+	}
+	if err := d.sync(d.file); err != nil {
+		return errors.Wrapf(err, "data folder %s: sync", d.folder)
+	}
+	w.Apply(d.keys)
+	d.count++
+	return nil
+}
+
+// rewrite puts a fresh file with only an image in place: written, synced,
+// renamed, and the folder synced.
+func (d *Disk) rewrite() error {
+	text, err := seal(d.keys)
+	if err != nil {
+		return err
+	}
+	next, err := buntdb.Open(d.path(nextName))
+	if err != nil {
+		return errors.Wrapf(err, "data folder %s", d.folder)
+	}
+	err = next.Update(func(tx *buntdb.Tx) error {
+		_, _, err := tx.Set(imageKey, text, nil)
+		return err
+	})
+	if closing := next.Close(); err == nil {
+		err = closing
+	}
+	if err != nil {
+		return errors.Wrapf(err, "data folder %s", d.folder)
+	}
+	if err := d.syncPath(d.path(nextName)); err != nil {
+		return err
+	}
+	d.closeFile()
+	if err := os.Rename(d.path(nextName), d.path(fileName)); err != nil {
+		return errors.Wrapf(err, "data folder %s", d.folder)
+	}
+	if err := d.syncPath(d.folder); err != nil {
+		return err
+	}
+	d.count = 0
+	return d.open()
+}
+
+func (d *Disk) syncPath(path string) error {
+	file, err := os.Open(path)
+	if err != nil {
+		return errors.Wrapf(err, "data folder %s", d.folder)
+	}
+	defer file.Close()
+	return errors.Wrapf(d.sync(file), "data folder %s: sync", d.folder)
+}
+
+func (d *Disk) closeFile() {
+	if d.db != nil {
+		_ = d.db.Close()
+		_ = d.file.Close()
+		d.db, d.file = nil, nil
+	}
+}
+
+// Close lets the folder go.
+func (d *Disk) Close() {
+	d.closeFile()
+	_ = d.lock.Close()
+}
--- /dev/null
+++ b/disk/disk_test.go
@@ -0,0 +1,159 @@
+package disk
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"syscall"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	qt "github.com/frankban/quicktest"
+)
+
+func set(key, value string) Write { return Write{Sets: map[string]string{key: value}} }
+
+func reopen(c *qt.C, folder string) map[string]string {
+	d, err := Open(folder, "zagreb")
+	c.Assert(err, qt.IsNil)
+	defer d.Close()
+	return d.Keys()
+}
+
+func TestDiskKeepsWhatItSaved(t *testing.T) {
+	c := qt.New(t)
+	folder := c.Mkdir()
+	d, err := Open(folder, "zagreb")
+	c.Assert(err, qt.IsNil)
+	c.Assert(d.Save(set("state/a", "1")), qt.IsNil)
+	c.Assert(d.Save(set("witness", "w")), qt.IsNil)
+	c.Assert(d.Save(Write{Clear: "state/", Sets: map[string]string{"state/b": "2"}}), qt.IsNil)
+	_, err = Open(folder, "zagreb")
+	c.Assert(err, qt.ErrorMatches, ".*in use.*")
+	d.Close()
+	keys := reopen(c, folder)
+	c.Assert(keys["state/a"], qt.Equals, "")
+	c.Assert(keys["state/b"], qt.Equals, "2")
+	c.Assert(keys["witness"], qt.Equals, "w")
+	_, err = Open(folder, "alexandria")
+	c.Assert(err, qt.ErrorMatches, `.*belongs to site "zagreb".*`)
+}
+
+// A power cut may leave any part of what was not synced. Whatever byte the
+// file ends at, the folder opens to a whole prefix of the changes.
+func TestDiskPowerCutAtEachByte(t *testing.T) {
+	c := qt.New(t)
+	folder := c.Mkdir()
+	d, err := Open(folder, "zagreb")
+	c.Assert(err, qt.IsNil)
+	path := filepath.Join(folder, fileName)
+	sizes := []int64{fileSize(c, path)}
+	for n := range 2 {
+		w := Write{Sets: map[string]string{"state/a": fmt.Sprint(n + 1), "state/b": fmt.Sprint(n + 1)}}
+		c.Assert(d.Save(w), qt.IsNil)
+		sizes = append(sizes, fileSize(c, path))
+	}
+	d.Close()
+	whole, err := os.ReadFile(path)
+	c.Assert(err, qt.IsNil)
+	for cut := sizes[0]; cut <= int64(len(whole)); cut++ {
+		torn := c.Mkdir()
+		c.Assert(os.WriteFile(filepath.Join(torn, fileName), whole[:cut], 0o644), qt.IsNil)
+		keys := reopen(c, torn)
+		last := 0
+		for n, size := range sizes {
+			if size <= cut {
+				last = n
+			}
+		}
+		want := fmt.Sprint(last)
+		if last == 0 {
+			want = ""
+		}
+		c.Assert(keys["state/a"], qt.Equals, want, qt.Commentf("cut at byte %d", cut))
+		c.Assert(keys["state/b"], qt.Equals, want, qt.Commentf("cut at byte %d", cut))
+	}
+}
+
+func fileSize(c *qt.C, path string) int64 {
+	info, err := os.Stat(path)
+	c.Assert(err, qt.IsNil)
+	return info.Size()
+}
+
+func TestDiskFailedSync(t *testing.T) {
+	c := qt.New(t)
+	d, err := Open(c.Mkdir(), "zagreb")
+	c.Assert(err, qt.IsNil)
+	defer d.Close()
+	d.sync = func(*os.File) error { return errors.New("platter gone") }
+	c.Assert(d.Save(set("state/a", "1")), qt.ErrorMatches, ".*platter gone")
+	d.sync = (*os.File).Sync
+	// Once a sync failed nothing that follows may be believed.
+	c.Assert(d.Save(set("state/a", "2")), qt.ErrorMatches, ".*platter gone")
+	c.Assert(d.Keys()["state/a"], qt.Equals, "")
+}
+
+func TestDiskFull(t *testing.T) {
+	c := qt.New(t)
+	folder := c.Mkdir()
+	d, err := Open(folder, "zagreb")
+	c.Assert(err, qt.IsNil)
+	defer d.Close()
+	// The kernel's always-full device stands in for a full disk: it is put
+	// under every descriptor that is open on the file.
+	full, err := os.OpenFile("/dev/full", os.O_WRONLY, 0)
+	c.Assert(err, qt.IsNil)
+	defer full.Close()
+	entries, err := os.ReadDir("/proc/self/fd")
+	c.Assert(err, qt.IsNil)
+	for _, entry := range entries {
+		target, _ := os.Readlink("/proc/self/fd/" + entry.Name())
+		fd, _ := strconv.Atoi(entry.Name())
+		if target == filepath.Join(folder, fileName) {
+			c.Assert(syscall.Dup3(int(full.Fd()), fd, syscall.O_CLOEXEC), qt.IsNil)
+		}
+	}
+	c.Assert(d.Save(set("state/a", "1")), qt.ErrorMatches, ".*no space left.*")
+	c.Assert(d.Save(set("state/a", "2")), qt.ErrorMatches, ".*no space left.*")
+}
+
+func TestDiskTornInside(t *testing.T) {
+	c := qt.New(t)
+	folder := c.Mkdir()
+	d, err := Open(folder, "zagreb")
+	c.Assert(err, qt.IsNil)
+	c.Assert(d.Save(set("state/a", "first")), qt.IsNil)
+	c.Assert(d.Save(set("state/a", "second")), qt.IsNil)
+	d.Close()
+	path := filepath.Join(folder, fileName)
+	text, err := os.ReadFile(path)
+	c.Assert(err, qt.IsNil)
+	for at := range text {
+		if string(text[at:min(at+5, len(text))]) == "first" {
+			text[at] = 'F'
+		}
+	}
+	c.Assert(os.WriteFile(path, text, 0o644), qt.IsNil)
+	_, err = Open(folder, "zagreb")
+	c.Assert(err, qt.ErrorMatches, ".*torn change/00000000.*")
+	after, err := os.ReadFile(path)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(after), qt.Equals, string(text), qt.Commentf("left as it was"))
+}
+
+func TestDiskRewrite(t *testing.T) {
+	c := qt.New(t)
+	folder := c.Mkdir()
+	d, err := Open(folder, "zagreb")
+	c.Assert(err, qt.IsNil)
+	c.Assert(d.Save(set("state/a", "1")), qt.IsNil)
+	// Reach the bound without thousands of syncs.
+	c.Assert(d.rewrite(), qt.IsNil)
+	c.Assert(d.count, qt.Equals, 0)
+	c.Assert(d.Save(set("state/b", "2")), qt.IsNil)
+	d.Close()
+	keys := reopen(c, folder)
+	c.Assert(keys["state/a"]+keys["state/b"], qt.Equals, "12")
+}
--- /dev/null
+++ b/ring/ring.go
@@ -0,0 +1,70 @@
+// Package ring holds the bounded rings that join the threads of a process.
+package ring
+
+import "sync"
+
+// Ring is a bounded first-in first-out between threads. A full ring refuses;
+// it never grows and never blocks who puts.
+type Ring[T any] struct {
+	mu      sync.Mutex
+	filled  sync.Cond
+	slots   []T
+	head    int
+	count   int
+	closed  bool
+	dropped uint64
+}
+
+// New makes a ring of the given size.
+func New[T any](size int) *Ring[T] {
+	r := &Ring[T]{slots: make([]T, size)}
+	r.filled.L = &r.mu
+	return r
+}
+
+// Put adds one, or says that there is no place.
+func (r *Ring[T]) Put(item T) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed || r.count == len(r.slots) {
+		r.dropped++
+		return false
+	}
+	r.slots[(r.head+r.count)%len(r.slots)] = item
+	r.count++
+	r.filled.Signal()
+	return true
+}
+
+// Take waits for the next one; false means closed and empty.
+func (r *Ring[T]) Take() (T, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for r.count == 0 && !r.closed {
+		r.filled.Wait()
+	}
+	var none T
+	if r.count == 0 {
+		return none, false
+	}
+	item := r.slots[r.head]
+	r.slots[r.head] = none
+	r.head = (r.head + 1) % len(r.slots)
+	r.count--
+	return item, true
+}
+
+// Close lets takers drain the ring and then end.
+func (r *Ring[T]) Close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = true
+	r.filled.Broadcast()
+}
+
+// Burden says how many wait and how many were refused so far.
+func (r *Ring[T]) Burden() (count int, dropped uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.count, r.dropped
+}
