--- /dev/null
+++ b/control/duty.go
@@ -0,0 +1,266 @@
+package control
+
+import (
+	"slices"
+	"sort"
+	"strings"
+
+	"myrtlewinch/defect"
+	"myrtlewinch/ledger"
+	"myrtlewinch/wire"
+)
+
+const (
+	platformMs = 300
+	reportMs   = 400
+	// darkMs is how long a runner may be silent and still be offered.
+	darkMs       = 1500
+	orderMs      = 600
+	demandHalfMs = 10_000
+)
+
+// duty is what only the primary does: it reads the platform and the runners,
+// places, and gives orders.
+type duty struct {
+	platformMs   int64
+	platformOkMs int64
+	listing      map[string]wire.Listed
+	seen         map[string]*seenRunner
+	wants        map[ledger.Item]*want
+	placeMs      int64
+	pace         pace
+}
+
+// seenRunner is what the last reports of a runner said.
+type seenRunner struct {
+	askedMs int64
+	okMs    int64
+	orderMs int64
+	burden  int64
+	report  wire.Report
+	// since says from when each item has been held, for the minimum stay.
+	since map[string]int64
+}
+
+// want is the demand for an item: a count that halves with time.
+type want struct {
+	score   float64
+	atMs    int64
+	firstMs int64
+}
+
+func (w *want) now(nowMs int64) float64 {
+	score := w.score
+	for ms := nowMs - w.atMs; ms >= demandHalfMs; ms -= demandHalfMs {
+		score /= 2
+	}
+	return score
+}
+
+func newDuty() duty {
+	return duty{listing: map[string]wire.Listed{}, seen: map[string]*seenRunner{}, wants: map[ledger.Item]*want{}}
+}
+
+// begin forgets what an earlier primacy knew; the pace's bucket starts empty.
+func (d *duty) begin(nowMs int64) {
+	*d = newDuty()
+	d.platformMs = nowMs - platformMs
+	d.pace = pace{atMs: nowMs}
+}
+
+func (d *duty) soft(nowMs int64) wire.Soft {
+	soft := wire.Soft{Burdens: map[string]int64{}}
+	for name, s := range d.seen {
+		soft.Burdens[name] = s.burden
+		if nowMs-s.okMs > darkMs {
+			soft.Dark = append(soft.Dark, name)
+		}
+	}
+	sort.Strings(soft.Dark)
+	return soft
+}
+
+// marks lists the leaving incarnations, also those not yet on the disks.
+func (d *duty) marks(s *ledger.State) []wire.Mark {
+	var marks []wire.Mark
+	for mark := range s.Marks {
+		if row := s.Rows[mark.Runner]; row == nil || row.Incarnation == mark.Incarnation {
+			marks = append(marks, mark)
+		}
+	}
+	for _, listed := range d.listing {
+		mark := wire.Mark{Runner: listed.Name, Incarnation: listed.Incarnation}
+		if listed.Leaving && !slices.Contains(marks, mark) {
+			marks = append(marks, mark)
+		}
+	}
+	sort.Slice(marks, func(i, j int) bool { return marks[i].Runner < marks[j].Runner })
+	return marks
+}
+
+func (d *duty) demanded(nowMs int64, said wire.Demand) {
+	for key, count := range said.Counts {
+		parts := strings.SplitN(key, "/", 3)
+		if len(parts) != 3 || parts[1] == "" {
+			continue
+		}
+		d.want(nowMs, ledger.Item{Model: parts[1]}, count)
+		if parts[2] != "" {
+			d.want(nowMs, ledger.Item{Model: parts[1], Adapter: parts[2]}, count)
+		}
+	}
+}
+
+func (d *duty) want(nowMs int64, item ledger.Item, count int64) {
+	w := d.wants[item]
+	if w == nil {
+		w = &want{firstMs: nowMs}
+		d.wants[item] = w
+	}
+	w.score = w.now(nowMs) + float64(count)
+	w.atMs = nowMs
+}
+
+func (m *Machine) tickDuty() {
+	if !m.isPrimary() {
+		return
+	}
+	d := &m.duty
+	if m.nowMs-d.platformMs >= platformMs {
+		d.platformMs = m.nowMs
+		m.out.Calls = append(m.out.Calls, wire.Call{Address: m.set.Platform, Body: wire.PlatformCall{}})
+	}
+	for _, name := range d.names() {
+		listed := d.listing[name]
+		s := d.seen[name]
+		if s == nil {
+			s = &seenRunner{askedMs: m.nowMs - reportMs, okMs: m.nowMs, since: map[string]int64{}}
+			d.seen[name] = s
+		}
+		if m.nowMs-s.askedMs >= reportMs {
+			s.askedMs = m.nowMs
+			m.out.Calls = append(m.out.Calls, wire.Call{Address: listed.Address, Body: wire.ReportCall{Runner: name}})
+		}
+	}
+	if m.mayOrder() {
+		m.repeatOrders()
+		m.place()
+	}
+}
+
+// names lists the platform's runners in order, so that a run repeats exactly.
+func (d *duty) names() []string {
+	names := make([]string, 0, len(d.listing))
+	for name := range d.listing {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// mayOrder says whether an order given now can't cross one of another holder.
+func (m *Machine) mayOrder() bool {
+	return m.active() && m.nowMs >= m.seat.ordersMs && m.described != nil
+}
+
+func (m *Machine) listed(in wire.Listing) {
+	d := &m.duty
+	if !m.isPrimary() {
+		return
+	}
+	if !in.Ok {
+		// What the platform said last still counts; marks only grow.
+		m.out.Counts = append(m.out.Counts, "platform unread")
+		return
+	}
+	d.platformOkMs = m.nowMs
+	listing := map[string]wire.Listed{}
+	for _, l := range in.Runners {
+		listing[l.Name] = l
+		mark := wire.Mark{Runner: l.Name, Incarnation: l.Incarnation}
+		if l.Leaving && !m.state.Marks[mark] {
+			m.note("%s is leaving", l.Name)
+			m.submit(func(bool) {}, ledger.MarkLeaving{Mark: mark})
+		}
+	}
+	d.listing = listing
+	for name := range d.seen {
+		if _, ok := listing[name]; !ok {
+			d.seen[name].okMs = min(d.seen[name].okMs, m.nowMs-darkMs-1)
+		}
+	}
+}
+
+func (m *Machine) reported(in wire.Reported) {
+	s := m.duty.seen[in.Runner]
+	if !m.isPrimary() || s == nil || !in.Ok {
+		return
+	}
+	if in.Report.Runner != in.Runner {
+		m.count(defect.OtherRunner)
+		return
+	}
+	if in.Report.Epoch > m.record.Epoch {
+		m.count(defect.LowerEpoch)
+		return
+	}
+	s.okMs, s.burden, s.report = m.nowMs, in.Report.Burden, in.Report
+	row := m.state.Rows[in.Runner]
+	if row == nil || row.Incarnation != in.Report.Incarnation || row.Address != in.Address || row.Room != in.Report.Room {
+		s.since = map[string]int64{}
+		m.submit(func(bool) {}, ledger.Arrive{Report: in.Report, Address: in.Address})
+		return
+	}
+	for item := range row.Held {
+		if _, known := s.since[item]; !known {
+			s.since[item] = m.nowMs
+		}
+	}
+	// An unknown order is settled only by a report that names it.
+	if row.Intent != nil && in.Report.LastOrder == row.Intent.Number && in.Report.LastState != wire.OrderUnderWay {
+		done := in.Report.LastState == wire.OrderDone
+		if !done {
+			m.note("%s could not %s %s", in.Runner, row.Intent.Action, row.Intent.Model)
+		}
+		if row.Intent.Action == wire.Unload && done {
+			delete(s.since, ledger.Item{Model: row.Intent.Model, Adapter: row.Intent.Adapter}.String())
+		}
+		m.submit(func(bool) {}, ledger.Settle{
+			Runner: in.Runner, Incarnation: in.Report.Incarnation, Number: row.Intent.Number, Done: done,
+		})
+	}
+}
+
+// repeatOrders sends again what the runner's reports do not name yet. The
+// number makes the repeat harmless.
+func (m *Machine) repeatOrders() {
+	for _, name := range m.duty.names() {
+		row, s := m.state.Rows[name], m.duty.seen[name]
+		if row == nil || s == nil || row.Intent == nil || m.nowMs-s.orderMs < orderMs {
+			continue
+		}
+		named := s.report.Incarnation == row.Incarnation && s.report.LastOrder >= row.Intent.Number
+		if !named && m.settled() {
+			m.sendOrder(name)
+		}
+	}
+}
+
+// settled says whether both disks hold all that is in memory: nothing that
+// was written after the last answered change may reach a runner.
+func (m *Machine) settled() bool { return m.copies.committed >= m.state.Position.Number }
+
+func (m *Machine) sendOrder(name string) {
+	row, s := m.state.Rows[name], m.duty.seen[name]
+	if row == nil || s == nil || row.Intent == nil || !m.mayOrder() {
+		return
+	}
+	s.orderMs = m.nowMs
+	m.out.Calls = append(m.out.Calls, wire.Call{Address: row.Address, Body: wire.OrderCall{
+		Runner: name, UntilMs: m.seat.holdUntilMs,
+		Order: wire.Order{
+			Holder: m.set.Self.Name, Epoch: m.record.Epoch, Number: row.Intent.Number, Incarnation: row.Incarnation, Action: row.Intent.Action,
+			Model: row.Intent.Model, Adapter: row.Intent.Adapter, Size: row.Intent.Size,
+		},
+	}})
+}
--- /dev/null
+++ b/control/index.go
@@ -0,0 +1,109 @@
+package control
+
+import (
+	"myrtlewinch/choice"
+	"myrtlewinch/wire"
+)
+
+const (
+	// waitingMs is how long a router that asked is told of a change.
+	waitingMs   = 10_000
+	demandMs    = 500
+	waitingMost = 4096
+)
+
+// index is the placement index as it answers routers. Any controller that
+// follows answers; only the primary acts on the demand.
+type index struct {
+	looked  uint64
+	waiting map[choice.Key]map[string]int64
+	counts  map[string]int64
+	toldMs  int64
+}
+
+func (m *Machine) ageMs() int64 {
+	if m.active() {
+		return 0
+	}
+	return m.nowMs - m.seat.heardMs
+}
+
+func (m *Machine) lookUp(e wire.Envelope, ask wire.LookUp) {
+	m.index.looked++
+	key := choice.Key{Service: ask.Service, Model: ask.Model, Adapter: ask.Adapter}
+	answer := wire.Index{Id: ask.Id, Key: key.String(), At: m.state.Position, AgeMs: m.ageMs(), Behind: m.described == nil}
+	if m.described != nil {
+		if service, ok := m.described.Service(ask.Service); ok && (ask.Model == "" || service.Allows(ask.Model)) {
+			m.index.counts[key.String()]++
+			line := m.table.Look(key, m.described, m.state, m.softNow())
+			answer.Holders, answer.Loading = line.Holders, line.Loading
+			if len(line.Holders) == 0 && len(m.index.waiting) < waitingMost {
+				if m.index.waiting[key] == nil {
+					m.index.waiting[key] = map[string]int64{}
+				}
+				m.index.waiting[key][e.From.Name] = m.nowMs
+			}
+		}
+	}
+	m.reply(e, answer)
+}
+
+func (m *Machine) softNow() wire.Soft {
+	if m.isPrimary() {
+		return m.duty.soft(m.nowMs)
+	}
+	return m.copies.soft
+}
+
+// tellWaiting tells routers that asked lately of what has become loaded.
+func (m *Machine) tellWaiting() {
+	if m.described == nil {
+		return
+	}
+	for key, routers := range m.index.waiting {
+		for name, atMs := range routers {
+			if m.nowMs-atMs > waitingMs {
+				delete(routers, name)
+			}
+		}
+		line := choice.Line{}
+		if len(routers) > 0 {
+			line = m.table.Look(key, m.described, m.state, m.softNow())
+		}
+		if len(line.Holders) > 0 {
+			for _, place := range m.roster.Part(wire.Router) {
+				if _, asked := routers[place.Name]; asked {
+					m.send(place, wire.Index{Key: key.String(), At: m.state.Position, AgeMs: m.ageMs(), Holders: line.Holders})
+				}
+			}
+		}
+		if len(routers) == 0 || len(line.Holders) > 0 {
+			delete(m.index.waiting, key)
+		}
+	}
+}
+
+// tickIndex brings the demand to the primary.
+func (m *Machine) tickIndex() {
+	if m.nowMs-m.index.toldMs < demandMs {
+		return
+	}
+	m.index.toldMs = m.nowMs
+	// Burdens and darkness are not rows, so the table is compiled anew at times.
+	m.table.Forget()
+	m.tellWaiting()
+	if len(m.index.counts) == 0 {
+		return
+	}
+	demand := wire.Demand{Counts: m.index.counts}
+	m.index.counts = map[string]int64{}
+	if m.record.Primary != "" {
+		m.sendName(m.record.Primary, demand)
+	}
+}
+
+func (m *Machine) demanded(said wire.Demand) {
+	if m.isPrimary() {
+		m.duty.demanded(m.nowMs, said)
+	}
+}
--- /dev/null
+++ b/control/machine.go
@@ -0,0 +1,349 @@
+// Package control is the control plane as one state machine: epochs and
+// holds, the copied state, descriptions, the index and the orders.
+package control
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"myrtlewinch/choice"
+	"myrtlewinch/defect"
+	"myrtlewinch/description"
+	"myrtlewinch/disk"
+	"myrtlewinch/ledger"
+	"myrtlewinch/watch"
+	"myrtlewinch/wire"
+	"myrtlewinch/witness"
+)
+
+// Settings is what a controller knows before it knows anyone.
+type Settings struct {
+	Site     string
+	Self     wire.Place
+	Seeds    []string
+	Platform string
+}
+
+// Keys of a controller's own rows on the disk.
+const (
+	recordKey  = "record"
+	fellowsKey = "fellows"
+)
+
+// remembered is the record with the ballot it was kept under.
+type remembered struct {
+	Record wire.Record `json:"record"`
+	Ballot wire.Ballot `json:"ballot"`
+}
+
+// Machine is one controller. It reads no clock, no socket and no disk.
+type Machine struct {
+	set     Settings
+	nowMs   int64
+	out     wire.Effects
+	local   []wire.Envelope
+	witness *witness.Witness
+	state   *ledger.State
+	// described is the description in force, compiled; nil while none is.
+	described *description.Description
+	record    wire.Record
+	ballot    wire.Ballot
+	saves     map[uint64]func(ok bool)
+	saved     uint64
+	broken    bool
+	leaving   bool
+	roster    *watch.Roster
+	fellows   string
+	seat      seat
+	copies    copies
+	offer     offer
+	index     index
+	duty      duty
+	table     choice.Table
+}
+
+// New makes a controller from what its disk holds.
+func New(set Settings, keys map[string]string, nowMs int64) (*Machine, error) {
+	m := &Machine{set: set, nowMs: nowMs, state: ledger.New(), saves: map[uint64]func(bool){}}
+	var err error
+	if m.witness, err = witness.New(m.ownSeat(), keys[witness.Key], nowMs); err != nil {
+		return nil, errors.Wrap(err, "the witness record on the disk can't be read")
+	}
+	var known remembered
+	if text := keys[recordKey]; text != "" {
+		if err := json.Unmarshal([]byte(text), &known); err != nil {
+			return nil, errors.Wrap(err, "the epoch record on the disk can't be read")
+		}
+	}
+	m.record, m.ballot = known.Record, known.Ballot
+	// A witness's record may be half-recorded, so it is only a hint whom to ask.
+	if m.witness.Record.Epoch > 0 && m.record.Epoch == 0 {
+		m.record.Witnesses, m.record.Before = m.witness.Record.Witnesses, m.witness.Record.Before
+	}
+	var places []wire.Place
+	if text := keys[fellowsKey]; text != "" {
+		if err := json.Unmarshal([]byte(text), &places); err != nil {
+			return nil, errors.Wrap(err, "the remembered fellows on the disk can't be read")
+		}
+	}
+	if err := m.state.Take(keys); err != nil {
+		return nil, errors.Wrap(err, "the control state on the disk can't be read")
+	}
+	if err := m.describe(); err != nil {
+		return nil, err
+	}
+	m.roster = watch.New(set.Self, set.Seeds, places)
+	m.seat = seat{heardMs: nowMs}
+	m.copies = copies{synced: m.state.Position, taken: m.state.Position}
+	m.offer = offer{holds: map[string]*routerHold{}}
+	m.index = index{waiting: map[choice.Key]map[string]int64{}, counts: map[string]int64{}}
+	m.duty = newDuty()
+	return m, nil
+}
+
+// describe compiles the description in force.
+func (m *Machine) describe() error {
+	m.table.Forget()
+	if m.state.Revision.Number == 0 {
+		m.described = nil
+		return nil
+	}
+	d, faults := description.Read([]byte(m.state.Revision.Text), m.set.Site)
+	if len(faults) > 0 {
+		return errors.Newf("the description in force can't be read: %s", strings.Join(faults, "; "))
+	}
+	m.described = d
+	return nil
+}
+
+func (m *Machine) ownSeat() wire.Seat {
+	return wire.Seat{Name: m.set.Self.Name, Incarnation: m.set.Self.Incarnation}
+}
+
+// Inputs beside those of package wire.
+type (
+	// HandOver is a description, or a change of named parts, to be taken.
+	HandOver struct {
+		Id   uint64
+		Base uint64
+		Text string
+		Part bool
+	}
+	// Founding is the operator's explicit act that begins a site.
+	Founding struct {
+		Id        uint64
+		Witnesses []string
+		Backup    string
+	}
+	// StepDown begins a planned stop.
+	StepDown struct{}
+)
+
+// Step takes one input and returns what to do.
+func (m *Machine) Step(nowMs int64, input any) wire.Effects {
+	m.nowMs = nowMs
+	m.out = wire.Effects{}
+	// A hold that ran out while nothing was done is noticed before anything else.
+	m.checkHold()
+	switch in := input.(type) {
+	case wire.Envelope:
+		m.receive(in)
+	case wire.Saved:
+		then := m.saves[in.Number]
+		delete(m.saves, in.Number)
+		if then != nil {
+			then(in.Ok)
+		}
+		if !in.Ok {
+			m.breakDisk()
+		}
+	case wire.Reported:
+		m.reported(in)
+	case wire.Listing:
+		m.listed(in)
+	case HandOver:
+		m.handOver(in)
+	case Founding:
+		m.found(in)
+	case StepDown:
+		m.leaving = true
+		m.stepDown("planned stop")
+	case Look:
+		m.look(in)
+	case wire.Tick:
+		m.tick()
+	default:
+		panic(fmt.Sprintf("control: unknown input %T", input))
+	}
+	// Messages of the daemon to itself, such as to its own witness.
+	for len(m.local) > 0 {
+		next := m.local[0]
+		m.local = m.local[1:]
+		m.receive(next)
+	}
+	return m.out
+}
+
+func (m *Machine) tick() {
+	primary := m.record.Primary
+	m.out.Sends = append(m.out.Sends, m.roster.Tick(m.nowMs, m.record.Epoch, primary)...)
+	m.tickSeat()
+	m.tickCopies()
+	m.tickOffer()
+	m.tickIndex()
+	m.tickDuty()
+	m.rememberFellows()
+}
+
+// rememberFellows keeps the known controllers on the disk, so that seeds may
+// be swapped while this daemon is down.
+func (m *Machine) rememberFellows() {
+	text, _ := json.Marshal(m.roster.Part(wire.Controller))
+	if string(text) == m.fellows || m.broken {
+		return
+	}
+	m.fellows = string(text)
+	m.save(disk.Write{Sets: map[string]string{fellowsKey: m.fellows}}, nil)
+}
+
+func (m *Machine) receive(e wire.Envelope) {
+	if e.Site != m.set.Site {
+		m.count(defect.OtherSite)
+		return
+	}
+	m.roster.Heard(m.nowMs, e.From)
+	switch body := e.Body.(type) {
+	case wire.Heartbeat:
+	case wire.Hello:
+		m.reply(e, wire.Known{Fellows: m.roster.Places(), Record: m.record})
+	case wire.Known:
+		m.roster.Learn(body.Fellows)
+		// What a fellow holds as its record is complete, so it may be taken.
+		if body.Record.Epoch > m.record.Epoch && !m.isPrimary() {
+			m.adopt(body.Record, wire.Ballot{})
+		}
+	case wire.Sightings:
+		for _, s := range body.Seen {
+			m.roster.Told(m.nowMs, s)
+		}
+	case wire.Promise:
+		answer, changed := m.witness.Promise(m.nowMs, e.From.Name, body)
+		m.saveWitness(changed, func() { m.reply(e, answer) })
+	case wire.Keep:
+		answer, changed := m.witness.Keep(m.nowMs, body)
+		m.saveWitness(changed, func() { m.reply(e, answer) })
+	case wire.Renew:
+		answer, changed := m.witness.Renew(m.nowMs, body)
+		m.saveWitness(changed, func() { m.reply(e, answer) })
+	case wire.Release:
+		m.witness.Release(e.From.Name, body)
+	case wire.Promised:
+		m.promised(e.From, body)
+	case wire.Kept:
+		m.kept(e.From, body)
+	case wire.Opinion:
+		m.opinion(e, body)
+	case wire.Opined:
+		m.opined(e.From, body)
+	case wire.Yield:
+		m.yielded(e.From, body)
+	case wire.Follow:
+		m.follow(e, body)
+	case wire.Image:
+		m.image(e, body)
+	case wire.Followed:
+		m.followed(e.From, body)
+	case wire.Ask:
+		m.asked(e, body)
+	case wire.LookUp:
+		m.lookUp(e, body)
+	case wire.Demand:
+		m.demanded(body)
+	default:
+		m.count(defect.Malformed)
+	}
+}
+
+// saveWitness saves the witness where it changed, and then answers.
+func (m *Machine) saveWitness(changed bool, then func()) {
+	if m.broken {
+		return
+	}
+	if !changed {
+		then()
+		return
+	}
+	m.save(disk.Write{Sets: map[string]string{witness.Key: m.witness.Text()}}, func(ok bool) {
+		if ok {
+			then()
+		}
+	})
+}
+
+// save asks for a change of the disk and goes on with then once it ended.
+func (m *Machine) save(w disk.Write, then func(ok bool)) {
+	m.saved++
+	if then != nil {
+		m.saves[m.saved] = then
+	}
+	m.out.Saves = append(m.out.Saves, wire.Save{Number: m.saved, Write: w})
+}
+
+// breakDisk is the end of this daemon's part in writes until it is restarted:
+// what a failed write left behind is unknown.
+func (m *Machine) breakDisk() {
+	if m.broken {
+		return
+	}
+	m.broken = true
+	m.note("the disk failed; no more votes or writes until a restart")
+	m.stepDown("disk defect")
+}
+
+func (m *Machine) reply(e wire.Envelope, body any) { m.send(e.From, body) }
+
+func (m *Machine) send(to wire.Place, body any) {
+	if to.Name == m.set.Self.Name {
+		m.local = append(m.local, wire.Envelope{Site: m.set.Site, From: m.set.Self, To: to.Name, Body: body})
+		return
+	}
+	m.out.Sends = append(m.out.Sends, wire.Send{To: to.Name, Address: to.Address, Body: body})
+}
+
+func (m *Machine) sendName(name string, body any) {
+	if place, ok := m.roster.Place(name); ok {
+		m.send(place, body)
+	}
+}
+
+func (m *Machine) note(format string, args ...any) {
+	m.out.Notes = append(m.out.Notes, fmt.Sprintf(format, args...))
+}
+
+func (m *Machine) count(kind defect.Kind) { m.out.Counts = append(m.out.Counts, string(kind)) }
+
+func (m *Machine) answer(id uint64, body any) {
+	m.out.Answers = append(m.out.Answers, wire.Answer{Id: id, Body: body})
+}
+
+// adopt takes a complete record as the one in force.
+func (m *Machine) adopt(record wire.Record, ballot wire.Ballot) {
+	if record.Epoch < m.record.Epoch {
+		return
+	}
+	if record.Epoch > m.record.Epoch {
+		m.note("epoch %d: primary %s", record.Epoch, record.Primary)
+	}
+	changed := record.Epoch != m.record.Epoch || m.ballot.Less(ballot)
+	m.record = record
+	if m.ballot.Less(ballot) {
+		m.ballot = ballot
+	}
+	if changed && !m.broken {
+		text, _ := json.Marshal(remembered{m.record, m.ballot})
+		m.save(disk.Write{Sets: map[string]string{recordKey: string(text)}}, nil)
+	}
+}
--- /dev/null
+++ b/control/offer.go
@@ -0,0 +1,224 @@
+package control
+
+import (
+	"myrtlewinch/defect"
+	"myrtlewinch/description"
+	"myrtlewinch/ledger"
+	"myrtlewinch/wire"
+)
+
+const (
+	// RouterHoldMs is how long a router may go on with its revision after
+	// the question that the primary's word answered.
+	RouterHoldMs = 6000
+	lineMost     = 16
+)
+
+// offer is the taking of descriptions and the routers' holds on revisions.
+type offer struct {
+	// current is the revision that both disks of the pair hold; the state's
+	// own may be ahead of it by one that is not answered yet.
+	current ledger.Revision
+	pending *candidate
+	line    []HandOver
+	holds   map[string]*routerHold
+}
+
+// candidate is a description that the routers are asked to hold.
+type candidate struct {
+	from   HandOver
+	number uint64
+	text   string
+	sum    string
+	given  bool
+}
+
+// routerHold is what a router was given and what it acknowledged.
+type routerHold struct {
+	untilMs int64
+	acked   string
+}
+
+// Accepted answers a description that is in force.
+type Accepted struct {
+	Revision uint64 `json:"revision"`
+}
+
+func (m *Machine) refuse(id uint64, kind defect.Kind, detail string, faults []string) {
+	m.answer(id, wire.Refused{Kind: kind, Detail: detail, Faults: faults, Revision: m.offer.current.Number, Primary: m.record.Primary})
+}
+
+func (m *Machine) handOver(in HandOver) {
+	switch {
+	case len(in.Text) > description.Most:
+		m.refuse(in.Id, defect.TooLarge, "a description may have at most 1 MiB", nil)
+	case m.record.Epoch == 0:
+		m.refuse(in.Id, defect.NotFounded, "this site is not founded", nil)
+	case !m.isPrimary():
+		m.refuse(in.Id, defect.NotPrimary, "the primary takes descriptions", nil)
+	case !m.active():
+		m.refuse(in.Id, defect.NotTaken, "the pair is not whole yet", nil)
+	case len(m.offer.line) >= lineMost:
+		m.refuse(in.Id, defect.NotTaken, "too many descriptions wait", nil)
+	default:
+		m.offer.line = append(m.offer.line, in)
+		m.nextOffer()
+	}
+}
+
+// nextOffer takes the first of the line that has no fault. One at a time, so
+// that of two with one base the second loses.
+func (m *Machine) nextOffer() {
+	o := &m.offer
+	for o.pending == nil && len(o.line) > 0 && m.active() {
+		in := o.line[0]
+		// Faults are told at once; only a sound one waits for the holds that
+		// the primary before may have given.
+		if in.Base != o.current.Number {
+			o.line = o.line[1:]
+			m.refuse(in.Id, defect.StaleBase, "the description in force is another by now", nil)
+			continue
+		}
+		text := []byte(in.Text)
+		var faults []string
+		if in.Part {
+			text, faults = description.Patch([]byte(o.current.Text), text)
+		}
+		if len(faults) == 0 {
+			_, faults = description.Read(text, m.set.Site)
+		}
+		if len(faults) > 0 || len(text) > description.Most {
+			o.line = o.line[1:]
+			kind := defect.FaultyDescription
+			if len(faults) == 0 {
+				kind = defect.TooLarge
+			}
+			m.refuse(in.Id, kind, "the description has no effect", faults)
+			continue
+		}
+		if m.nowMs < m.seat.takesMs {
+			return
+		}
+		o.line = o.line[1:]
+		o.pending = &candidate{from: in, number: o.current.Number + 1, text: string(text), sum: wire.Sum(string(text))}
+		m.note("revision %d is offered to the routers", o.pending.number)
+		m.nudge()
+		m.tickOffer()
+	}
+}
+
+// nudge makes the routers ask at once rather than at their next turn.
+func (m *Machine) nudge() {
+	for _, place := range m.roster.Part(wire.Router) {
+		m.send(place, wire.Nudge{Epoch: m.record.Epoch})
+	}
+}
+
+func (m *Machine) tickOffer() {
+	o := &m.offer
+	if !m.active() {
+		return
+	}
+	if o.pending == nil {
+		m.nextOffer()
+		return
+	}
+	if o.pending.given || !m.routersReady() {
+		return
+	}
+	o.pending.given = true
+	pending := o.pending
+	m.submit(func(ok bool) {
+		if !ok {
+			m.refuse(pending.from.Id, defect.AcceptanceUnknown, "it may be in force; read the description to find out", nil)
+			return
+		}
+		m.offer.current = ledger.Revision{Number: pending.number, Text: pending.text}
+		m.offer.pending = nil
+		m.note("revision %d is in force", pending.number)
+		m.answer(pending.from.Id, Accepted{Revision: pending.number})
+		m.nudge()
+		m.nextOffer()
+	}, ledger.Accept{Text: pending.text, Epoch: m.record.Epoch})
+}
+
+// routersReady says whether every router that counts has acknowledged the
+// pending revision or can't use the present one any more.
+func (m *Machine) routersReady() bool {
+	for _, hold := range m.offer.holds {
+		if hold.acked != m.offer.pending.sum && m.nowMs < hold.untilMs {
+			return false
+		}
+	}
+	return true
+}
+
+// endOffer ends what an ended primacy can't settle.
+func (m *Machine) endOffer() {
+	o := &m.offer
+	line, pending := o.line, o.pending
+	o.line, o.pending, o.holds = nil, nil, map[string]*routerHold{}
+	for _, in := range line {
+		m.refuse(in.Id, defect.NotTaken, "this controller is not the primary any more", nil)
+	}
+	// One that was never written can't come into force; one that was has been
+	// answered by its write's end.
+	if pending != nil && !pending.given {
+		m.refuse(pending.from.Id, defect.NotTaken, "this controller is not the primary any more", nil)
+	}
+}
+
+// counts says whether a router is listed in the description in force, or in
+// none as long as there is none.
+func (m *Machine) counts(name string) bool {
+	if m.described == nil {
+		return false
+	}
+	for _, member := range m.described.Routers {
+		if member.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// asked answers a router. Only a router that counts is given a hold.
+func (m *Machine) asked(e wire.Envelope, ask wire.Ask) {
+	if !m.active() {
+		return
+	}
+	o := &m.offer
+	word := wire.Word{
+		EchoMs: ask.EchoMs, For: e.From.Incarnation, Epoch: m.record.Epoch,
+		Revision: o.current.Number, Sum: wire.Sum(o.current.Text),
+		Leaving: m.duty.marks(m.state), Fellows: m.roster.Places(),
+	}
+	if ask.Revision != o.current.Number && ask.Held != word.Sum {
+		word.Text = o.current.Text
+	}
+	hold := o.holds[e.From.Name]
+	if m.counts(e.From.Name) && o.current.Number > 0 {
+		if hold == nil {
+			hold = &routerHold{}
+			o.holds[e.From.Name] = hold
+		}
+		hold.acked = ask.Held
+		// A router that has not acknowledged is given no more time on the
+		// present revision while a next one is pending.
+		if o.pending == nil || ask.Held == o.pending.sum {
+			word.Renew = true
+			hold.untilMs = m.nowMs + RouterHoldMs
+		}
+	}
+	if o.pending != nil {
+		word.Pending = o.pending.sum
+		if ask.Held != o.pending.sum {
+			word.PendingText = o.pending.text
+		}
+	}
+	m.reply(e, word)
+	// An acknowledgement may be the last that was waited for.
+	if o.pending != nil {
+		m.tickOffer()
+	}
+}
--- /dev/null
+++ b/control/office.go
@@ -0,0 +1,225 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"myrtlewinch/crew"
+	"myrtlewinch/daemon"
+	"myrtlewinch/defect"
+	"myrtlewinch/description"
+	"myrtlewinch/disk"
+	"myrtlewinch/settings"
+	"myrtlewinch/wire"
+)
+
+const (
+	tickMs    = 50
+	answerMs  = 15_000
+	lookUpMs  = 2_000
+	leaveWait = 300 * time.Millisecond
+)
+
+// Office is a controller as a process: its machine in a shell, and the pages
+// that operators use.
+type Office struct {
+	shell *daemon.Shell
+}
+
+// NewOffice opens the data folder and makes the controller; nothing runs yet.
+func NewOffice(set settings.Settings, fellows, web net.Listener, logger *log.Logger) (*Office, error) {
+	d, err := disk.Open(set.Data, set.Site)
+	if err != nil {
+		return nil, err
+	}
+	keys := d.Keys()
+	clock := daemon.NewClock()
+	self := wire.Place{
+		Name: set.Name, Address: set.Address, Zone: set.Zone, Part: wire.Controller, Incarnation: keys["incarnation"],
+	}
+	machine, err := New(Settings{Site: set.Site, Self: self, Seeds: set.Seeds, Platform: set.Platform}, keys, clock.NowMs())
+	if err != nil {
+		d.Close()
+		return nil, err
+	}
+	o := &Office{}
+	o.shell = daemon.New(daemon.Settings{Site: set.Site, Self: self, Clock: clock, Log: logger, TickMs: tickMs}, machine, d, fellows, web, o)
+	return o, nil
+}
+
+// Join adds the controller's duties to a crew.
+func (o *Office) Join(c *crew.Crew) { o.shell.Join(c) }
+
+// Leave steps down before a planned stop, so that the next need not wait.
+func (o *Office) Leave() {
+	o.shell.Put(StepDown{})
+	time.Sleep(leaveWait)
+}
+
+// ServeHTTP answers operators.
+func (o *Office) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	pages := map[string]map[string]http.HandlerFunc{
+		"/description": {http.MethodGet: o.read, http.MethodPut: o.put, http.MethodPatch: o.put},
+		"/history":     {http.MethodGet: o.history},
+		"/status":      {http.MethodGet: o.status},
+		"/soundness":   {http.MethodGet: o.soundness},
+		"/counters":    {http.MethodGet: o.counters},
+		"/found":       {http.MethodPost: o.foundSite},
+	}
+	page, ok := pages[r.URL.Path]
+	if !ok {
+		defect.Answer{Kind: defect.UnknownPage, Detail: r.URL.Path}.Write(w)
+		return
+	}
+	handler, ok := page[r.Method]
+	if !ok {
+		for method := range page {
+			w.Header().Add("Allow", method)
+		}
+		defect.Answer{Kind: defect.WrongMethod, Detail: r.Method + " " + r.URL.Path}.Write(w)
+		return
+	}
+	handler(w, r)
+}
+
+func (o *Office) ask(r *http.Request, ms int64, input func(id uint64) any) (any, bool) {
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
+	defer cancel()
+	return o.shell.Ask(ctx, input)
+}
+
+func writeJson(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+func refused(w http.ResponseWriter, said wire.Refused) {
+	defect.Answer{
+		Kind: said.Kind, Detail: said.Detail, Faults: said.Faults, Revision: said.Revision, Primary: said.Primary,
+	}.Write(w)
+}
+
+func (o *Office) put(w http.ResponseWriter, r *http.Request) {
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, description.Most))
+	if err != nil {
+		defect.Answer{Kind: defect.TooLarge, Detail: fmt.Sprintf("a description may have at most %d bytes", description.Most)}.Write(w)
+		return
+	}
+	given := strings.Trim(r.Header.Get("If-Match"), `"`)
+	if given == "" {
+		defect.Answer{Kind: defect.NoBase, Detail: `If-Match: "REVISION" must say which revision this is based on; 0 is none`}.Write(w)
+		return
+	}
+	base, err := strconv.ParseUint(given, 10, 64)
+	if err != nil {
+		defect.Answer{Kind: defect.BadRequest, Detail: "If-Match: " + given + " is not a revision"}.Write(w)
+		return
+	}
+	answer, ok := o.ask(r, answerMs, func(id uint64) any {
+		return HandOver{Id: id, Base: base, Text: string(text), Part: r.Method == http.MethodPatch}
+	})
+	if !ok {
+		defect.Answer{Kind: defect.AcceptanceUnknown, Detail: "no outcome in time; read the description to find out"}.Write(w)
+		return
+	}
+	switch said := answer.(type) {
+	case Accepted:
+		w.Header().Set("ETag", fmt.Sprintf("%q", strconv.FormatUint(said.Revision, 10)))
+		writeJson(w, said)
+	case wire.Refused:
+		refused(w, said)
+	}
+}
+
+func (o *Office) described(w http.ResponseWriter, r *http.Request) (Described, bool) {
+	answer, ok := o.ask(r, lookUpMs, func(id uint64) any { return Look{Id: id, Page: "description"} })
+	said, right := answer.(Described)
+	if !ok || !right {
+		defect.Answer{Kind: defect.NotTaken, Detail: "no answer in time"}.Write(w)
+		return said, false
+	}
+	return said, true
+}
+
+func (o *Office) read(w http.ResponseWriter, r *http.Request) {
+	said, ok := o.described(w, r)
+	if !ok {
+		return
+	}
+	// Only the primary knows what is in force; a follower may be late.
+	if !said.Sure {
+		defect.Answer{Kind: defect.NotPrimary, Detail: "the primary knows the description in force", Primary: said.Primary}.Write(w)
+		return
+	}
+	if said.Revision.Number == 0 {
+		defect.Answer{Kind: defect.UnknownPage, Detail: "no description is in force yet"}.Write(w)
+		return
+	}
+	w.Header().Set("ETag", fmt.Sprintf("%q", strconv.FormatUint(said.Revision.Number, 10)))
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = io.WriteString(w, said.Revision.Text)
+}
+
+func (o *Office) history(w http.ResponseWriter, r *http.Request) {
+	if said, ok := o.described(w, r); ok {
+		writeJson(w, map[string]any{"revisions": said.Past, "sure": said.Sure})
+	}
+}
+
+func (o *Office) status(w http.ResponseWriter, r *http.Request) {
+	answer, ok := o.ask(r, lookUpMs, func(id uint64) any { return Look{Id: id, Page: "status"} })
+	if !ok {
+		defect.Answer{Kind: defect.NotTaken, Detail: "no answer in time"}.Write(w)
+		return
+	}
+	writeJson(w, answer)
+}
+
+// soundness says 200 as long as the machine's thread answers and the disk
+// takes writes; it says nothing of the site.
+func (o *Office) soundness(w http.ResponseWriter, r *http.Request) {
+	answer, ok := o.ask(r, lookUpMs, func(id uint64) any { return Look{Id: id, Page: "status"} })
+	status, right := answer.(Status)
+	if !ok || !right || status.DiskBroken {
+		defect.Answer{Kind: defect.NotTaken, Detail: "unsound"}.Write(w)
+		return
+	}
+	writeJson(w, map[string]any{"sound": true, "role": status.Role, "epoch": status.Record.Epoch})
+}
+
+func (o *Office) counters(w http.ResponseWriter, _ *http.Request) { writeJson(w, o.shell.Counts()) }
+
+func (o *Office) foundSite(w http.ResponseWriter, r *http.Request) {
+	var asked struct {
+		Witnesses []string `json:"witnesses"`
+		Backup    string   `json:"backup"`
+	}
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, 4096))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&asked); err != nil {
+		defect.Answer{Kind: defect.BadRequest, Detail: err.Error()}.Write(w)
+		return
+	}
+	answer, ok := o.ask(r, answerMs, func(id uint64) any {
+		return Founding{Id: id, Witnesses: asked.Witnesses, Backup: asked.Backup}
+	})
+	if !ok {
+		defect.Answer{Kind: defect.AcceptanceUnknown, Detail: "no outcome in time; ask for the status"}.Write(w)
+		return
+	}
+	switch said := answer.(type) {
+	case Founded:
+		writeJson(w, said)
+	case wire.Refused:
+		refused(w, said)
+	}
+}
--- /dev/null
+++ b/control/place.go
@@ -0,0 +1,257 @@
+package control
+
+import (
+	"sort"
+
+	"myrtlewinch/description"
+	"myrtlewinch/ledger"
+	"myrtlewinch/wire"
+)
+
+const (
+	placeMs = 200
+	// stayMs is how long a loaded item stays at least, against thrash.
+	stayMs = 8_000
+	// busyScore is the demand that earns a further copy.
+	busyScore = 200
+)
+
+// need is an item that should be held more often than it is.
+type need struct {
+	item   ledger.Item
+	size   int64
+	copies int
+	score  float64
+	first  int64
+	wanted int
+}
+
+// place gives at most one new order a turn and a runner, first copies first.
+func (m *Machine) place() {
+	d := &m.duty
+	if m.nowMs-d.placeMs < placeMs || !m.settled() {
+		return
+	}
+	d.placeMs = m.nowMs
+	for _, n := range m.needs() {
+		if m.placeOne(n) {
+			return
+		}
+	}
+}
+
+// needs lists what is wanted more often than it is held: one copy before two,
+// then who has asked most, then who has waited longest.
+func (m *Machine) needs() []need {
+	var out []need
+	add := func(item ledger.Item, size, wanted int64) {
+		n := need{item: item, size: size, wanted: int(wanted)}
+		if w := m.duty.wants[item]; w != nil {
+			n.score, n.first = w.now(m.nowMs), w.firstMs
+			if n.score >= 1 {
+				n.wanted = max(n.wanted, 1)
+			}
+			if n.score >= busyScore {
+				n.wanted = max(n.wanted, 2)
+			}
+		}
+		n.copies = m.copiesOf(item)
+		if n.copies < n.wanted {
+			out = append(out, n)
+		}
+	}
+	based := map[string]int64{}
+	for _, a := range m.described.Adapters {
+		based[a.Model] = max(based[a.Model], min(a.Copies, 1))
+	}
+	for _, model := range m.described.Models {
+		add(ledger.Item{Model: model.Name}, model.Size, max(model.Copies, based[model.Name]))
+	}
+	for _, a := range m.described.Adapters {
+		add(ledger.Item{Model: a.Model, Adapter: a.Name}, a.Size, a.Copies)
+	}
+	sort.SliceStable(out, func(i, j int) bool {
+		a, b := out[i], out[j]
+		if a.copies != b.copies {
+			return a.copies < b.copies
+		}
+		if a.score != b.score {
+			return a.score > b.score
+		}
+		return a.first < b.first
+	})
+	return out
+}
+
+// usable says whether a runner may be counted on to hold things.
+func (m *Machine) usable(runner *description.Runner) (*ledger.Row, bool) {
+	row, s := m.state.Rows[runner.Name], m.duty.seen[runner.Name]
+	if row == nil || s == nil || m.nowMs-s.okMs > darkMs || m.state.Leaving(row) {
+		return nil, false
+	}
+	if listed := m.duty.listing[runner.Name]; listed.Leaving && listed.Incarnation == row.Incarnation {
+		return nil, false
+	}
+	return row, true
+}
+
+func (m *Machine) copiesOf(item ledger.Item) int {
+	copies := 0
+	for i := range m.described.Runners {
+		if row, ok := m.usable(&m.described.Runners[i]); ok && (row.Holds(item) || row.Loading(item)) {
+			copies++
+		}
+	}
+	return copies
+}
+
+// pools lists the pools whose runners may hold the model.
+func (m *Machine) pools(model string) map[string]bool {
+	pools := map[string]bool{}
+	for i := range m.described.Services {
+		if s := &m.described.Services[i]; s.Allows(model) {
+			for _, pool := range s.Pools {
+				pools[pool] = true
+			}
+		}
+	}
+	return pools
+}
+
+// spot is a runner with what speaks for it.
+type spot struct {
+	row      *ledger.Row
+	room     int64
+	zoneHas  int
+	free     int64
+	adapters bool
+}
+
+// placeOne gives the order that brings the need closer, if there is one.
+func (m *Machine) placeOne(n need) bool {
+	pools := m.pools(n.item.Model)
+	zones := map[string]int{}
+	var spots []spot
+	for i := range m.described.Runners {
+		runner := &m.described.Runners[i]
+		row, ok := m.usable(runner)
+		if !ok {
+			continue
+		}
+		if row.Holds(n.item) || row.Loading(n.item) {
+			zones[runner.Zone]++
+			continue
+		}
+		// An adapter goes only where its model is.
+		if !pools[runner.Pool] || row.Intent != nil || n.item.Adapter != "" && !row.Holds(ledger.Item{Model: n.item.Model}) {
+			continue
+		}
+		room := min(runner.Room, row.Room)
+		spots = append(spots, spot{row: row, room: room, free: room - row.Taken()})
+	}
+	for i := range spots {
+		runner, _ := m.described.Runner(spots[i].row.Runner)
+		spots[i].zoneHas = zones[runner.Zone]
+	}
+	sort.SliceStable(spots, func(i, j int) bool {
+		if spots[i].zoneHas != spots[j].zoneHas {
+			return spots[i].zoneHas < spots[j].zoneHas
+		}
+		return spots[i].free > spots[j].free
+	})
+	pace := m.described.Store.LoadsPer10s
+	for _, s := range spots {
+		if s.free >= n.size {
+			if !m.duty.pace.take(m.nowMs, pace) {
+				return true
+			}
+			m.order(s.row, wire.Load, n.item, n.size)
+			return true
+		}
+	}
+	// Room is made only when the load could follow, and only by dropping what
+	// is less used than what is needed.
+	if !m.duty.pace.ready(m.nowMs, pace) {
+		return true
+	}
+	var victim *ledger.Row
+	var worst ledger.Item
+	lowest := n.score
+	for _, s := range spots {
+		if s.room < n.size {
+			continue
+		}
+		for name := range s.row.Held {
+			item := parseItem(name)
+			score, ok := m.spare(s.row, item, n)
+			if !ok || score > lowest || score == lowest && (victim == nil || victim.Runner+name > victim.Runner+worst.String()) && victim != nil {
+				continue
+			}
+			victim, worst, lowest = s.row, item, score
+		}
+	}
+	if victim == nil {
+		return false
+	}
+	m.order(victim, wire.Unload, worst, victim.Held[worst.String()].Size)
+	return true
+}
+
+// spare says whether an item may be dropped for the need, and its demand.
+func (m *Machine) spare(row *ledger.Row, item ledger.Item, n need) (float64, bool) {
+	since, known := m.duty.seen[row.Runner].since[item.String()]
+	if !known || m.nowMs-since < stayMs {
+		return 0, false
+	}
+	score := 0.0
+	if w := m.duty.wants[item]; w != nil {
+		score = w.now(m.nowMs)
+	}
+	wanted := 0
+	if item.Adapter == "" {
+		// A model goes only once its adapters have gone.
+		for name := range row.Held {
+			if held := parseItem(name); held.Model == item.Model && held.Adapter != "" {
+				return 0, false
+			}
+		}
+		if model, ok := m.described.Model(item.Model); ok {
+			wanted = int(model.Copies)
+		}
+		if n.item.Model == item.Model {
+			return 0, false
+		}
+	} else if adapter, ok := m.described.Adapter(item.Adapter); ok {
+		wanted = int(adapter.Copies)
+	}
+	copies := m.copiesOf(item)
+	// What operators want held stays; a last copy yields to a need that is
+	// asked for more, a further copy to any first one.
+	if copies <= wanted {
+		return 0, false
+	}
+	if copies > 1 && n.copies == 0 {
+		return -1 + score/1e9, true
+	}
+	return score, score < n.score
+}
+
+func parseItem(name string) ledger.Item {
+	for i := range name {
+		if name[i] == '+' {
+			return ledger.Item{Model: name[:i], Adapter: name[i+1:]}
+		}
+	}
+	return ledger.Item{Model: name}
+}
+
+// order writes the intent to the pair, and only then sends it.
+func (m *Machine) order(row *ledger.Row, action string, item ledger.Item, size int64) {
+	name := row.Runner
+	m.note("%s: %s %s", name, action, item)
+	m.submit(func(ok bool) {
+		if ok {
+			m.sendOrder(name)
+		}
+	}, ledger.Intend{Runner: name, Incarnation: row.Incarnation, Action: action, Item: item, Size: size})
+}
--- /dev/null
+++ b/control/seat.go
@@ -0,0 +1,498 @@
+package control
+
+import (
+	"slices"
+
+	"myrtlewinch/defect"
+	"myrtlewinch/wire"
+	"myrtlewinch/witness"
+)
+
+const (
+	renewMs = 300
+	// missMs is how long a primary may be silent before fellows are asked.
+	missMs    = 1000
+	opinionMs = 300
+	goMs      = 800
+	// gapMs passes between the last possible order of one holder and the
+	// first of the next.
+	gapMs = 3000
+)
+
+type role int
+
+const (
+	follower role = iota
+	asking
+	promising
+	keeping
+	primary
+)
+
+var roleNames = []string{"follower", "asking", "promising", "keeping", "primary"}
+
+// seat is this daemon's part in epochs.
+type seat struct {
+	role    role
+	sinceMs int64
+	nextMs  int64
+	heardMs int64
+	renewMs int64
+	round   uint64
+	ballot  wire.Ballot
+	opposed bool
+	// asked holds whom the promise was asked of; granted who gave it.
+	asked   map[wire.Seat]bool
+	granted map[wire.Seat]bool
+	top     wire.Record
+	topKept wire.Ballot
+	// proposal is the record being kept, by this ballot.
+	proposal  *wire.Record
+	keepers   map[wire.Seat]bool
+	completes bool
+	// grants holds when the last renewal that was granted had been sent.
+	grants      map[wire.Seat]int64
+	holdUntilMs int64
+	ordersMs    int64
+	takesMs     int64
+	servedEpoch uint64
+	established bool
+	founding    *Founding
+}
+
+func (m *Machine) isPrimary() bool { return m.seat.role == primary }
+
+// active says whether this daemon may speak for the site: the hold runs and
+// the other disk of the pair has all that this one has.
+func (m *Machine) active() bool {
+	return m.isPrimary() && m.nowMs < m.seat.holdUntilMs && m.seat.established
+}
+
+// entitled says whether this disk may become primary under the record.
+func (m *Machine) entitled(record wire.Record) bool {
+	return !m.broken && !m.leaving && record.Pairs(m.ownSeat())
+}
+
+// mayStand also heeds what only this daemon's witness knows: the pair's new
+// member may not have been told yet that its record is complete.
+func (m *Machine) mayStand() bool {
+	return m.entitled(m.record) || m.witness.Record.Epoch > m.record.Epoch && m.entitled(m.witness.Record)
+}
+
+func (m *Machine) checkHold() {
+	if m.isPrimary() && m.nowMs >= m.seat.holdUntilMs {
+		m.loseSeat("the hold ran out")
+	}
+}
+
+func (m *Machine) tickSeat() {
+	s := &m.seat
+	switch s.role {
+	case follower:
+		if !m.mayStand() || m.nowMs < s.nextMs {
+			return
+		}
+		// After a restart the recorded primary need not miss itself.
+		if m.record.Primary == m.set.Self.Name {
+			m.askPromises(false)
+			return
+		}
+		if m.nowMs-s.heardMs > missMs {
+			m.askOpinions()
+		}
+	case asking:
+		if m.nowMs-s.sinceMs >= opinionMs {
+			if s.opposed {
+				m.note("fellows still hear the primary; no take-over")
+				m.retreat(missMs)
+				return
+			}
+			m.askPromises(false)
+		}
+	case promising, keeping:
+		if m.nowMs-s.sinceMs >= goMs {
+			m.retreat(200 + int64(len(m.set.Self.Name)*37+int(m.set.Self.Name[len(m.set.Self.Name)-1])*13)%300)
+		}
+	case primary:
+		if m.nowMs-s.renewMs >= renewMs {
+			s.renewMs = m.nowMs
+			for _, voter := range m.record.Voters() {
+				m.sendName(voter.Name, wire.Renew{Ballot: s.ballot, Record: m.record, EchoMs: m.nowMs})
+			}
+			if s.proposal != nil {
+				m.sendKeeps()
+			}
+		}
+		m.tendRecord()
+	}
+}
+
+func (m *Machine) retreat(waitMs int64) {
+	m.seat.role = follower
+	m.seat.nextMs = m.nowMs + waitMs
+	m.seat.proposal = nil
+	if f := m.seat.founding; f != nil {
+		m.seat.founding = nil
+		m.answer(f.Id, wire.Refused{Kind: defect.NotTaken, Detail: "not all witnesses agreed to the founding; they must be up and blank"})
+	}
+}
+
+// askOpinions keeps one bad view from starting a take-over: the other core
+// daemons and the primary's watchers must miss it too.
+func (m *Machine) askOpinions() {
+	m.seat.role = asking
+	m.seat.sinceMs = m.nowMs
+	m.seat.opposed = false
+	asked := m.roster.Part(wire.Controller)
+	for _, place := range m.roster.Watchers(m.record.Primary) {
+		if !slices.Contains(asked, place) && place.Name != m.set.Self.Name {
+			asked = append(asked, place)
+		}
+	}
+	for _, place := range asked {
+		if place.Name != m.record.Primary {
+			m.send(place, wire.Opinion{Epoch: m.record.Epoch})
+		}
+	}
+}
+
+func (m *Machine) opinion(e wire.Envelope, ask wire.Opinion) {
+	heardMs := m.nowMs - m.seat.heardMs
+	if agoMs, seen := m.roster.Seen(m.nowMs, m.record.Primary); seen {
+		heardMs = min(heardMs, agoMs)
+	}
+	if m.isPrimary() || ask.Epoch < m.record.Epoch {
+		heardMs = 0
+	}
+	m.reply(e, wire.Opined{Epoch: ask.Epoch, HeardMs: heardMs})
+}
+
+func (m *Machine) opined(_ wire.Place, said wire.Opined) {
+	if m.seat.role == asking && said.Epoch == m.record.Epoch && said.HeardMs < missMs {
+		m.seat.opposed = true
+	}
+}
+
+func (m *Machine) yielded(from wire.Place, said wire.Yield) {
+	if said.Epoch == m.record.Epoch && from.Name == m.record.Primary && m.entitled(m.record) && m.seat.role == follower {
+		m.askPromises(false)
+	}
+}
+
+func (m *Machine) askPromises(found bool) {
+	s := &m.seat
+	s.role = promising
+	s.sinceMs = m.nowMs
+	s.round = max(s.round, m.ballot.Round, m.witness.Promised.Round) + 1
+	s.ballot = wire.Ballot{Round: s.round, Name: m.set.Self.Name}
+	s.asked, s.granted = map[wire.Seat]bool{}, map[wire.Seat]bool{}
+	s.top, s.topKept = m.record, m.ballot
+	m.askMore(found)
+}
+
+func (m *Machine) askMore(found bool) {
+	for _, voter := range m.seat.top.Voters() {
+		if !m.seat.asked[voter] {
+			m.seat.asked[voter] = true
+			m.sendName(voter.Name, wire.Promise{Ballot: m.seat.ballot, Found: found})
+		}
+	}
+}
+
+func (m *Machine) promised(from wire.Place, said wire.Promised) {
+	s := &m.seat
+	s.round = max(s.round, said.Highest.Round)
+	if s.role != promising || said.Ballot != s.ballot {
+		return
+	}
+	if said.Record.Epoch > s.top.Epoch || said.Record.Epoch == s.top.Epoch && s.topKept.Less(said.Kept) {
+		// A newer record may be half-recorded; it is completed before any other.
+		if said.Record.Epoch > 0 && s.founding == nil {
+			s.top, s.topKept = said.Record, said.Kept
+			m.askMore(false)
+		}
+	}
+	if !said.Granted {
+		return
+	}
+	s.granted[wire.Seat{Name: from.Name, Incarnation: from.Incarnation}] = true
+	if s.founding != nil {
+		m.foundWith(from, said)
+		return
+	}
+	if s.top.Majority(func(v wire.Seat) bool { return s.granted[v] }) && s.top.Epoch > 0 {
+		m.keep(s.top, true)
+	}
+}
+
+// keep asks the witnesses to store a record under the present ballot.
+func (m *Machine) keep(record wire.Record, completes bool) {
+	s := &m.seat
+	if s.role != primary {
+		s.role = keeping
+		s.sinceMs = m.nowMs
+	}
+	s.proposal = &record
+	s.completes = completes
+	s.keepers = map[wire.Seat]bool{}
+	if s.role != primary {
+		s.grants = map[wire.Seat]int64{}
+	}
+	m.sendKeeps()
+}
+
+func (m *Machine) sendKeeps() {
+	for _, voter := range m.seat.proposal.Voters() {
+		m.sendName(voter.Name, wire.Keep{Ballot: m.seat.ballot, Record: *m.seat.proposal, EchoMs: m.nowMs})
+	}
+}
+
+func (m *Machine) kept(from wire.Place, said wire.Kept) {
+	s := &m.seat
+	s.round = max(s.round, said.Highest.Round)
+	if said.Ballot != s.ballot || !said.Granted {
+		return
+	}
+	voter := wire.Seat{Name: from.Name, Incarnation: from.Incarnation}
+	// Any grant under this ballot holds others off, so it counts for the hold.
+	if s.grants != nil {
+		s.grants[voter] = max(s.grants[voter], said.EchoMs)
+	}
+	if s.role == primary {
+		m.countHold()
+	}
+	if s.proposal == nil || said.Epoch != s.proposal.Epoch || s.role != keeping && s.role != primary {
+		return
+	}
+	s.keepers[voter] = true
+	if !s.proposal.Majority(func(v wire.Seat) bool { return s.keepers[v] }) {
+		return
+	}
+	record := *s.proposal
+	s.proposal = nil
+	if s.role == primary {
+		m.adopt(record, s.ballot)
+		m.countHold()
+		m.advance()
+		return
+	}
+	if s.completes {
+		m.adopt(record, s.ballot)
+		if !m.entitled(record) {
+			m.retreat(missMs)
+			return
+		}
+		m.keep(wire.Record{
+			Epoch: record.Epoch + 1, Primary: m.set.Self.Name, Pair: record.Pair,
+			Witnesses: record.Witnesses, Before: record.Witnesses,
+		}, false)
+		return
+	}
+	m.becomePrimary(record)
+}
+
+// countHold counts the hold from when the renewals that a majority granted
+// were sent, so that it ends here before it ends at any of them.
+func (m *Machine) countHold() {
+	s := &m.seat
+	sent := make([]int64, 0, len(s.grants))
+	for _, at := range s.grants {
+		sent = append(sent, at)
+	}
+	slices.Sort(sent)
+	for _, at := range slices.Backward(sent) {
+		if m.record.Majority(func(v wire.Seat) bool { given, ok := s.grants[v]; return ok && given >= at }) {
+			s.holdUntilMs = max(s.holdUntilMs, at+witness.HoldMs)
+			return
+		}
+	}
+}
+
+func (m *Machine) becomePrimary(record wire.Record) {
+	s := &m.seat
+	again := m.record.Primary == m.set.Self.Name && s.servedEpoch == m.record.Epoch && m.record.Epoch > 0
+	m.adopt(record, s.ballot)
+	s.role = primary
+	s.established = false
+	s.holdUntilMs = 0
+	m.countHold()
+	s.renewMs = m.nowMs
+	// Another may have ordered until now; the same daemon has only itself to fear.
+	if !again {
+		s.ordersMs = m.nowMs + gapMs
+	}
+	s.takesMs = m.nowMs + RouterHoldMs
+	m.duty.begin(m.nowMs)
+	m.beginCopies()
+	m.note("primary of epoch %d", record.Epoch)
+	m.submit(func(ok bool) {
+		if !ok {
+			return
+		}
+		m.seat.established = true
+		m.offer.current = m.state.Revision
+		m.nudge()
+		m.note("the pair is whole; epoch %d serves", m.record.Epoch)
+		if f := m.seat.founding; f != nil {
+			m.seat.founding = nil
+			// No router has ever been given a hold.
+			m.seat.takesMs = m.nowMs
+			m.answer(f.Id, Founded{Epoch: m.record.Epoch, Primary: m.record.Primary, Backup: f.Backup})
+		}
+	}, beginCommand)
+}
+
+// loseSeat ends this daemon's primacy without a word to anyone.
+func (m *Machine) loseSeat(why string) {
+	m.note("no longer primary: %s", why)
+	m.seat.role = follower
+	m.seat.servedEpoch = m.record.Epoch
+	m.seat.established = false
+	m.seat.proposal = nil
+	m.seat.holdUntilMs = 0
+	m.seat.nextMs = m.nowMs + renewMs
+	m.seat.heardMs = m.nowMs
+	m.endCopies()
+	m.endOffer()
+	if f := m.seat.founding; f != nil {
+		m.seat.founding = nil
+		m.answer(f.Id, wire.Refused{Kind: defect.AcceptanceUnknown, Detail: "the founding may have been recorded; ask for the status"})
+	}
+}
+
+// stepDown ends the primacy on purpose, so that the next need not wait for
+// the hold to run out. The backup is told last, when this one has stopped.
+func (m *Machine) stepDown(why string) {
+	if !m.isPrimary() {
+		return
+	}
+	epoch, voters := m.record.Epoch, m.record.Voters()
+	fellow, paired := m.record.Fellow(m.set.Self.Name)
+	m.loseSeat(why)
+	m.seat.nextMs = m.nowMs + 2*witness.HoldMs
+	for _, voter := range voters {
+		m.sendName(voter.Name, wire.Release{Epoch: epoch})
+	}
+	if paired {
+		m.sendName(fellow.Name, wire.Yield{Epoch: epoch})
+	}
+}
+
+// tendRecord recruits a new backup for a lost one and takes a blank witness in.
+func (m *Machine) tendRecord() {
+	s := &m.seat
+	if s.proposal != nil || m.nowMs >= s.holdUntilMs {
+		return
+	}
+	next := m.record
+	next.Epoch++
+	next.Before = m.record.Witnesses
+	if fellow, ok := m.record.Fellow(m.set.Self.Name); !ok || !m.copies.live(m.nowMs, fellow) {
+		if spare, found := m.recruit(fellow); found {
+			next.Pair = []wire.Seat{m.ownSeat(), spare}
+			m.note("recruiting %s as backup", spare.Name)
+			m.keep(next, false)
+			return
+		}
+	}
+	// Once a new witness set is recorded, the one before need not agree any more.
+	if !slices.Equal(m.record.Before, m.record.Witnesses) {
+		m.keep(next, false)
+		return
+	}
+	for i, seat := range m.record.Witnesses {
+		c := m.copies.fellows[seat.Name]
+		if c == nil || c.incarnation == seat.Incarnation || m.nowMs-c.heardMs > missMs {
+			continue
+		}
+		next.Witnesses = slices.Clone(m.record.Witnesses)
+		next.Witnesses[i].Incarnation = c.incarnation
+		m.note("taking in the new witness disk of %s", seat.Name)
+		m.keep(next, false)
+		return
+	}
+}
+
+// recruit picks a fellow that holds every change, in another zone if it can.
+func (m *Machine) recruit(lost wire.Seat) (wire.Seat, bool) {
+	var best wire.Seat
+	found, other := false, false
+	for _, place := range m.roster.Part(wire.Controller) {
+		seat := wire.Seat{Name: place.Name, Incarnation: place.Incarnation}
+		c := m.copies.fellows[place.Name]
+		if seat == lost || c == nil || !m.copies.live(m.nowMs, seat) || c.acked < m.state.Position.Number {
+			continue
+		}
+		elsewhere := place.Zone != m.set.Self.Zone
+		if !found || elsewhere && !other {
+			best, found, other = seat, true, elsewhere
+		}
+	}
+	return best, found
+}
+
+// Founded answers a founding.
+type Founded struct {
+	Epoch   uint64 `json:"epoch"`
+	Primary string `json:"primary"`
+	Backup  string `json:"backup"`
+}
+
+// found begins a site: every witness must be blank and agree. Nothing else
+// ever takes a blank disk for a beginning.
+func (m *Machine) found(f Founding) {
+	refuse := func(kind defect.Kind, detail string) { m.answer(f.Id, wire.Refused{Kind: kind, Detail: detail}) }
+	if m.record.Epoch > 0 || m.witness.Record.Epoch > 0 || m.state.Position.Number > 0 {
+		refuse(defect.AlreadyFounded, "this controller belongs to a founded site")
+		return
+	}
+	if m.seat.role != follower {
+		refuse(defect.NotTaken, "a founding is under way")
+		return
+	}
+	set := map[string]bool{}
+	for _, name := range f.Witnesses {
+		set[name] = true
+		if _, ok := m.roster.Place(name); !ok {
+			refuse(defect.BadRequest, "witnesses: no controller named "+name+" is known here")
+			return
+		}
+	}
+	if len(f.Witnesses) != 3 || len(set) != 3 {
+		refuse(defect.BadRequest, "witnesses: must be three different controllers")
+		return
+	}
+	if _, ok := m.roster.Place(f.Backup); !ok || f.Backup == m.set.Self.Name {
+		refuse(defect.BadRequest, "backup: must be another controller that is known here")
+		return
+	}
+	m.seat.founding = &f
+	m.record.Witnesses = nil
+	for _, name := range f.Witnesses {
+		place, _ := m.roster.Place(name)
+		m.record.Witnesses = append(m.record.Witnesses, wire.Seat{Name: name, Incarnation: place.Incarnation})
+	}
+	m.record.Before = m.record.Witnesses
+	m.askPromises(true)
+}
+
+// foundWith goes on with a founding once all witnesses have agreed.
+func (m *Machine) foundWith(_ wire.Place, said wire.Promised) {
+	s := &m.seat
+	if said.Record.Epoch > 0 {
+		id := s.founding.Id
+		s.founding = nil
+		m.retreat(0)
+		m.answer(id, wire.Refused{Kind: defect.AlreadyFounded, Detail: "a witness belongs to a founded site"})
+		return
+	}
+	if len(s.granted) < len(s.top.Witnesses) {
+		return
+	}
+	backup, _ := m.roster.Place(s.founding.Backup)
+	m.keep(wire.Record{
+		Epoch: 1, Primary: m.set.Self.Name,
+		Pair:      []wire.Seat{m.ownSeat(), {Name: backup.Name, Incarnation: backup.Incarnation}},
+		Witnesses: s.top.Witnesses, Before: s.top.Witnesses,
+	}, false)
+}
--- /dev/null
+++ b/daemon/door.go
@@ -0,0 +1,99 @@
+package daemon
+
+import (
+	"net"
+	"net/rpc"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"myrtlewinch/crew"
+	"myrtlewinch/wire"
+)
+
+// Door is where fellows' messages come in.
+type Door struct{ shell *Shell }
+
+// Take puts a batch before the machine.
+func (d *Door) Take(batch []wire.Envelope, _ *Ack) error {
+	for _, e := range batch {
+		if e.Site != d.shell.set.Site {
+			d.shell.Count("other site")
+			return errors.New("other site")
+		}
+		if e.Body == nil {
+			d.shell.Count("malformed")
+			continue
+		}
+		d.shell.Put(e)
+	}
+	return nil
+}
+
+// doorway listens for fellows.
+type doorway struct {
+	listener net.Listener
+	mu       sync.Mutex
+	streams  map[net.Conn]bool
+	closed   bool
+}
+
+const streamsMost = 1024
+
+func (s *Shell) listen() error {
+	server := rpc.NewServer()
+	if err := server.RegisterName("Door", &Door{s}); err != nil {
+		return err
+	}
+	for {
+		stream, err := s.doorway.listener.Accept()
+		if err != nil {
+			if s.doorway.isClosed() {
+				return nil
+			}
+			return err
+		}
+		if !s.doorway.add(stream) {
+			_ = stream.Close()
+			s.Count("streams too many")
+			continue
+		}
+		crew.Side(func() {
+			server.ServeCodec(wire.NewServerCodec(stream))
+			s.doorway.remove(stream)
+		})
+	}
+}
+
+func (d *doorway) isClosed() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.closed
+}
+
+func (d *doorway) add(stream net.Conn) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed || len(d.streams) >= streamsMost {
+		return false
+	}
+	d.streams[stream] = true
+	return true
+}
+
+func (d *doorway) remove(stream net.Conn) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.streams, stream)
+	_ = stream.Close()
+}
+
+func (d *doorway) close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.closed = true
+	_ = d.listener.Close()
+	for stream := range d.streams {
+		_ = stream.Close()
+	}
+}
--- /dev/null
+++ b/daemon/shell.go
@@ -0,0 +1,287 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"myrtlewinch/crew"
+	"myrtlewinch/disk"
+	"myrtlewinch/outward"
+	"myrtlewinch/ring"
+	"myrtlewinch/wire"
+)
+
+const (
+	inputsMost  = 1 << 16
+	outwardMs   = 1000
+	outwardMost = 256
+	reportMost  = 4 << 20
+)
+
+// Machine is a state machine: an input in, effects out.
+type Machine interface {
+	Step(nowMs int64, input any) wire.Effects
+}
+
+// Settings is what a shell needs beside its machine.
+type Settings struct {
+	Site   string
+	Self   wire.Place
+	Clock  Clock
+	Log    *log.Logger
+	TickMs int64
+}
+
+// Shell runs one machine.
+type Shell struct {
+	set     Settings
+	machine Machine
+	disk    *disk.Disk
+	inputs  *ring.Ring[any]
+	saves   *ring.Ring[wire.Save]
+	lines   *lines
+	doorway doorway
+	out     *outward.Transport
+	calls   atomic.Int64
+	ids     atomic.Uint64
+	mu      sync.Mutex
+	answers map[uint64]chan any
+	counts  map[string]uint64
+	web     *http.Server
+	webAt   net.Listener
+	ended   chan struct{}
+}
+
+// New makes a shell; nothing runs yet. The disk may be nil.
+func New(set Settings, machine Machine, d *disk.Disk, fellows, web net.Listener, handler http.Handler) *Shell {
+	s := &Shell{
+		set: set, machine: machine, disk: d,
+		inputs: ring.New[any](inputsMost), saves: ring.New[wire.Save](inputsMost),
+		doorway: doorway{listener: fellows, streams: map[net.Conn]bool{}},
+		out:     outward.New(set.Clock.NowMs), answers: map[uint64]chan any{}, counts: map[string]uint64{},
+		webAt: web, ended: make(chan struct{}),
+	}
+	s.lines = newLines(s.Count)
+	s.web = &http.Server{
+		Handler: handler, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 60 * time.Second,
+		MaxHeaderBytes: 16 << 10, ErrorLog: set.Log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
+	}
+	return s
+}
+
+// Outward is the way out of this process.
+func (s *Shell) Outward() *outward.Transport { return s.out }
+
+// Clock is the process's clock.
+func (s *Shell) Clock() Clock { return s.set.Clock }
+
+// Put brings an input before the machine; a full ring refuses.
+func (s *Shell) Put(input any) bool {
+	if !s.inputs.Put(input) {
+		s.Count("ring full")
+		return false
+	}
+	return true
+}
+
+// Count adds one to a counter.
+func (s *Shell) Count(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts[name]++
+}
+
+// Counts copies the counters.
+func (s *Shell) Counts() map[string]uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.counts)
+}
+
+// Expect opens a place for answers to a new id.
+func (s *Shell) Expect() (uint64, <-chan any) {
+	id := s.ids.Add(1)
+	answers := make(chan any, 4)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answers[id] = answers
+	return id, answers
+}
+
+// Forget closes the place of an id.
+func (s *Shell) Forget(id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.answers, id)
+}
+
+// Ask brings one input and waits for its answer, for as long as ctx lasts.
+func (s *Shell) Ask(ctx context.Context, input func(id uint64) any) (any, bool) {
+	id, answers := s.Expect()
+	defer s.Forget(id)
+	if !s.Put(input(id)) {
+		return nil, false
+	}
+	select {
+	case answer := <-answers:
+		return answer, true
+	case <-ctx.Done():
+		return nil, false
+	case <-s.ended:
+		return nil, false
+	}
+}
+
+// Join adds the shell's duties to a crew.
+func (s *Shell) Join(c *crew.Crew) {
+	c.Duty(s.work, s.inputs.Close)
+	if s.disk != nil {
+		c.Duty(s.save, s.saves.Close)
+	}
+	c.Duty(s.listen, s.doorway.close)
+	c.Duty(func() error {
+		if err := s.web.Serve(s.webAt); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	}, func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		if s.web.Shutdown(ctx) != nil {
+			_ = s.web.Close()
+		}
+	})
+	c.Beat(s.set.TickMs, func() {
+		// Ticks that pile up after a freeze would say nothing new.
+		if waiting, _ := s.inputs.Burden(); waiting < inputsMost/2 {
+			s.inputs.Put(wire.Tick{})
+		}
+	})
+}
+
+// work is the machine's own thread.
+func (s *Shell) work() error {
+	defer close(s.ended)
+	defer s.lines.close()
+	defer s.out.Close()
+	for {
+		input, ok := s.inputs.Take()
+		if !ok {
+			return nil
+		}
+		s.perform(s.machine.Step(s.set.Clock.NowMs(), input))
+	}
+}
+
+func (s *Shell) perform(effects wire.Effects) {
+	for _, note := range effects.Notes {
+		s.set.Log.Info(note)
+	}
+	for _, name := range effects.Counts {
+		s.Count(name)
+	}
+	for _, save := range effects.Saves {
+		if s.disk == nil || !s.saves.Put(save) {
+			s.Put(wire.Saved{Number: save.Number, Ok: false})
+		}
+	}
+	for _, send := range effects.Sends {
+		s.Count("messages sent")
+		s.lines.put(send.Address, wire.Envelope{Site: s.set.Site, From: s.set.Self, To: send.To, Body: send.Body})
+	}
+	for _, answer := range effects.Answers {
+		s.mu.Lock()
+		place := s.answers[answer.Id]
+		s.mu.Unlock()
+		if place != nil {
+			place <- answer.Body
+		}
+	}
+	for _, call := range effects.Calls {
+		// The bound keeps dark back ends from gathering threads here.
+		if s.calls.Add(1) > outwardMost {
+			s.calls.Add(-1)
+			s.Count("calls outward too many")
+			s.Put(lost(call))
+			continue
+		}
+		crew.Side(func() {
+			defer s.calls.Add(-1)
+			s.Put(s.exchange(call))
+		})
+	}
+}
+
+// save is the disk's own thread.
+func (s *Shell) save() error {
+	defer s.disk.Close()
+	for {
+		save, ok := s.saves.Take()
+		if !ok {
+			return nil
+		}
+		err := s.disk.Save(save.Write)
+		if err != nil {
+			s.set.Log.Error("the disk failed", "cause", err)
+		}
+		s.Put(wire.Saved{Number: save.Number, Ok: err == nil})
+	}
+}
+
+func lost(call wire.Call) any {
+	switch body := call.Body.(type) {
+	case wire.OrderCall:
+		return wire.Reported{Runner: body.Runner, Address: call.Address}
+	case wire.ReportCall:
+		return wire.Reported{Runner: body.Runner, Address: call.Address}
+	}
+	return wire.Listing{}
+}
+
+// exchange carries a call out to a runner or to the platform.
+func (s *Shell) exchange(call wire.Call) any {
+	ctx, cancel := context.WithTimeout(context.Background(), outwardMs*time.Millisecond)
+	defer cancel()
+	always := s.set.Clock.NowMs() + outwardMs
+	switch body := call.Body.(type) {
+	case wire.OrderCall:
+		text, _ := json.Marshal(body.Order)
+		reported := wire.Reported{Runner: body.Runner, Address: call.Address}
+		reported.Ok = s.fetch(ctx, http.MethodPost, call.Address, "/orders", text, body.UntilMs, &reported.Report)
+		return reported
+	case wire.ReportCall:
+		reported := wire.Reported{Runner: body.Runner, Address: call.Address}
+		reported.Ok = s.fetch(ctx, http.MethodGet, call.Address, "/report", nil, always, &reported.Report)
+		return reported
+	case wire.PlatformCall:
+		var listing wire.Listing
+		listing.Ok = s.fetch(ctx, http.MethodGet, call.Address, "/runners", nil, always, &listing.Runners)
+		return listing
+	}
+	return lost(call)
+}
+
+func (s *Shell) fetch(ctx context.Context, method, address, path string, body []byte, untilMs int64, into any) bool {
+	answer, _, err := s.out.Go(ctx, method, "http://"+address+path, body, untilMs)
+	if err != nil {
+		s.Count("calls outward failed")
+		return false
+	}
+	defer answer.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(answer.Body, reportMost))
+	if err != nil || answer.StatusCode/100 != 2 || json.Unmarshal(text, into) != nil {
+		s.Count("calls outward failed")
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/ledger/command.go
@@ -0,0 +1,108 @@
+package ledger
+
+import "myrtlewinch/wire"
+
+// Begin marks the start of an epoch, so that tails of two primaries differ.
+type Begin struct{}
+
+// Apply changes nothing but the position.
+func (Begin) Apply(*State) {}
+
+// Accept puts a description in force.
+type Accept struct {
+	Text  string
+	Epoch uint64
+}
+
+// Apply takes the next revision number.
+func (c Accept) Apply(s *State) {
+	s.Revision = Revision{Number: s.Revision.Number + 1, Text: c.Text}
+	s.Past = append(s.Past, Past{s.Revision.Number, len(c.Text), wire.Sum(c.Text), c.Epoch})
+	if len(s.Past) > pastMost {
+		s.Past = s.Past[len(s.Past)-pastMost:]
+	}
+	s.dirty["revision"] = true
+	s.dirty["past"] = true
+}
+
+// Arrive notes a runner's incarnation. A new one begins with only what it
+// says itself that it holds; nothing known of the one before counts.
+type Arrive struct {
+	Report  wire.Report
+	Address string
+}
+
+// Apply makes the row anew, or notes a new address of the same incarnation.
+func (c Arrive) Apply(s *State) {
+	row := s.Rows[c.Report.Runner]
+	if row == nil || row.Incarnation != c.Report.Incarnation {
+		row = &Row{Runner: c.Report.Runner, Incarnation: c.Report.Incarnation, Held: map[string]Holding{}}
+		for _, h := range c.Report.Held {
+			row.Held[Item{h.Model, h.Adapter}.String()] = Holding{Size: h.Size}
+		}
+		s.Rows[c.Report.Runner] = row
+	}
+	row.Address = c.Address
+	row.Room = c.Report.Room
+	s.dirty["row/"+row.Runner] = true
+}
+
+// MarkLeaving notes that an incarnation is leaving, for good.
+type MarkLeaving struct{ Mark wire.Mark }
+
+// Apply adds the mark.
+func (c MarkLeaving) Apply(s *State) {
+	if s.Marks[c.Mark] {
+		return
+	}
+	s.Marks[c.Mark] = true
+	s.dirty[markKey(c.Mark)] = true
+}
+
+// Intend writes an order down before it is sent.
+type Intend struct {
+	Runner, Incarnation string
+	Action              string
+	Item                Item
+	Size                int64
+}
+
+// Apply takes the next order number, unless the row can't take the order any
+// more: another order is open, the runner is another, or there is no room.
+func (c Intend) Apply(s *State) {
+	row := s.Rows[c.Runner]
+	if row == nil || row.Incarnation != c.Incarnation || row.Intent != nil {
+		return
+	}
+	if c.Action == wire.Load && row.Taken()+c.Size > row.Room {
+		return
+	}
+	s.Orders++
+	row.Intent = &Intent{s.Orders, c.Action, c.Item.Model, c.Item.Adapter, c.Size}
+	s.dirty["orders"] = true
+	s.dirty["row/"+c.Runner] = true
+}
+
+// Settle ends an order as the runner's report says.
+type Settle struct {
+	Runner, Incarnation string
+	Number              uint64
+	Done                bool
+}
+
+// Apply moves the item into or out of what the runner holds.
+func (c Settle) Apply(s *State) {
+	row := s.Rows[c.Runner]
+	if row == nil || row.Incarnation != c.Incarnation || row.Intent == nil || row.Intent.Number != c.Number {
+		return
+	}
+	item := Item{row.Intent.Model, row.Intent.Adapter}.String()
+	switch {
+	case row.Intent.Action == wire.Load && c.Done:
+		row.Held[item] = Holding{Size: row.Intent.Size}
+	case row.Intent.Action == wire.Unload && c.Done:
+		delete(row.Held, item)
+	}
+	row.Intent = nil
+	s.dirty["row/"+c.Runner] = true
+}
--- /dev/null
+++ b/ledger/ledger.go
@@ -0,0 +1,215 @@
+// Package ledger is the holding ledger: which runner holds which model or
+// adapter, from our own orders and the runners' answers, together with the
+// description in force. Commands are types with an Apply method; they run at
+// the primary alone and leave rows, which is what disks and followers take.
+package ledger
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"myrtlewinch/wire"
+)
+
+// Prefix is before every key of the control state on a disk.
+const Prefix = "state/"
+
+// Item names a model, or an adapter on its model.
+type Item struct{ Model, Adapter string }
+
+func (i Item) String() string {
+	if i.Adapter == "" {
+		return i.Model
+	}
+	return i.Model + "+" + i.Adapter
+}
+
+// Holding is one thing that a runner holds.
+type Holding struct {
+	Size int64 `json:"size"`
+}
+
+// Intent is an order whose end is not known yet. Its room is taken until a
+// later report of the runner names it.
+type Intent struct {
+	Number  uint64 `json:"number"`
+	Action  string `json:"action"`
+	Model   string `json:"model"`
+	Adapter string `json:"adapter,omitempty"`
+	Size    int64  `json:"size"`
+}
+
+// Row is what the ledger knows of one runner.
+type Row struct {
+	Runner      string             `json:"runner"`
+	Incarnation string             `json:"incarnation"`
+	Address     string             `json:"address"`
+	Room        int64              `json:"room"`
+	Leaving     bool               `json:"leaving,omitempty"`
+	Held        map[string]Holding `json:"held"`
+	Intent      *Intent            `json:"intent,omitempty"`
+}
+
+// Taken is the room that held, loading, unknown and not yet unloaded things
+// take together.
+func (r *Row) Taken() int64 {
+	var taken int64
+	for _, h := range r.Held {
+		taken += h.Size
+	}
+	if r.Intent != nil && r.Intent.Action == wire.Load {
+		taken += r.Intent.Size
+	}
+	return taken
+}
+
+// Holds says whether the item is held for certain: an item that is being
+// unloaded is no longer counted on.
+func (r *Row) Holds(item Item) bool {
+	if item.Model == "" {
+		return true
+	}
+	if _, ok := r.Held[item.String()]; !ok {
+		return false
+	}
+	return r.Intent == nil || r.Intent.Action != wire.Unload ||
+		Item{r.Intent.Model, r.Intent.Adapter} != item
+}
+
+// Loading says whether an order to load the item is on its way.
+func (r *Row) Loading(item Item) bool {
+	return r.Intent != nil && r.Intent.Action == wire.Load && Item{r.Intent.Model, r.Intent.Adapter} == item
+}
+
+// Revision is a description that was accepted.
+type Revision struct {
+	Number uint64 `json:"number"`
+	Text   string `json:"text"`
+}
+
+// Past is a line of the history of revisions.
+type Past struct {
+	Number uint64 `json:"number"`
+	Bytes  int    `json:"bytes"`
+	Sum    string `json:"sum"`
+	Epoch  uint64 `json:"epoch"`
+}
+
+const pastMost = 100
+
+// State is the control state in memory.
+type State struct {
+	Position wire.Position
+	Revision Revision
+	Past     []Past
+	Orders   uint64
+	Rows     map[string]*Row
+	// Marks are the leaving incarnations; they only grow.
+	Marks map[wire.Mark]bool
+	dirty map[string]bool
+}
+
+// New makes an empty state.
+func New() *State {
+	return &State{Rows: map[string]*Row{}, Marks: map[wire.Mark]bool{}, dirty: map[string]bool{}}
+}
+
+// Command changes the state at the primary.
+type Command interface{ Apply(s *State) }
+
+// Do applies commands and gives the rows that a disk and the followers take.
+func (s *State) Do(at wire.Position, commands []Command) map[string]string {
+	clear(s.dirty)
+	for _, command := range commands {
+		command.Apply(s)
+	}
+	s.Position = at
+	s.dirty["position"] = true
+	rows := map[string]string{}
+	for key := range s.dirty {
+		rows[Prefix+key] = s.text(key)
+	}
+	return rows
+}
+
+func (s *State) text(key string) string {
+	var value any
+	switch {
+	case key == "position":
+		value = s.Position
+	case key == "revision":
+		value = s.Revision
+	case key == "past":
+		value = s.Past
+	case key == "orders":
+		return strconv.FormatUint(s.Orders, 10)
+	case strings.HasPrefix(key, "row/"):
+		value = s.Rows[strings.TrimPrefix(key, "row/")]
+	case strings.HasPrefix(key, "mark/"):
+		return "leaving"
+	}
+	text, _ := json.Marshal(value)
+	return string(text)
+}
+
+// Rowset gives every row, for an image.
+func (s *State) Rowset() map[string]string {
+	rows := map[string]string{}
+	for _, key := range []string{"position", "revision", "past", "orders"} {
+		rows[Prefix+key] = s.text(key)
+	}
+	for name := range s.Rows {
+		rows[Prefix+"row/"+name] = s.text("row/" + name)
+	}
+	for mark := range s.Marks {
+		rows[Prefix+markKey(mark)] = "leaving"
+	}
+	return rows
+}
+
+func markKey(mark wire.Mark) string { return "mark/" + mark.Runner + "/" + mark.Incarnation }
+
+// Take brings rows into the state, as a follower or after a restart does.
+func (s *State) Take(rows map[string]string) error {
+	for key, text := range rows {
+		name, ours := strings.CutPrefix(key, Prefix)
+		if !ours {
+			continue
+		}
+		if err := s.take(name, text); err != nil {
+			return fmt.Errorf("%s: %w", key, err)
+		}
+	}
+	return nil
+}
+
+func (s *State) take(key, text string) error {
+	switch {
+	case key == "position":
+		return json.Unmarshal([]byte(text), &s.Position)
+	case key == "revision":
+		return json.Unmarshal([]byte(text), &s.Revision)
+	case key == "past":
+		return json.Unmarshal([]byte(text), &s.Past)
+	case key == "orders":
+		number, err := strconv.ParseUint(text, 10, 64)
+		s.Orders = number
+		return err
+	case strings.HasPrefix(key, "row/"):
+		row := &Row{}
+		s.Rows[strings.TrimPrefix(key, "row/")] = row
+		return json.Unmarshal([]byte(text), row)
+	case strings.HasPrefix(key, "mark/"):
+		runner, incarnation, _ := strings.Cut(strings.TrimPrefix(key, "mark/"), "/")
+		s.Marks[wire.Mark{Runner: runner, Incarnation: incarnation}] = true
+		return nil
+	}
+	return fmt.Errorf("unknown row")
+}
+
+// Leaving says whether the runner's present incarnation is marked.
+func (s *State) Leaving(row *Row) bool {
+	return row.Leaving || s.Marks[wire.Mark{Runner: row.Runner, Incarnation: row.Incarnation}]
+}
--- /dev/null
+++ b/outward/transport.go
@@ -0,0 +1,120 @@
+// Package outward is the way out to runners and to the platform, over
+// HTTP/1.1. It tells for certain whether a byte of a request was written, and
+// writes none after the last moment that its caller set.
+package outward
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrTooLate says that the moment had passed before the first byte.
+var ErrTooLate = errors.New("too late to send")
+
+const (
+	dialMs = 1000
+	idleMs = 2000
+)
+
+// Transport sends requests that are never repeated by themselves.
+type Transport struct {
+	inner *http.Transport
+	nowMs func() int64
+}
+
+// New makes a transport with the process's monotonic clock.
+func New(nowMs func() int64) *Transport {
+	t := &Transport{nowMs: nowMs}
+	dialer := net.Dialer{Timeout: dialMs * time.Millisecond}
+	t.inner = &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &stream{Conn: conn, nowMs: nowMs}, nil
+		},
+		// What a runner sends is relayed as it is.
+		DisableCompression:     true,
+		IdleConnTimeout:        idleMs * time.Millisecond,
+		MaxIdleConnsPerHost:    16,
+		MaxResponseHeaderBytes: 16 << 10,
+	}
+	return t
+}
+
+// shot is one request on its way.
+type shot struct {
+	untilMs int64
+	wrote   atomic.Bool
+	late    atomic.Bool
+}
+
+// stream checks the moment right at the socket.
+type stream struct {
+	net.Conn
+	nowMs func() int64
+	shot  atomic.Pointer[shot]
+}
+
+// Write refuses the first byte of a request that is too late.
+func (s *stream) Write(p []byte) (int, error) {
+	shot := s.shot.Load()
+	if shot == nil || shot.wrote.Load() {
+		return s.Conn.Write(p)
+	}
+	if s.nowMs() >= shot.untilMs {
+		shot.late.Store(true)
+		return 0, ErrTooLate
+	}
+	shot.wrote.Store(true)
+	n, err := s.Conn.Write(p)
+	if n == 0 && err != nil {
+		shot.wrote.Store(false)
+	}
+	return n, err
+}
+
+// once is a body that the standard transport has no way to read again.
+type once struct{ io.Reader }
+
+func (once) Close() error { return nil }
+
+// Go sends a request once. Wrote says whether any byte may have reached the
+// other side; without it the request certainly has not.
+func (t *Transport) Go(ctx context.Context, method, url string, body []byte, untilMs int64) (answer *http.Response, wrote bool, err error) {
+	sent := &shot{untilMs: untilMs}
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if s, ok := info.Conn.(*stream); ok {
+				s.shot.Store(sent)
+			}
+		},
+	})
+	request, err := http.NewRequestWithContext(ctx, method, url, nil)
+	if err != nil {
+		return nil, false, err
+	}
+	if body != nil {
+		// Without GetBody the transport can't resend it by itself.
+		request.Body = once{bytes.NewReader(body)}
+		request.ContentLength = int64(len(body))
+		request.Header.Set("Content-Type", "application/json")
+	}
+	answer, err = t.inner.RoundTrip(request)
+	if sent.late.Load() {
+		return nil, sent.wrote.Load(), ErrTooLate
+	}
+	return answer, sent.wrote.Load(), err
+}
+
+// Close lets idle streams go.
+func (t *Transport) Close() { t.inner.CloseIdleConnections() }
--- /dev/null
+++ b/stand/platform.go
@@ -0,0 +1,85 @@
+package stand
+
+import (
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+
+	"myrtlewinch/defect"
+	"myrtlewinch/wire"
+)
+
+// Platform lists the runners and marks those about to leave.
+type Platform struct {
+	mu      sync.Mutex
+	runners map[string]wire.Listed
+}
+
+// NewPlatform makes an empty platform.
+func NewPlatform() *Platform { return &Platform{runners: map[string]wire.Listed{}} }
+
+// List gives the runners in order of name.
+func (p *Platform) List() []wire.Listed {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := make([]wire.Listed, 0, len(p.runners))
+	for _, listed := range p.runners {
+		list = append(list, listed)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	return list
+}
+
+// Put lists a runner, or replaces it.
+func (p *Platform) Put(listed wire.Listed) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.runners[listed.Name] = listed
+}
+
+// Mark marks the present incarnation of a runner as leaving.
+func (p *Platform) Mark(name string) (wire.Listed, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	listed, ok := p.runners[name]
+	if ok {
+		listed.Leaving = true
+		p.runners[name] = listed
+	}
+	return listed, ok
+}
+
+// Remove takes a runner off the list.
+func (p *Platform) Remove(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.runners, name)
+}
+
+// ServeHTTP serves the list, and lets runners and people change it.
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	name, one := strings.CutPrefix(r.URL.Path, "/runners/")
+	switch {
+	case r.URL.Path == "/runners" && r.Method == http.MethodGet:
+		writeJson(w, http.StatusOK, p.List())
+	case one && r.Method == http.MethodPut:
+		var listed wire.Listed
+		if readJson(w, r, &listed) {
+			listed.Name = name
+			p.Put(listed)
+			writeJson(w, http.StatusOK, listed)
+		}
+	case one && r.Method == http.MethodDelete:
+		p.Remove(name)
+		writeJson(w, http.StatusOK, map[string]string{"removed": name})
+	case one && strings.HasSuffix(name, "/leaving") && r.Method == http.MethodPost:
+		if listed, ok := p.Mark(strings.TrimSuffix(name, "/leaving")); ok {
+			writeJson(w, http.StatusOK, listed)
+			return
+		}
+		fallthrough
+	default:
+		writeJson(w, http.StatusNotFound, defect.Answer{Kind: defect.UnknownPage, Detail: r.URL.Path, Ran: "no"})
+	}
+}
--- /dev/null
+++ b/stand/runner.go
@@ -0,0 +1,143 @@
+// Package stand holds the stand-ins for what lies outside the system: the
+// runners with their weight store, the platform, and the senders.
+package stand
+
+import (
+	"myrtlewinch/defect"
+	"myrtlewinch/ledger"
+	"myrtlewinch/rules"
+	"myrtlewinch/traffic"
+	"myrtlewinch/wire"
+)
+
+// Runner is a back end: it holds what it is told to, within its room, and
+// runs what it holds. It is a state machine too; its door is elsewhere.
+type Runner struct {
+	Name, Incarnation string
+	Room              int64
+	LoadMs            int64
+	Book              *rules.Book
+
+	epoch     uint64
+	lastOrder uint64
+	lastState string
+	order     wire.Order
+	endsMs    int64
+	held      map[string]wire.Held
+	revision  uint64
+	seen      map[string]bool
+	running   int64
+}
+
+// NewRunner makes a runner that holds nothing.
+func NewRunner(name, incarnation string, room, loadMs int64, book *rules.Book) *Runner {
+	return &Runner{
+		Name: name, Incarnation: incarnation, Room: room, LoadMs: loadMs, Book: book,
+		held: map[string]wire.Held{}, seen: map[string]bool{},
+	}
+}
+
+// settle ends an order whose time has come.
+func (r *Runner) settle(nowMs int64) {
+	if r.lastState != wire.OrderUnderWay || nowMs < r.endsMs {
+		return
+	}
+	r.lastState = wire.OrderDone
+	item := ledger.Item{Model: r.order.Model, Adapter: r.order.Adapter}.String()
+	if r.order.Action == wire.Load {
+		r.held[item] = wire.Held{Model: r.order.Model, Adapter: r.order.Adapter, Size: r.order.Size}
+		return
+	}
+	delete(r.held, item)
+}
+
+// Report is the runner's word on itself.
+func (r *Runner) Report(nowMs int64) wire.Report {
+	r.settle(nowMs)
+	report := wire.Report{
+		Runner: r.Name, Incarnation: r.Incarnation, Room: r.Room, Burden: r.running, Epoch: r.epoch,
+		LastOrder: r.lastOrder, LastState: r.lastState, Held: []wire.Held{},
+	}
+	for _, held := range r.held {
+		report.Held = append(report.Held, held)
+	}
+	return report
+}
+
+// Order takes an order, or refuses one of a lower epoch, for another
+// incarnation, or while another is under way. A repeat changes nothing.
+func (r *Runner) Order(nowMs int64, o wire.Order) (wire.Report, defect.Kind) {
+	r.settle(nowMs)
+	switch {
+	case o.Incarnation != r.Incarnation:
+		return wire.Report{}, defect.OtherRunner
+	case o.Epoch < r.epoch:
+		return wire.Report{}, defect.LowerEpoch
+	}
+	if r.Book != nil {
+		r.Book.Order(nowMs, r.Name, o.Holder, o.Epoch)
+	}
+	r.epoch = o.Epoch
+	if o.Number <= r.lastOrder {
+		return r.Report(nowMs), ""
+	}
+	if r.lastState == wire.OrderUnderWay {
+		return wire.Report{}, defect.RunnerDropped
+	}
+	r.order, r.lastOrder, r.lastState = o, o.Number, wire.OrderUnderWay
+	r.endsMs = nowMs + r.LoadMs/10
+	if o.Action == wire.Load {
+		r.endsMs = nowMs + r.LoadMs
+		taken := o.Size
+		for _, held := range r.held {
+			taken += held.Size
+		}
+		if r.Book != nil {
+			r.Book.Load(nowMs, r.Name, o.Model)
+			r.Book.Room(nowMs, r.Name, taken, r.Room)
+		}
+		if taken > r.Room {
+			r.lastState = wire.OrderFailed
+		}
+	}
+	return r.Report(nowMs), ""
+}
+
+// Run starts a request, or says that it did not run it.
+func (r *Runner) Run(nowMs int64, call traffic.RunCall, router string) *traffic.RunDrop {
+	r.settle(nowMs)
+	no := false
+	drop := func(kind defect.Kind) *traffic.RunDrop {
+		return &traffic.RunDrop{Kind: string(kind), Request: call.Request, Ran: &no, Revision: r.revision}
+	}
+	if r.Book != nil {
+		r.Book.Arrived(nowMs, call.Service, call.Request, r.Name, r.Incarnation)
+	}
+	if call.Incarnation != r.Incarnation {
+		return drop(defect.OtherRunner)
+	}
+	if call.Revision < r.revision {
+		return drop(defect.StaleRevision)
+	}
+	r.revision = call.Revision
+	if call.Model != "" {
+		_, model := r.held[call.Model]
+		_, adapter := r.held[ledger.Item{Model: call.Model, Adapter: call.Adapter}.String()]
+		if !model || !adapter {
+			return drop(defect.NotHeld)
+		}
+	}
+	id := call.Service + "/" + call.Request
+	if r.seen[id] && !call.Repeatable {
+		return drop(defect.AlreadyTaken)
+	}
+	r.seen[id] = true
+	r.running++
+	if r.Book != nil {
+		r.Book.Started(nowMs, call.Service, call.Request, r.Name, call.Repeatable, router, call.Revision)
+	}
+	return nil
+}
+
+// Done ends a request that Run started.
+func (r *Runner) Done() { r.running-- }
--- /dev/null
+++ b/stand/runnerdoor.go
@@ -0,0 +1,129 @@
+package stand
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"myrtlewinch/defect"
+	"myrtlewinch/traffic"
+	"myrtlewinch/wire"
+)
+
+// RunnerDoor is a runner's door to the network.
+type RunnerDoor struct {
+	mu     sync.Mutex
+	runner *Runner
+	nowMs  func() int64
+	// WorkMs is how long a plain answer takes, and each piece of a telling.
+	WorkMs int64
+	Pieces int
+	// Torn makes every telling break off after its first piece.
+	Torn bool
+}
+
+// NewRunnerDoor opens a door.
+func NewRunnerDoor(runner *Runner, nowMs func() int64, workMs int64, pieces int) *RunnerDoor {
+	return &RunnerDoor{runner: runner, nowMs: nowMs, WorkMs: workMs, Pieces: pieces}
+}
+
+// ServeHTTP answers reports, orders and requests.
+func (d *RunnerDoor) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.Method + " " + r.URL.Path {
+	case "GET /report":
+		d.mu.Lock()
+		report := d.runner.Report(d.nowMs())
+		d.mu.Unlock()
+		writeJson(w, http.StatusOK, report)
+	case "POST /orders":
+		var order wire.Order
+		if !readJson(w, r, &order) {
+			return
+		}
+		d.mu.Lock()
+		report, kind := d.runner.Order(d.nowMs(), order)
+		d.mu.Unlock()
+		if kind != "" {
+			writeJson(w, http.StatusConflict, defect.Answer{Kind: kind, Ran: "no"})
+			return
+		}
+		writeJson(w, http.StatusOK, report)
+	case "POST /run":
+		var call traffic.RunCall
+		if readJson(w, r, &call) {
+			d.run(w, r, call)
+		}
+	default:
+		writeJson(w, http.StatusNotFound, defect.Answer{Kind: defect.UnknownPage})
+	}
+}
+
+func (d *RunnerDoor) run(w http.ResponseWriter, r *http.Request, call traffic.RunCall) {
+	d.mu.Lock()
+	drop := d.runner.Run(d.nowMs(), call, "")
+	incarnation := d.runner.Incarnation
+	d.mu.Unlock()
+	if drop != nil {
+		writeJson(w, http.StatusConflict, drop)
+		return
+	}
+	defer func() {
+		d.mu.Lock()
+		d.runner.Done()
+		d.mu.Unlock()
+	}()
+	if !call.Telling {
+		if !d.work(r) {
+			return
+		}
+		text, _ := json.Marshal(map[string]string{"service": call.Service, "model": call.Model, "said": "answer to " + call.Request})
+		writeJson(w, http.StatusOK, traffic.RunAnswer{Request: call.Request, Incarnation: incarnation, Answer: text})
+		return
+	}
+	encoder := json.NewEncoder(w)
+	flush := http.NewResponseController(w)
+	for piece := 1; piece <= d.Pieces; piece++ {
+		if !d.work(r) {
+			return
+		}
+		if d.Torn && piece == 2 {
+			panic(http.ErrAbortHandler)
+		}
+		_ = encoder.Encode(traffic.RunAnswer{Request: call.Request, Incarnation: incarnation, Piece: piece, Text: fmt.Sprintf("piece %d of %s", piece, call.Request)})
+		_ = flush.Flush()
+	}
+	_ = encoder.Encode(traffic.RunAnswer{Request: call.Request, Incarnation: incarnation, End: &d.Pieces})
+}
+
+func (d *RunnerDoor) work(r *http.Request) bool {
+	timer := time.NewTimer(time.Duration(d.WorkMs) * time.Millisecond)
+	defer timer.Stop()
+	select {
+	case <-r.Context().Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func readJson(w http.ResponseWriter, r *http.Request, into any) bool {
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 32<<20))
+	if err == nil {
+		err = json.Unmarshal(text, into)
+	}
+	if err != nil {
+		writeJson(w, http.StatusBadRequest, defect.Answer{Kind: defect.BadRequest, Detail: err.Error(), Ran: "no"})
+	}
+	return err == nil
+}
+
+func writeJson(w http.ResponseWriter, status int, value any) {
+	text, _ := json.Marshal(value)
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", fmt.Sprint(len(text)))
+	w.WriteHeader(status)
+	_, _ = w.Write(text)
+}
--- /dev/null
+++ b/stand/sender.go
@@ -0,0 +1,258 @@
+package stand
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"myrtlewinch/crew"
+	"myrtlewinch/defect"
+	"myrtlewinch/description"
+	"myrtlewinch/rules"
+	"myrtlewinch/traffic"
+)
+
+// Mix is how often a service is asked, and what it may name.
+type Mix struct {
+	Service  string
+	PerSec   float64
+	Telling  bool
+	Models   []string
+	Adapters map[string][]string
+}
+
+// MixOf spreads a description's services over a rate: the small repeatable
+// ones at one pace, the others at another.
+func MixOf(d *description.Description, smallPerSec, otherPerSec float64) []Mix {
+	var mix []Mix
+	for _, s := range d.Services {
+		m := Mix{Service: s.Name, PerSec: otherPerSec, Telling: s.Telling, Models: s.Models, Adapters: map[string][]string{}}
+		if s.Repeatable {
+			m.PerSec = smallPerSec
+		}
+		for _, a := range d.Adapters {
+			m.Adapters[a.Model] = append(m.Adapters[a.Model], a.Name)
+		}
+		mix = append(mix, m)
+	}
+	return mix
+}
+
+// Sender asks services of routers and takes down what it gets.
+type Sender struct {
+	Name    string
+	Routers []string
+	Mix     []Mix
+	Book    *rules.Book
+	NowMs   func() int64
+
+	mu     sync.Mutex
+	random *rand.Rand
+	count  int
+	kinds  map[string]map[string]int
+	inner  *http.Transport
+	under  sync.WaitGroup
+	stop   chan struct{}
+}
+
+const underMost = 512
+
+// NewSender makes a sender whose choices follow from the seed.
+func NewSender(name string, routers []string, mix []Mix, book *rules.Book, nowMs func() int64, seed int64) *Sender {
+	return &Sender{
+		Name: name, Routers: routers, Mix: mix, Book: book, NowMs: nowMs,
+		random: rand.New(rand.NewSource(seed)), kinds: map[string]map[string]int{},
+		inner: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 32}, stop: make(chan struct{}),
+	}
+}
+
+// Join adds a thread for each service to the crew.
+func (s *Sender) Join(c *crew.Crew) {
+	var once sync.Once
+	places := make(chan struct{}, underMost)
+	for _, mix := range s.Mix {
+		c.Duty(func() error {
+			ticker := time.NewTicker(time.Duration(float64(time.Second) / mix.PerSec))
+			defer ticker.Stop()
+			for {
+				select {
+				case <-s.stop:
+					return nil
+				case <-ticker.C:
+				}
+				select {
+				case places <- struct{}{}:
+				default:
+					s.tally(mix.Service, "not sent: too many under way")
+					continue
+				}
+				s.under.Add(1)
+				crew.Side(func() {
+					defer s.under.Done()
+					defer func() { <-places }()
+					s.One(mix)
+				})
+			}
+		}, func() { once.Do(func() { close(s.stop) }) })
+	}
+}
+
+// Stop ends the asking; Wait waits for what is under way.
+func (s *Sender) Stop() {
+	select {
+	case <-s.stop:
+	default:
+		close(s.stop)
+	}
+}
+
+// Wait waits until every answer has come.
+func (s *Sender) Wait() { s.under.Wait(); s.inner.CloseIdleConnections() }
+
+func (s *Sender) tally(service, kind string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.kinds[service] == nil {
+		s.kinds[service] = map[string]int{}
+	}
+	s.kinds[service][kind]++
+}
+
+// Kinds copies what was answered, by service and kind.
+func (s *Sender) Kinds() map[string]map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string]map[string]int{}
+	for service, kinds := range s.kinds {
+		out[service] = map[string]int{}
+		for kind, count := range kinds {
+			out[service][kind] = count
+		}
+	}
+	return out
+}
+
+// Lines gives the tally as lines of text.
+func (s *Sender) Lines() []string {
+	var lines []string
+	for service, kinds := range s.Kinds() {
+		for kind, count := range kinds {
+			lines = append(lines, fmt.Sprintf("%-16s %-28s %6d", service, kind, count))
+		}
+	}
+	sort.Strings(lines)
+	return lines
+}
+
+// pick chooses a router, a model and perhaps an adapter. A few models are
+// asked for most, as in real houses.
+func (s *Sender) pick(mix Mix) (router, model, adapter, id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.count++
+	id = fmt.Sprintf("%s-%d", s.Name, s.count)
+	router = s.Routers[s.random.Intn(len(s.Routers))]
+	if len(mix.Models) > 0 {
+		spread := s.random.Float64()
+		model = mix.Models[int(spread*spread*spread*float64(len(mix.Models)))]
+		if list := mix.Adapters[model]; len(list) > 0 && s.random.Intn(4) == 0 {
+			adapter = list[s.random.Intn(len(list))]
+		}
+	}
+	return router, model, adapter, id
+}
+
+// One asks once and takes the answer down.
+func (s *Sender) One(mix Mix) string {
+	router, model, adapter, id := s.pick(mix)
+	body, _ := json.Marshal(map[string]any{"id": id, "model": model, "adapter": adapter, "input": map[string]string{"text": "of " + id}})
+	kind := s.send(router, mix, id, body)
+	s.tally(mix.Service, kind)
+	return kind
+}
+
+func (s *Sender) send(router string, mix Mix, id string, body []byte) string {
+	ctx, cancel := context.WithTimeout(context.Background(), 90*time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+router+"/services/"+mix.Service, bytes.NewReader(body))
+	if err != nil {
+		return err.Error()
+	}
+	// Sending again is the caller's decision, never the transport's.
+	request.GetBody = nil
+	answer, err := s.inner.RoundTrip(request)
+	if err != nil {
+		return "stream broke before an answer"
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		var said defect.Answer
+		text, _ := io.ReadAll(answer.Body)
+		if json.Unmarshal(text, &said) != nil {
+			s.Book.Wrong(s.NowMs(), mix.Service, id, "an answer that is neither the runner's nor a kind")
+			return "nonsense"
+		}
+		s.Book.Told(s.NowMs(), mix.Service, id, string(said.Kind), said.Kind.Reply().Drop)
+		return string(said.Kind)
+	}
+	if mix.Telling {
+		return s.hear(answer.Body, mix, id)
+	}
+	text, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return "stream broke in an answer"
+	}
+	var said traffic.RunAnswer
+	if json.Unmarshal(text, &said) != nil || said.Request != id || !strings.Contains(string(said.Answer), "answer to "+id+`"`) {
+		s.Book.Wrong(s.NowMs(), mix.Service, id, "not the whole answer to this request")
+		return "wrong"
+	}
+	s.Book.Told(s.NowMs(), mix.Service, id, "answered", false)
+	return "answered"
+}
+
+// hear follows a telling: what looks finished must be whole.
+func (s *Sender) hear(body io.Reader, mix Mix, id string) string {
+	lines := bufio.NewScanner(body)
+	piece, incarnation := 0, ""
+	for lines.Scan() {
+		var said traffic.RunAnswer
+		if json.Unmarshal(lines.Bytes(), &said) != nil {
+			// The last line of a stream that broke may be torn.
+			break
+		}
+		if incarnation == "" {
+			incarnation = said.Incarnation
+		}
+		if said.Request != id || said.Incarnation != incarnation {
+			s.Book.Wrong(s.NowMs(), mix.Service, id, "pieces of two runs")
+			return "wrong"
+		}
+		if said.End != nil {
+			if *said.End != piece {
+				s.Book.Wrong(s.NowMs(), mix.Service, id, "the end mark does not fit the pieces")
+				return "wrong"
+			}
+			return "answered"
+		}
+		if said.Piece != piece+1 {
+			s.Book.Wrong(s.NowMs(), mix.Service, id, "a piece was skipped or repeated")
+			return "wrong"
+		}
+		piece++
+	}
+	if lines.Err() == nil {
+		s.Book.Wrong(s.NowMs(), mix.Service, id, "a telling looked finished without its end mark")
+		return "wrong"
+	}
+	return "telling broke off"
+}
--- /dev/null
+++ b/traffic/cache.go
@@ -0,0 +1,96 @@
+package traffic
+
+import (
+	"slices"
+	"strings"
+
+	"myrtlewinch/choice"
+	"myrtlewinch/wire"
+)
+
+// entry is a cached line of the choice table, for a key that was named.
+type entry struct {
+	at      wire.Position
+	atMs    int64
+	holders []wire.Holder
+}
+
+// entry gives the cached line if it is a hit: known, not too old, and with a
+// runner in it.
+func (m *Machine) entry(key choice.Key) *entry {
+	e := m.cache[key]
+	if e == nil || m.nowMs-e.atMs > entryMs || len(e.holders) == 0 {
+		return nil
+	}
+	return e
+}
+
+// indexed takes an answer of the index, or its word of a change.
+func (m *Machine) indexed(said wire.Index) {
+	delete(m.silent, said.Id)
+	parts := strings.SplitN(said.Key, "/", 3)
+	if len(parts) != 3 || said.Behind {
+		return
+	}
+	key := choice.Key{Service: parts[0], Model: parts[1], Adapter: parts[2]}
+	asked := false
+	for _, r := range m.requests {
+		if r.key == key {
+			asked = true
+			r.answered = r.answered || said.Id == r.lookUp || said.Id == 0
+		}
+	}
+	old := m.cache[key]
+	// Only what requests named is kept, and newer replaces older, never the
+	// reverse.
+	if !asked && old == nil && said.Id == 0 {
+		return
+	}
+	atMs := m.nowMs - said.AgeMs
+	if old != nil && (newer(old.at, said.At) || old.at == said.At && old.atMs > atMs) {
+		m.wake()
+		return
+	}
+	if old == nil && len(m.cache) >= cacheMost {
+		m.evictOldest()
+	}
+	m.cache[key] = &entry{at: said.At, atMs: atMs, holders: slices.Clone(said.Holders)}
+	m.wake()
+}
+
+func newer(a, b wire.Position) bool {
+	return a.Epoch > b.Epoch || a.Epoch == b.Epoch && a.Number > b.Number
+}
+
+func (m *Machine) evictOldest() {
+	var oldest choice.Key
+	found := false
+	for key, e := range m.cache {
+		if !found || e.atMs < m.cache[oldest].atMs || e.atMs == m.cache[oldest].atMs && key.String() < oldest.String() {
+			oldest, found = key, true
+		}
+	}
+	delete(m.cache, oldest)
+}
+
+// evict takes a runner that said that it does not hold the item out of the line.
+func (m *Machine) evict(key choice.Key, mark wire.Mark) {
+	if e := m.cache[key]; e != nil {
+		e.holders = slices.DeleteFunc(e.holders, func(h wire.Holder) bool {
+			return h.Runner == mark.Runner && h.Incarnation == mark.Incarnation
+		})
+	}
+}
+
+// turnTarget sends look-ups to another controller once one leaves them
+// unanswered.
+func (m *Machine) turnTarget() {
+	for id, sentMs := range m.silent {
+		if m.nowMs-sentMs >= silentMs {
+			m.target++
+			clear(m.silent)
+			return
+		}
+		_ = id
+	}
+}
--- /dev/null
+++ b/traffic/gate.go
@@ -0,0 +1,328 @@
+package traffic
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"myrtlewinch/crew"
+	"myrtlewinch/daemon"
+	"myrtlewinch/defect"
+	"myrtlewinch/outward"
+	"myrtlewinch/settings"
+	"myrtlewinch/wire"
+)
+
+const (
+	tickMs      = 20
+	bodyMost    = 16 << 20
+	answerMost  = 8 << 20
+	lineMost    = 256 << 10
+	requestMost = 8192
+	drainMs     = 10_000
+)
+
+// Gate is a router as a process: its machine in a shell, and the way of a
+// request through it.
+type Gate struct {
+	shell *daemon.Shell
+	set   settings.Settings
+	self  wire.Place
+	under atomic.Int64
+	names atomic.Uint64
+}
+
+// NewGate makes the router; nothing runs yet.
+func NewGate(set settings.Settings, fellows, web net.Listener, logger *log.Logger) (*Gate, error) {
+	token := make([]byte, 8)
+	if _, err := rand.Read(token); err != nil {
+		return nil, err
+	}
+	clock := daemon.NewClock()
+	self := wire.Place{
+		Name: set.Name, Address: set.Address, Zone: set.Zone, Part: wire.Router, Incarnation: hex.EncodeToString(token),
+	}
+	machine := New(Settings{Site: set.Site, Self: self, Seeds: set.Seeds, Platform: set.Platform}, clock.NowMs())
+	g := &Gate{set: set, self: self}
+	g.shell = daemon.New(daemon.Settings{Site: set.Site, Self: self, Clock: clock, Log: logger, TickMs: tickMs}, machine, nil, fellows, web, g)
+	return g, nil
+}
+
+// Join adds the router's duties to a crew.
+func (g *Gate) Join(c *crew.Crew) { g.shell.Join(c) }
+
+// Leave takes nothing new and waits for what is under way to end.
+func (g *Gate) Leave() {
+	g.shell.Put(Leave{})
+	end := time.Now().Add(drainMs * time.Millisecond)
+	for g.under.Load() > 0 && time.Now().Before(end) {
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// ServeHTTP answers senders and operators.
+func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	service, asked := strings.CutPrefix(r.URL.Path, "/services/")
+	switch {
+	case asked && service != "" && r.Method == http.MethodPost:
+		g.serve(w, r, service)
+	case asked && service != "":
+		w.Header().Set("Allow", http.MethodPost)
+		defect.Answer{Kind: defect.WrongMethod, Detail: r.Method}.Write(w)
+	case r.URL.Path == "/status" && r.Method == http.MethodGet:
+		g.status(w, r)
+	case r.URL.Path == "/soundness" && r.Method == http.MethodGet:
+		g.soundness(w, r)
+	case r.URL.Path == "/counters" && r.Method == http.MethodGet:
+		writeJson(w, g.shell.Counts())
+	default:
+		defect.Answer{Kind: defect.UnknownPage, Detail: r.URL.Path}.Write(w)
+	}
+}
+
+func writeJson(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+// asked is the body of a request.
+type asked struct {
+	Id      string          `json:"id"`
+	Model   string          `json:"model"`
+	Adapter string          `json:"adapter"`
+	Input   json.RawMessage `json:"input"`
+}
+
+const nameMost = 128
+
+func readAsked(w http.ResponseWriter, r *http.Request) (asked, int64, defect.Answer) {
+	var in asked
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyMost))
+	if err != nil {
+		var large *http.MaxBytesError
+		if errors.As(err, &large) {
+			return in, 0, defect.Answer{Kind: defect.TooLarge, Detail: fmt.Sprintf("more than %d bytes", bodyMost)}
+		}
+		return in, 0, defect.Answer{Kind: defect.BadRequest, Detail: "the body broke off"}
+	}
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&in); err != nil {
+		return in, 0, defect.Answer{Kind: defect.BadRequest, Detail: err.Error()}
+	}
+	if len(bytes.TrimSpace(body[decoder.InputOffset():])) > 0 {
+		return in, 0, defect.Answer{Kind: defect.BadRequest, Detail: "text after the end"}
+	}
+	for _, field := range []struct{ name, value string }{{"id", in.Id}, {"model", in.Model}, {"adapter", in.Adapter}} {
+		if len(field.value) > nameMost || strings.ContainsAny(field.value, "/\n") {
+			return in, 0, defect.Answer{Kind: defect.BadRequest, Detail: field.name + ": not a plain name"}
+		}
+	}
+	return in, int64(len(body)), defect.Answer{}
+}
+
+func (g *Gate) serve(w http.ResponseWriter, r *http.Request, service string) {
+	// The bound keeps a crowd from filling the memory before it is dropped.
+	if g.under.Add(1) > requestMost {
+		g.under.Add(-1)
+		defect.Answer{Kind: defect.HoldingFull, Detail: "too many requests are under way here"}.Write(w)
+		return
+	}
+	defer g.under.Add(-1)
+	in, size, fault := readAsked(w, r)
+	if fault.Kind != "" {
+		fault.Write(w)
+		return
+	}
+	if strings.Contains(service, "/") {
+		defect.Answer{Kind: defect.UnknownService, Detail: service}.Write(w)
+		return
+	}
+	name := in.Id
+	if name == "" {
+		name = fmt.Sprintf("%s-%s-%d", g.self.Name, g.self.Incarnation, g.names.Add(1))
+	}
+	id, answers := g.shell.Expect()
+	defer g.shell.Forget(id)
+	if !g.shell.Put(Request{Id: id, Service: service, Model: in.Model, Adapter: in.Adapter, Name: name, Given: in.Id != "", Bytes: size}) {
+		defect.Answer{Kind: defect.HoldingFull, Detail: "too many requests are under way here", Request: name}.Write(w)
+		return
+	}
+	for {
+		select {
+		case <-r.Context().Done():
+			// A sender that goes away frees its place.
+			g.shell.Put(Gone{Id: id})
+			return
+		case answer := <-answers:
+			switch said := answer.(type) {
+			case wire.Refused:
+				defect.Answer{Kind: said.Kind, Detail: said.Detail, Request: name}.Write(w)
+				return
+			case Go:
+				ended, abort := g.goTo(w, r, id, said, in.Input)
+				g.shell.Put(ended)
+				// Closing the sender's stream is the one way to end a telling
+				// so that it can't look finished.
+				if abort {
+					panic(http.ErrAbortHandler)
+				}
+				if ended.Outcome == Answered {
+					return
+				}
+			}
+		}
+	}
+}
+
+// goTo makes one go and relays its answer. Abort says that a part of a
+// telling was relayed and the rest will never come.
+func (g *Gate) goTo(w http.ResponseWriter, r *http.Request, id uint64, to Go, input json.RawMessage) (ended Ended, abort bool) {
+	ended.Id = id
+	body, _ := json.Marshal(RunCall{
+		Request: to.Name, Service: to.Service, Model: to.Model, Adapter: to.Adapter, Revision: to.Revision,
+		Incarnation: to.Incarnation, Repeatable: to.Repeatable, Telling: to.Telling, Input: input,
+	})
+	leftMs := to.DeadlineMs - g.shell.Clock().NowMs()
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	// Each piece of a telling has the time that a whole plain answer has.
+	slow := time.AfterFunc(time.Duration(leftMs)*time.Millisecond, cancel)
+	defer slow.Stop()
+	answer, wrote, err := g.shell.Outward().Go(ctx, http.MethodPost, "http://"+to.Address+"/run", body, to.UntilMs)
+	switch {
+	case errors.Is(err, outward.ErrTooLate) && !wrote:
+		ended.Outcome = TooLate
+		return ended, false
+	case err != nil && !wrote:
+		ended.Outcome = NotSent
+		return ended, false
+	case err != nil:
+		ended.Outcome = Lost
+		return ended, false
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		ended.Outcome, ended.Revision = readDrop(answer, to.Name)
+		return ended, false
+	}
+	if to.Telling {
+		return g.relayTelling(w, answer, ended, to, slow)
+	}
+	text, err := io.ReadAll(io.LimitReader(answer.Body, answerMost+1))
+	switch {
+	case err != nil:
+		ended.Outcome = Lost
+	case len(text) > answerMost || !Plain(text, to.Name, to.Incarnation):
+		ended.Outcome = Nonsense
+	default:
+		ended.Outcome = Answered
+		w.Header().Set("Content-Type", "application/json")
+		w.Header().Set("Content-Length", fmt.Sprint(len(text)))
+		_, _ = w.Write(text)
+	}
+	return ended, false
+}
+
+// readDrop takes a runner's word that it did not run a request. Anything
+// less than that word means that it may have.
+func readDrop(answer *http.Response, name string) (Outcome, uint64) {
+	text, err := io.ReadAll(io.LimitReader(answer.Body, lineMost))
+	if err != nil {
+		return Lost, 0
+	}
+	var said RunDrop
+	if json.Unmarshal(text, &said) != nil || said.Request != name || said.Ran == nil || *said.Ran {
+		return Nonsense, 0
+	}
+	switch defect.Kind(said.Kind) {
+	case defect.NotHeld:
+		return NotHeld, 0
+	case defect.StaleRevision:
+		return Stale, said.Revision
+	case defect.OtherRunner:
+		return Other, 0
+	case defect.AlreadyTaken:
+		return Repeated, 0
+	}
+	return Busy, 0
+}
+
+func (g *Gate) relayTelling(w http.ResponseWriter, answer *http.Response, ended Ended, to Go, slow *time.Timer) (Ended, bool) {
+	telling := Telling{Request: to.Name, Incarnation: to.Incarnation}
+	lines := bufio.NewScanner(answer.Body)
+	lines.Buffer(make([]byte, 0, 4096), lineMost)
+	flush := http.NewResponseController(w)
+	for lines.Scan() {
+		begun := telling.Begun()
+		if !telling.Take(lines.Bytes()) {
+			ended.Outcome = Nonsense
+			if begun {
+				ended.Outcome = Answered
+				g.shell.Count("tellings broken off")
+			}
+			return ended, begun
+		}
+		if !begun {
+			w.Header().Set("Content-Type", "application/x-ndjson")
+		}
+		// A relayed piece can't be taken back, so from here on nothing but
+		// the end mark ends the answer well.
+		if _, err := w.Write(append(bytes.Clone(lines.Bytes()), '\n')); err != nil {
+			ended.Outcome = Answered
+			return ended, true
+		}
+		_ = flush.Flush()
+		slow.Reset(time.Duration(to.PieceMs) * time.Millisecond)
+		if telling.Ended() {
+			ended.Outcome = Answered
+			return ended, false
+		}
+	}
+	ended.Outcome = Lost
+	if telling.Begun() {
+		ended.Outcome = Answered
+		g.shell.Count("tellings broken off")
+	}
+	return ended, telling.Begun()
+}
+
+func (g *Gate) look(r *http.Request) (Status, bool) {
+	ctx, cancel := context.WithTimeout(r.Context(), 2*time.Second)
+	defer cancel()
+	answer, ok := g.shell.Ask(ctx, func(id uint64) any { return Look{Id: id} })
+	status, right := answer.(Status)
+	return status, ok && right
+}
+
+func (g *Gate) status(w http.ResponseWriter, r *http.Request) {
+	status, ok := g.look(r)
+	if !ok {
+		defect.Answer{Kind: defect.NoWord, Detail: "no answer in time"}.Write(w)
+		return
+	}
+	writeJson(w, status)
+}
+
+// soundness says whether this router would send a request now.
+func (g *Gate) soundness(w http.ResponseWriter, r *http.Request) {
+	status, ok := g.look(r)
+	if !ok || !status.Usable || status.Stopping {
+		defect.Answer{Kind: defect.NoWord, Detail: "this router may not send at present"}.Write(w)
+		return
+	}
+	writeJson(w, map[string]any{"sound": true, "revision": status.Revision})
+}
--- /dev/null
+++ b/traffic/machine.go
@@ -0,0 +1,311 @@
+// Package traffic is the data plane: the router's state machine, the policies
+// that a request passes, and the going to a runner and back.
+package traffic
+
+import (
+	"fmt"
+
+	"myrtlewinch/choice"
+	"myrtlewinch/defect"
+	"myrtlewinch/description"
+	"myrtlewinch/watch"
+	"myrtlewinch/wire"
+)
+
+const (
+	askMs = 300
+	// pendingMs is how long a router that acknowledged a next revision goes
+	// on with the present one after the question whose answer said "pending".
+	pendingMs = 1500
+	// leaveMs is how old the last word on leaving runners may be at a send.
+	leaveMs = 2000
+	// ownReadMs is when the router reads the platform for itself.
+	ownReadMs  = 1000
+	platformMs = 300
+	// missMs is how long a miss waits for its look-up before it counts as held.
+	missMs = 50
+	// unansweredMs ends a request whose look-up was never answered, and one
+	// for which there is no word from control.
+	unansweredMs = 1500
+	// entryMs is how old a cached entry may be and still be a hit.
+	entryMs   = 10_000
+	cacheMost = 4096
+	takenMost = 65_536
+	// suspectMs keeps a runner that just failed from being the first choice.
+	suspectMs = 1000
+	silentMs  = 300
+)
+
+// Settings is what a router knows before it knows anyone.
+type Settings struct {
+	Site     string
+	Self     wire.Place
+	Seeds    []string
+	Platform string
+}
+
+// Machine is one router.
+type Machine struct {
+	set    Settings
+	nowMs  int64
+	out    wire.Effects
+	roster *watch.Roster
+
+	// The revision in force as far as this router knows.
+	revision    uint64
+	described   *description.Description
+	revUntilMs  int64
+	heldSum     string
+	held        *description.Description
+	heldEchoMs  int64
+	higher      uint64
+	epoch       uint64
+	primary     string
+	echoMs      int64
+	askedMs     int64
+	leaveWordMs int64
+	platformMs  int64
+	reading     bool
+	readMs      int64
+	marks       map[wire.Mark]bool
+	leaving     bool
+
+	cache    map[choice.Key]*entry
+	requests map[uint64]*request
+	// order keeps requests as they came, so that the eldest goes first.
+	order   []uint64
+	holding map[string]int
+	budgets map[string]*budget
+	taken   takenIds
+	busy    map[string]int64
+	suspect map[string]int64
+	target  int
+	asks    uint64
+	silent  map[uint64]int64
+	Tally   Tally
+}
+
+// Tally counts what a router did.
+type Tally struct {
+	Requests, LookUps, Hits, Misses, MissesHeld, Goes, SecondGoes uint64
+	Drops                                                         map[defect.Kind]uint64
+}
+
+// New makes a router that knows nothing but its seeds.
+func New(set Settings, nowMs int64) *Machine {
+	return &Machine{
+		set: set, nowMs: nowMs, roster: watch.New(set.Self, set.Seeds, nil),
+		askedMs: nowMs - askMs, leaveWordMs: nowMs - leaveMs - 1, echoMs: nowMs - 1, revUntilMs: nowMs,
+		marks: map[wire.Mark]bool{}, cache: map[choice.Key]*entry{}, requests: map[uint64]*request{},
+		holding: map[string]int{}, budgets: map[string]*budget{}, taken: newTakenIds(),
+		busy: map[string]int64{}, suspect: map[string]int64{}, silent: map[uint64]int64{},
+		Tally: Tally{Drops: map[defect.Kind]uint64{}},
+	}
+}
+
+// Step takes one input and returns what to do.
+func (m *Machine) Step(nowMs int64, input any) wire.Effects {
+	m.nowMs = nowMs
+	m.out = wire.Effects{}
+	switch in := input.(type) {
+	case wire.Envelope:
+		m.receive(in)
+	case Request:
+		m.take(in)
+	case Ended:
+		m.ended(in)
+	case Gone:
+		if r := m.requests[in.Id]; r != nil && !r.away {
+			m.forget(r)
+		}
+	case wire.Listing:
+		m.listed(in)
+	case Leave:
+		m.leaving = true
+		m.wake()
+	case Look:
+		m.look(in)
+	case wire.Tick:
+		m.tick()
+	default:
+		panic(fmt.Sprintf("traffic: unknown input %T", input))
+	}
+	return m.out
+}
+
+func (m *Machine) tick() {
+	m.out.Sends = append(m.out.Sends, m.roster.Tick(m.nowMs, m.epoch, m.primary)...)
+	if m.nowMs-m.askedMs >= askMs {
+		m.ask()
+	}
+	// The platform is read here only while the primary gives no word.
+	if m.set.Platform != "" && m.nowMs-m.leaveWordMs > ownReadMs && m.nowMs-m.platformMs >= platformMs && !m.reading {
+		m.platformMs, m.readMs, m.reading = m.nowMs, m.nowMs, true
+		m.out.Calls = append(m.out.Calls, wire.Call{Address: m.set.Platform, Body: wire.PlatformCall{}})
+	}
+	m.turnTarget()
+	m.wake()
+}
+
+func (m *Machine) ask() {
+	m.askedMs = m.nowMs
+	if place, ok := m.roster.Place(m.primary); ok && m.primary != "" {
+		m.send(place, wire.Ask{EchoMs: m.nowMs, Revision: m.revision, Held: m.heldSum})
+	}
+}
+
+func (m *Machine) receive(e wire.Envelope) {
+	if e.Site != m.set.Site {
+		m.count(defect.OtherSite)
+		return
+	}
+	m.roster.Heard(m.nowMs, e.From)
+	switch body := e.Body.(type) {
+	case wire.Heartbeat:
+	case wire.Hello:
+		m.send(e.From, wire.Known{Fellows: m.roster.Places(), Record: wire.Record{Epoch: m.epoch, Primary: m.primary}})
+	case wire.Known:
+		m.roster.Learn(body.Fellows)
+		m.heed(body.Record.Epoch, body.Record.Primary)
+	case wire.Opinion:
+		if agoMs, seen := m.roster.Seen(m.nowMs, m.primary); seen && ask(body, m.epoch) {
+			m.send(e.From, wire.Opined{Epoch: body.Epoch, HeardMs: agoMs})
+		}
+	case wire.Nudge:
+		if body.Epoch < m.epoch {
+			m.count(defect.LowerEpoch)
+			return
+		}
+		m.heed(body.Epoch, e.From.Name)
+		m.ask()
+	case wire.Word:
+		m.word(e.From, body)
+	case wire.Index:
+		m.indexed(body)
+	default:
+		m.count(defect.Malformed)
+	}
+}
+
+func ask(o wire.Opinion, epoch uint64) bool { return o.Epoch == epoch }
+
+// heed takes a newer primary as the one to ask. Only its word makes its epoch
+// the least that is listened to.
+func (m *Machine) heed(epoch uint64, primary string) {
+	if epoch >= m.epoch && primary != "" && epoch > 0 {
+		m.primary = primary
+	}
+}
+
+// word takes the primary's answer to a question of this very process.
+func (m *Machine) word(from wire.Place, w wire.Word) {
+	if w.Epoch < m.epoch {
+		m.count(defect.LowerEpoch)
+		return
+	}
+	// An answer that was overtaken by a later one says nothing any more.
+	if w.For != m.set.Self.Incarnation || w.EchoMs <= m.echoMs || w.EchoMs > m.nowMs {
+		return
+	}
+	// A router never goes back to an older description.
+	if w.Revision < m.revision {
+		m.count(defect.StaleRevision)
+		return
+	}
+	m.epoch, m.primary, m.echoMs = w.Epoch, from.Name, w.EchoMs
+	m.roster.Learn(w.Fellows)
+	m.mark(w.Leaving)
+	m.leaveWordMs = max(m.leaveWordMs, w.EchoMs)
+	if w.Revision > m.revision {
+		d := m.held
+		if w.Sum != m.heldSum {
+			d = m.read(w.Text)
+		}
+		if d == nil {
+			return
+		}
+		m.revision, m.described = w.Revision, d
+		m.heldSum, m.held = "", nil
+		m.revUntilMs = m.nowMs
+		m.note("revision %d is in use", m.revision)
+		m.adaptBudgets()
+	}
+	if w.Renew {
+		m.revUntilMs = max(m.revUntilMs, w.EchoMs+wordHoldMs)
+	}
+	switch {
+	case w.Pending == "":
+		m.heldSum, m.held = "", nil
+	case w.Pending == m.heldSum:
+		m.heldEchoMs = w.EchoMs
+	case w.PendingText != "":
+		if d := m.read(w.PendingText); d != nil {
+			m.heldSum, m.held, m.heldEchoMs = w.Pending, d, w.EchoMs
+			// The sooner it is acknowledged, the sooner it is taken.
+			m.ask()
+		}
+	}
+	m.wake()
+}
+
+// wordHoldMs is the hold on a revision that the primary's word gives.
+const wordHoldMs = 6000
+
+func (m *Machine) read(text string) *description.Description {
+	d, faults := description.Read([]byte(text), m.set.Site)
+	if len(faults) > 0 {
+		m.count(defect.Malformed)
+		return nil
+	}
+	return d
+}
+
+func (m *Machine) mark(leaving []wire.Mark) {
+	for _, mark := range leaving {
+		m.marks[mark] = true
+	}
+}
+
+func (m *Machine) listed(in wire.Listing) {
+	m.reading = false
+	if !in.Ok {
+		return
+	}
+	for _, l := range in.Runners {
+		if l.Leaving {
+			m.marks[wire.Mark{Runner: l.Name, Incarnation: l.Incarnation}] = true
+		}
+	}
+	m.leaveWordMs = max(m.leaveWordMs, m.readMs)
+	m.wake()
+}
+
+// usableUntil says until when this router may send under its revision: as
+// long as its hold runs, it need not fear that a next one is in force, and
+// its word on leaving runners is fresh.
+func (m *Machine) usableUntil() int64 {
+	if m.described == nil || m.higher > m.revision {
+		return m.nowMs
+	}
+	until := min(m.revUntilMs, m.leaveWordMs+leaveMs)
+	if m.heldSum != "" {
+		until = min(until, m.heldEchoMs+pendingMs)
+	}
+	return until
+}
+
+func (m *Machine) usable() bool { return m.nowMs < m.usableUntil() }
+
+func (m *Machine) send(to wire.Place, body any) {
+	m.out.Sends = append(m.out.Sends, wire.Send{To: to.Name, Address: to.Address, Body: body})
+}
+
+func (m *Machine) answer(id uint64, body any) {
+	m.out.Answers = append(m.out.Answers, wire.Answer{Id: id, Body: body})
+}
+
+func (m *Machine) note(format string, args ...any) {
+	m.out.Notes = append(m.out.Notes, fmt.Sprintf(format, args...))
+}
+
+func (m *Machine) count(kind defect.Kind) { m.out.Counts = append(m.out.Counts, string(kind)) }
--- /dev/null
+++ b/traffic/policy.go
@@ -0,0 +1,233 @@
+package traffic
+
+import (
+	"fmt"
+
+	"myrtlewinch/defect"
+	"myrtlewinch/wire"
+)
+
+// namePolicy checks what the request names against the description.
+type namePolicy struct{}
+
+// Decide drops what the description does not allow.
+func (namePolicy) Decide(m *Machine, r *request) verdict {
+	if m.leaving {
+		return drop(defect.Stopping, "this router is stopping")
+	}
+	if m.described == nil {
+		return drop(defect.NoWord, "this router has no description yet")
+	}
+	service, ok := m.described.Service(r.Service)
+	if !ok {
+		return drop(defect.UnknownService, r.Service)
+	}
+	r.service = service
+	r.deadlineMs = m.nowMs + service.DeadlineMs
+	if r.Bytes > service.BytesMost {
+		return drop(defect.TooLarge, fmt.Sprintf("this service takes %d bytes at most", service.BytesMost))
+	}
+	if len(service.Models) == 0 {
+		if r.Model != "" || r.Adapter != "" {
+			return drop(defect.ModelNotAllowed, "this service has no models")
+		}
+		return next
+	}
+	if _, ok := m.described.Model(r.Model); !ok {
+		return drop(defect.UnknownModel, "model: "+r.Model)
+	}
+	if !service.Allows(r.Model) {
+		return drop(defect.ModelNotAllowed, "model: "+r.Model)
+	}
+	if r.Adapter == "" {
+		return next
+	}
+	adapter, ok := m.described.Adapter(r.Adapter)
+	if !ok {
+		return drop(defect.UnknownAdapter, "adapter: "+r.Adapter)
+	}
+	if adapter.Model != r.Model {
+		return drop(defect.ModelNotAllowed, "adapter: "+r.Adapter+" belongs to model "+adapter.Model)
+	}
+	return next
+}
+
+// repeatPolicy refuses an id that was seen lately where its first sending may
+// have run and may not run twice.
+type repeatPolicy struct{}
+
+// Decide lets what may be repeated pass.
+func (repeatPolicy) Decide(m *Machine, r *request) verdict {
+	if !r.Given || r.service.Repeatable {
+		return next
+	}
+	if m.taken.has(r.Service + "/" + r.Name) {
+		return drop(defect.AlreadyTaken, "this id was taken here before; the first sending may have run")
+	}
+	// Taken from now on, so that two of one id that wait together are no two.
+	m.taken.add(r.Service + "/" + r.Name)
+	r.taken = true
+	return next
+}
+
+// roomPolicy drops early when no place is left to wait in, so that a request
+// costs nothing that it can't use.
+type roomPolicy struct{}
+
+// Decide drops only what would have to wait.
+func (roomPolicy) Decide(m *Machine, r *request) verdict {
+	if m.holding[r.Service] >= int(r.service.Holding) && (m.entry(r.key) == nil || !m.usable()) {
+		return drop(defect.HoldingFull, "too many requests of this service wait here")
+	}
+	return next
+}
+
+// lookUpPolicy sends the one look-up of the request, hit or miss, so that the
+// index's burden follows the requests and never the warmth of this cache.
+type lookUpPolicy struct{}
+
+// Decide never waits: a hit goes on at once.
+func (lookUpPolicy) Decide(m *Machine, r *request) verdict {
+	m.asks++
+	r.lookUp = m.asks
+	m.Tally.LookUps++
+	if m.entry(r.key) != nil {
+		m.Tally.Hits++
+	} else {
+		r.missed = true
+		m.Tally.Misses++
+	}
+	if controllers := m.roster.Part(wire.Controller); len(controllers) > 0 {
+		to := controllers[m.target%len(controllers)]
+		m.silent[r.lookUp] = m.nowMs
+		m.send(to, wire.LookUp{Id: r.lookUp, Service: r.Service, Model: r.Model, Adapter: r.Adapter})
+	}
+	return next
+}
+
+// timePolicy gives the final answer as soon as it is certain.
+type timePolicy struct{}
+
+// Decide ends what has no time, no word or no look-up left to hope for.
+func (timePolicy) Decide(m *Machine, r *request) verdict {
+	if m.nowMs >= r.deadlineMs {
+		return drop(defect.DeadlinePassed, "its time passed while it waited")
+	}
+	if m.leaving && m.nowMs-r.cameMs >= unansweredMs {
+		return drop(defect.Stopping, "this router is stopping")
+	}
+	if m.nowMs-r.cameMs >= unansweredMs && !m.usable() {
+		return drop(defect.NoWord, "no word from control")
+	}
+	if m.nowMs-r.cameMs >= unansweredMs && !r.answered && m.entry(r.key) == nil {
+		return drop(defect.NoWord, "the index did not answer")
+	}
+	if r.missed && !r.held && m.nowMs-r.cameMs >= missMs {
+		r.held = true
+		m.Tally.MissesHeld++
+	}
+	return next
+}
+
+// wordPolicy holds requests while this router may not use its revision.
+type wordPolicy struct{}
+
+// Decide waits for control's word.
+func (wordPolicy) Decide(m *Machine, _ *request) verdict {
+	if !m.usable() {
+		return wait
+	}
+	return next
+}
+
+// choicePolicy looks the runner up in the cached line.
+type choicePolicy struct{}
+
+// Decide takes the least burdened holder, one of this zone where they are alike.
+func (choicePolicy) Decide(m *Machine, r *request) verdict {
+	e := m.entry(r.key)
+	if e == nil {
+		return wait
+	}
+	// The description may have changed while the request waited.
+	service, ok := m.described.Service(r.Service)
+	if !ok || r.Model != "" && !service.Allows(r.Model) {
+		return drop(defect.ModelNotAllowed, "the description has changed")
+	}
+	r.service = service
+	best, bestCost := -1, int64(0)
+	for i, h := range e.holders {
+		mark := wire.Mark{Runner: h.Runner, Incarnation: h.Incarnation}
+		runner, listed := m.described.Runner(h.Runner)
+		if !listed || !service.Uses(runner.Pool) || m.marks[mark] || r.tried[mark] {
+			continue
+		}
+		cost := 4 * (m.busy[h.Runner] + h.Burden)
+		if runner.Zone != m.set.Self.Zone {
+			cost += 2
+		}
+		if m.suspect[h.Runner] > m.nowMs {
+			cost += 1000
+		}
+		if best < 0 || cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	if best < 0 {
+		// Where a runner has already said no, waiting for another would only
+		// keep the sender from coming back.
+		if r.last != "" {
+			return drop(r.last, "no other runner is to be had")
+		}
+		return wait
+	}
+	r.runner = e.holders[best].Runner
+	return next
+}
+
+// budgetPolicy keeps second goes within their bucket.
+type budgetPolicy struct{}
+
+// Decide earns for a first go and spends for each further one.
+func (budgetPolicy) Decide(m *Machine, r *request) verdict {
+	b := m.budget(r.Service)
+	if r.goes == 0 {
+		return next
+	}
+	if !b.spend() {
+		return drop(r.last, "second goes of this service are used up")
+	}
+	m.Tally.SecondGoes++
+	return next
+}
+
+// sendPolicy makes the go, with the last moment at which it may be written.
+type sendPolicy struct{}
+
+// Decide is the check at the moment of sending.
+func (sendPolicy) Decide(m *Machine, r *request) verdict {
+	e := m.entry(r.key)
+	for _, h := range e.holders {
+		if h.Runner != r.runner {
+			continue
+		}
+		if !r.earned {
+			r.earned = true
+			m.budget(r.Service).earn()
+		}
+		r.goes++
+		r.away = true
+		m.unhold(r)
+		m.busy[h.Runner]++
+		m.Tally.Goes++
+		r.tried[wire.Mark{Runner: h.Runner, Incarnation: h.Incarnation}] = true
+		m.answer(r.Id, Go{
+			Name: r.Name, Service: r.Service, Model: r.Model, Adapter: r.Adapter,
+			Runner: h.Runner, Address: h.Address, Incarnation: h.Incarnation, Revision: m.revision,
+			Telling: r.service.Telling, Repeatable: r.service.Repeatable,
+			UntilMs: min(m.usableUntil(), r.deadlineMs), DeadlineMs: r.deadlineMs, PieceMs: r.service.DeadlineMs,
+		})
+		return next
+	}
+	return wait
+}
--- /dev/null
+++ b/traffic/request.go
@@ -0,0 +1,259 @@
+package traffic
+
+import (
+	"myrtlewinch/choice"
+	"myrtlewinch/defect"
+	"myrtlewinch/description"
+	"myrtlewinch/wire"
+)
+
+// Inputs of the data plane.
+type (
+	// Request is what a sender asked.
+	Request struct {
+		Id                      uint64
+		Service, Model, Adapter string
+		// Name is the request's id towards the runner; Given says that the
+		// sender chose it.
+		Name  string
+		Given bool
+		Bytes int64
+	}
+	// Ended says how a go ended.
+	Ended struct {
+		Id      uint64
+		Outcome Outcome
+		// Revision is the higher one a runner told of.
+		Revision uint64
+	}
+	// Gone says that the sender went away.
+	Gone struct{ Id uint64 }
+	// Leave begins a planned stop: nothing new is taken.
+	Leave struct{}
+)
+
+// Outcome is how a go ended.
+type Outcome int
+
+// The outcomes, by what is known of the runner.
+const (
+	// Answered: the whole answer was relayed, or the relay has begun and the
+	// rest is between the sender and the go.
+	Answered Outcome = iota
+	// TooLate: the go's time had passed before a byte was written.
+	TooLate
+	// NotSent: no byte was written.
+	NotSent
+	// NotHeld, Stale, Other, Busy, Repeated: the runner said that it did not run it.
+	NotHeld
+	Stale
+	Other
+	Busy
+	Repeated
+	// Lost: bytes were written and no whole answer came.
+	Lost
+	// Nonsense: what came is not an answer to this request.
+	Nonsense
+)
+
+// Go tells the shell to send a request to a runner.
+type Go struct {
+	Name, Service, Model, Adapter string
+	Runner, Address, Incarnation  string
+	Revision                      uint64
+	Telling, Repeatable           bool
+	// UntilMs is the last moment at which the first byte may be written.
+	UntilMs    int64
+	DeadlineMs int64
+	// PieceMs is the most that may pass between two pieces of a telling.
+	PieceMs int64
+}
+
+// request is one that is under way here.
+type request struct {
+	Request
+	key        choice.Key
+	service    *description.Service
+	cameMs     int64
+	deadlineMs int64
+	lookUp     uint64
+	answered   bool
+	missed     bool
+	held       bool
+	holds      bool
+	away       bool
+	goes       int
+	taken      bool
+	earned     bool
+	// mayHaveRun is set once a go was lost: from then on no answer is a drop.
+	mayHaveRun bool
+	runner     string
+	tried      map[wire.Mark]bool
+	// last is the kind a request gets when no further go is to be had.
+	last defect.Kind
+}
+
+// Policy is one step on the way of a request. The way ends at the first step
+// that does not say next.
+type Policy interface {
+	Decide(m *Machine, r *request) verdict
+}
+
+type verdict struct {
+	next bool
+	// kind ends the request; without one it waits.
+	kind   defect.Kind
+	detail string
+}
+
+var (
+	next = verdict{next: true}
+	wait = verdict{}
+)
+
+func drop(kind defect.Kind, detail string) verdict { return verdict{kind: kind, detail: detail} }
+
+// The ways: what is asked when a request comes, and at each later turn.
+var (
+	arrival = []Policy{namePolicy{}, repeatPolicy{}, roomPolicy{}, lookUpPolicy{}}
+	turn    = []Policy{timePolicy{}, wordPolicy{}, choicePolicy{}, budgetPolicy{}, sendPolicy{}}
+)
+
+func (m *Machine) take(in Request) {
+	m.Tally.Requests++
+	r := &request{
+		Request: in, cameMs: m.nowMs, deadlineMs: m.nowMs + unansweredMs, tried: map[wire.Mark]bool{},
+		key: choice.Key{Service: in.Service, Model: in.Model, Adapter: in.Adapter},
+	}
+	m.requests[in.Id] = r
+	m.order = append(m.order, in.Id)
+	if m.follow(arrival, r) {
+		m.turn(r)
+	}
+}
+
+// follow leads a request along a way; true says that it came to the end.
+func (m *Machine) follow(way []Policy, r *request) bool {
+	for _, policy := range way {
+		v := policy.Decide(m, r)
+		if v.next {
+			continue
+		}
+		if v.kind != "" {
+			m.refuse(r, v.kind, v.detail)
+		}
+		return false
+	}
+	return true
+}
+
+func (m *Machine) turn(r *request) {
+	if !r.away && !m.follow(turn, r) && m.requests[r.Id] != nil {
+		m.hold(r)
+	}
+}
+
+// hold gives a waiting request its place, or drops it where there is none.
+func (m *Machine) hold(r *request) {
+	if r.holds || r.service == nil {
+		return
+	}
+	if m.holding[r.Service] >= int(r.service.Holding) {
+		m.refuse(r, defect.HoldingFull, "too many requests of this service wait here")
+		return
+	}
+	r.holds = true
+	m.holding[r.Service]++
+}
+
+func (m *Machine) refuse(r *request, kind defect.Kind, detail string) {
+	if r.mayHaveRun && kind.Reply().Drop {
+		kind, detail = defect.OutcomeUnknown, "an earlier go may have run; then: "+detail
+	}
+	if r.taken && kind.Reply().Drop {
+		m.taken.forget(r.Service + "/" + r.Name)
+	}
+	m.Tally.Drops[kind]++
+	m.answer(r.Id, wire.Refused{Kind: kind, Detail: detail})
+	m.forget(r)
+}
+
+func (m *Machine) unhold(r *request) {
+	if r.holds {
+		r.holds = false
+		m.holding[r.Service]--
+	}
+}
+
+func (m *Machine) forget(r *request) {
+	m.unhold(r)
+	delete(m.requests, r.Id)
+	delete(m.silent, r.lookUp)
+}
+
+// wake gives every waiting request its turn, the eldest first.
+func (m *Machine) wake() {
+	kept := m.order[:0]
+	for _, id := range m.order {
+		if r := m.requests[id]; r != nil {
+			m.turn(r)
+		}
+		if m.requests[id] != nil {
+			kept = append(kept, id)
+		}
+	}
+	m.order = kept
+}
+
+func (m *Machine) ended(in Ended) {
+	r := m.requests[in.Id]
+	if r == nil || !r.away {
+		return
+	}
+	r.away = false
+	m.busy[r.runner]--
+	mark := wire.Mark{Runner: r.runner}
+	for tried := range r.tried {
+		if tried.Runner == r.runner {
+			mark = tried
+		}
+	}
+	switch in.Outcome {
+	case Answered:
+		m.forget(r)
+		return
+	case TooLate:
+		// Nothing was tried, so nothing is used up.
+		r.goes--
+		delete(r.tried, mark)
+	case NotSent:
+		m.suspect[r.runner] = m.nowMs + suspectMs
+		r.last = defect.NoRunner
+	case NotHeld, Other:
+		m.evict(r.key, mark)
+		r.last = defect.NoRunner
+	case Stale:
+		m.higher = max(m.higher, in.Revision)
+		r.last = defect.NoWord
+		delete(r.tried, mark)
+	case Busy:
+		r.last = defect.RunnerDropped
+	case Repeated:
+		m.refuse(r, defect.AlreadyTaken, "the runner has seen this id; the first sending may have run")
+		return
+	case Lost, Nonsense:
+		m.suspect[r.runner] = m.nowMs + suspectMs
+		r.mayHaveRun = true
+		kind, detail := defect.OutcomeUnknown, "the runner got the request and gave no whole answer; it may have run"
+		if in.Outcome == Nonsense {
+			kind, detail = defect.BrokenAnswer, "what came from the runner is no answer to this request; it may have run"
+		}
+		// What may have run goes on only if it may run twice.
+		if !r.service.Repeatable {
+			m.refuse(r, kind, detail)
+			return
+		}
+		r.last = kind
+	}
+	m.turn(r)
+}
--- /dev/null
+++ b/traffic/status.go
@@ -0,0 +1,62 @@
+package traffic
+
+import (
+	"maps"
+	"sort"
+
+	"myrtlewinch/defect"
+	"myrtlewinch/wire"
+)
+
+// Look asks for the status.
+type Look struct{ Id uint64 }
+
+// Status is what a router believes.
+type Status struct {
+	Site     string        `json:"site"`
+	Name     string        `json:"name"`
+	Part     string        `json:"part"`
+	Epoch    uint64        `json:"epoch"`
+	Primary  string        `json:"primary"`
+	Revision uint64        `json:"revision"`
+	Held     string        `json:"held,omitempty"`
+	Usable   bool          `json:"usable"`
+	Stopping bool          `json:"stopping"`
+	UsableMs int64         `json:"usableMs"`
+	WordMs   int64         `json:"wordAgeMs"`
+	Waiting  int           `json:"waiting"`
+	Leaving  []wire.Mark   `json:"leaving"`
+	Cache    []EntryStatus `json:"cache"`
+	Tally    Tally         `json:"tally"`
+}
+
+// EntryStatus is a cached entry.
+type EntryStatus struct {
+	Key     string        `json:"key"`
+	At      wire.Position `json:"at"`
+	AgeMs   int64         `json:"ageMs"`
+	Runners []string      `json:"runners"`
+}
+
+func (m *Machine) look(in Look) {
+	s := Status{
+		Site: m.set.Site, Name: m.set.Self.Name, Part: m.set.Self.Part, Epoch: m.epoch, Primary: m.primary,
+		Revision: m.revision, Held: m.heldSum, Usable: m.usable(), Stopping: m.leaving,
+		UsableMs: m.usableUntil() - m.nowMs, WordMs: m.nowMs - m.leaveWordMs, Waiting: len(m.requests), Tally: m.Tally,
+	}
+	s.Tally.Drops = map[defect.Kind]uint64{}
+	maps.Copy(s.Tally.Drops, m.Tally.Drops)
+	for mark := range m.marks {
+		s.Leaving = append(s.Leaving, mark)
+	}
+	sort.Slice(s.Leaving, func(i, j int) bool { return s.Leaving[i].Runner < s.Leaving[j].Runner })
+	for key, e := range m.cache {
+		line := EntryStatus{Key: key.String(), At: e.at, AgeMs: m.nowMs - e.atMs}
+		for _, h := range e.holders {
+			line.Runners = append(line.Runners, h.Runner)
+		}
+		s.Cache = append(s.Cache, line)
+	}
+	sort.Slice(s.Cache, func(i, j int) bool { return s.Cache[i].Key < s.Cache[j].Key })
+	m.answer(in.Id, s)
+}
--- /dev/null
+++ b/watch/roster.go
@@ -0,0 +1,194 @@
+// Package watch is membership: each daemon sends heartbeats to a few watchers
+// that its place on a ring of names gives, and watchers tell the primary.
+package watch
+
+import (
+	"hash/fnv"
+	"slices"
+	"sort"
+
+	"myrtlewinch/wire"
+)
+
+const (
+	// BeatMs is how often a daemon beats and a watcher tells.
+	BeatMs = 300
+	// MissMs is how long a silent daemon still counts as live.
+	MissMs = 1500
+	// Watchers is how many fellows a daemon beats to.
+	Watchers = 3
+
+	helloMs = 1000
+	most    = 256
+)
+
+type fellow struct {
+	place  wire.Place
+	seenMs int64
+	seen   bool
+}
+
+// Roster is what one daemon knows of its fellows.
+type Roster struct {
+	self    wire.Place
+	seeds   []string
+	fellows map[string]*fellow
+	beatMs  int64
+	helloMs int64
+}
+
+// New makes a roster that knows only seeds and what was remembered.
+func New(self wire.Place, seeds []string, remembered []wire.Place) *Roster {
+	r := &Roster{self: self, seeds: seeds, fellows: map[string]*fellow{}, beatMs: -BeatMs, helloMs: -helloMs}
+	r.Learn(remembered)
+	return r
+}
+
+// Learn takes places told by others. A place that was heard directly lately
+// is believed over one that is only told.
+func (r *Roster) Learn(places []wire.Place) {
+	for _, place := range places {
+		if place.Name == "" || place.Name == r.self.Name || len(r.fellows) >= most {
+			continue
+		}
+		known := r.fellows[place.Name]
+		if known == nil {
+			r.fellows[place.Name] = &fellow{place: place}
+		} else if !known.seen {
+			known.place = place
+		}
+	}
+}
+
+// Heard notes a message that came from the fellow itself.
+func (r *Roster) Heard(nowMs int64, place wire.Place) {
+	if place.Name == "" || place.Name == r.self.Name {
+		return
+	}
+	known := r.fellows[place.Name]
+	if known == nil {
+		if len(r.fellows) >= most {
+			return
+		}
+		known = &fellow{}
+		r.fellows[place.Name] = known
+	}
+	known.place, known.seenMs, known.seen = place, nowMs, true
+}
+
+// Told takes a watcher's sighting.
+func (r *Roster) Told(nowMs int64, s wire.Sighting) {
+	known := r.fellows[s.Place.Name]
+	if known == nil || !known.seen || known.seenMs < nowMs-s.AgoMs {
+		r.Heard(nowMs-s.AgoMs, s.Place)
+	}
+}
+
+// Seen says how long ago the fellow was last heard of, if ever.
+func (r *Roster) Seen(nowMs int64, name string) (int64, bool) {
+	known := r.fellows[name]
+	if known == nil || !known.seen {
+		return 0, false
+	}
+	return nowMs - known.seenMs, true
+}
+
+// Live says whether the fellow was heard of lately.
+func (r *Roster) Live(nowMs int64, name string) bool {
+	agoMs, seen := r.Seen(nowMs, name)
+	return seen && agoMs <= MissMs
+}
+
+// Place finds a fellow, or this daemon itself.
+func (r *Roster) Place(name string) (wire.Place, bool) {
+	if name == r.self.Name {
+		return r.self, true
+	}
+	known := r.fellows[name]
+	if known == nil {
+		return wire.Place{}, false
+	}
+	return known.place, true
+}
+
+// Places lists all known fellows and this daemon, in order of name.
+func (r *Roster) Places() []wire.Place {
+	places := []wire.Place{r.self}
+	for _, known := range r.fellows {
+		places = append(places, known.place)
+	}
+	sort.Slice(places, func(i, j int) bool { return places[i].Name < places[j].Name })
+	return places
+}
+
+// Part lists the fellows of a part, without this daemon.
+func (r *Roster) Part(part string) []wire.Place {
+	return slices.DeleteFunc(r.Places(), func(p wire.Place) bool { return p.Part != part || p.Name == r.self.Name })
+}
+
+// Watchers lists whom a daemon beats to: its successors on the ring.
+func (r *Roster) Watchers(name string) []wire.Place {
+	places := r.Places()
+	sort.Slice(places, func(i, j int) bool { return spot(places[i].Name) < spot(places[j].Name) })
+	var out []wire.Place
+	start := slices.IndexFunc(places, func(p wire.Place) bool { return p.Name == name })
+	if start < 0 {
+		return nil
+	}
+	for i := 1; i < len(places) && len(out) < Watchers; i++ {
+		out = append(out, places[(start+i)%len(places)])
+	}
+	return out
+}
+
+func spot(name string) uint64 {
+	sum := fnv.New64a()
+	_, _ = sum.Write([]byte(name))
+	return sum.Sum64()
+}
+
+// Tick gives the messages that are due. Primary is whom to tell, if known.
+func (r *Roster) Tick(nowMs int64, epoch uint64, primary string) []wire.Send {
+	var sends []wire.Send
+	if nowMs-r.beatMs >= BeatMs {
+		r.beatMs = nowMs
+		for _, place := range r.Watchers(r.self.Name) {
+			sends = append(sends, wire.Send{To: place.Name, Address: place.Address, Body: wire.Heartbeat{Epoch: epoch}})
+		}
+		if to, ok := r.Place(primary); ok && primary != r.self.Name {
+			sends = append(sends, wire.Send{To: to.Name, Address: to.Address, Body: wire.Sightings{Seen: r.sightings(nowMs)}})
+		}
+	}
+	if nowMs-r.helloMs >= helloMs && !r.Live(nowMs, primary) && primary != r.self.Name {
+		r.helloMs = nowMs
+		sends = append(sends, r.hellos(nowMs)...)
+	}
+	return sends
+}
+
+func (r *Roster) sightings(nowMs int64) []wire.Sighting {
+	var seen []wire.Sighting
+	for _, place := range r.Places() {
+		if r.Live(nowMs, place.Name) {
+			seen = append(seen, wire.Sighting{Place: place, AgoMs: nowMs - r.fellows[place.Name].seenMs})
+		}
+	}
+	return seen
+}
+
+// hellos goes to all seeds and, since seeds may be gone, to one remembered
+// fellow after the other.
+func (r *Roster) hellos(nowMs int64) []wire.Send {
+	var sends []wire.Send
+	for _, seed := range r.seeds {
+		if seed != r.self.Address {
+			sends = append(sends, wire.Send{Address: seed, Body: wire.Hello{}})
+		}
+	}
+	places := slices.DeleteFunc(r.Places(), func(p wire.Place) bool { return p.Name == r.self.Name })
+	if len(places) > 0 {
+		place := places[int(nowMs/helloMs)%len(places)]
+		sends = append(sends, wire.Send{To: place.Name, Address: place.Address, Body: wire.Hello{}})
+	}
+	return sends
+}
--- /dev/null
+++ b/wire/bodies.go
@@ -0,0 +1,227 @@
+package wire
+
+import (
+	"crypto/sha256"
+	"encoding/gob"
+	"encoding/hex"
+)
+
+// Envelope carries one message between two daemons of a site.
+type Envelope struct {
+	Site string
+	From Place
+	To   string
+	Body any
+}
+
+// Heartbeat goes to the few watchers that the sender's place on the ring names.
+type Heartbeat struct{ Epoch uint64 }
+
+// Hello asks a seed, or a fellow, for the fellows it knows.
+type Hello struct{}
+
+// Known answers a Hello.
+type Known struct {
+	Fellows []Place
+	Record  Record
+}
+
+// Sightings is what a watcher tells the primary.
+type Sightings struct{ Seen []Sighting }
+
+// Sighting says how long ago a fellow's heartbeat came.
+type Sighting struct {
+	Place Place
+	AgoMs int64
+}
+
+// Promise asks a witness to take part in no lower ballot.
+type Promise struct {
+	Ballot Ballot
+	// Found is set only by an operator's explicit founding.
+	Found bool
+}
+
+// Promised answers a Promise.
+type Promised struct {
+	Ballot  Ballot
+	Granted bool
+	Blank   bool
+	Highest Ballot
+	Record  Record
+	Kept    Ballot
+	WaitMs  int64
+}
+
+// Keep asks a witness to store a record.
+type Keep struct {
+	Ballot Ballot
+	Record Record
+	Found  bool
+	// EchoMs is the sender's own time, for counting the hold it begins.
+	EchoMs int64
+}
+
+// Kept answers a Keep or a Renew.
+type Kept struct {
+	Ballot  Ballot
+	Epoch   uint64
+	Granted bool
+	Highest Ballot
+	Record  Record
+	EchoMs  int64
+}
+
+// Renew asks a witness to prolong the primary's hold.
+type Renew struct {
+	Ballot Ballot
+	Record Record
+	EchoMs int64
+}
+
+// Release gives the hold back on a planned stop.
+type Release struct{ Epoch uint64 }
+
+// Yield tells the backup to take over now.
+type Yield struct{ Epoch uint64 }
+
+// Opinion asks a fellow whether it too misses the primary.
+type Opinion struct{ Epoch uint64 }
+
+// Opined answers an Opinion.
+type Opined struct {
+	Epoch   uint64
+	HeardMs int64
+}
+
+// Position is the last change a disk holds.
+type Position struct {
+	Epoch  uint64 `json:"epoch"`
+	Number uint64 `json:"number"`
+}
+
+// Change is one synced step of the control state.
+type Change struct {
+	Before Position
+	At     Position
+	Rows   map[string]string
+}
+
+// Soft is what the primary knows that is not worth a disk: it is only hints.
+type Soft struct {
+	Burdens map[string]int64
+	Dark    []string
+}
+
+// Follow carries changes, or with none the primary's word that it is alive.
+type Follow struct {
+	Record  Record
+	Ballot  Ballot
+	Last    Position
+	Changes []Change
+	Soft    Soft
+	Fellows []Place
+}
+
+// Image replaces a follower's whole state.
+type Image struct {
+	Record Record
+	At     Position
+	Rows   map[string]string
+}
+
+// Sum names a text.
+func Sum(text string) string {
+	sum := sha256.Sum256([]byte(text))
+	return hex.EncodeToString(sum[:8])
+}
+
+// Followed answers a Follow or an Image, once what it brought is synced.
+type Followed struct {
+	Epoch uint64
+	At    Position
+	// Witness tells what this daemon's witness is, so that a blank or
+	// replaced one can be taken in.
+	WitnessBlank bool
+}
+
+// Ask is a router's constant question to the primary.
+type Ask struct {
+	EchoMs   int64
+	Revision uint64
+	// Held is the sum of the next revision's text that the router
+	// acknowledges, or empty.
+	Held string
+}
+
+// Word answers an Ask.
+type Word struct {
+	EchoMs int64
+	// For is the incarnation of the router that asked: the echo means
+	// nothing to another.
+	For      string
+	Epoch    uint64
+	Revision uint64
+	Sum      string
+	// Pending is the sum of a revision that is being taken, or empty.
+	Pending string
+	// Renew says that this word prolongs the router's hold on Revision.
+	Renew bool
+	// Text is the description in force, or the pending one, where the Ask
+	// showed that the router lacks it.
+	Text        string
+	PendingText string
+	Leaving     []Mark
+	Fellows     []Place
+}
+
+// Mark says that a runner's incarnation is leaving; it never comes back.
+type Mark struct {
+	Runner      string `json:"runner"`
+	Incarnation string `json:"incarnation"`
+}
+
+// Nudge tells a router to ask now.
+type Nudge struct{ Epoch uint64 }
+
+// LookUp is the one look-up that each request sends.
+type LookUp struct {
+	Id      uint64
+	Service string
+	Model   string
+	Adapter string
+}
+
+// Holder is a runner that a choice table offers.
+type Holder struct {
+	Runner      string
+	Incarnation string
+	Address     string
+	Zone        string
+	Burden      int64
+}
+
+// Index answers a LookUp, or tells a router of a change it waits for.
+type Index struct {
+	Id      uint64
+	Key     string
+	At      Position
+	AgeMs   int64
+	Holders []Holder
+	Loading bool
+	// Behind says that the controller has no state to answer from.
+	Behind bool
+}
+
+// Demand tells the primary what look-ups a follower answered.
+type Demand struct{ Counts map[string]int64 }
+
+func init() {
+	for _, body := range []any{
+		Heartbeat{}, Hello{}, Known{}, Sightings{}, Promise{}, Promised{}, Keep{}, Kept{}, Renew{},
+		Release{}, Yield{}, Opinion{}, Opined{}, Follow{}, Image{}, Followed{}, Ask{}, Word{}, Nudge{},
+		LookUp{}, Index{}, Demand{},
+	} {
+		gob.Register(body)
+	}
+}
--- /dev/null
+++ b/wire/effects.go
@@ -0,0 +1,59 @@
+package wire
+
+import (
+	"myrtlewinch/defect"
+	"myrtlewinch/disk"
+)
+
+// Send is a message to be sent. The address leads; the name may be unknown
+// when a seed is called for the first time.
+type Send struct {
+	To      string
+	Address string
+	Body    any
+}
+
+// Save is a change of the disk; its end comes back as Saved with the number.
+type Save struct {
+	Number uint64
+	Write  disk.Write
+}
+
+// Saved ends a Save.
+type Saved struct {
+	Number uint64
+	Ok     bool
+}
+
+// Answer ends something a caller or an operator asked.
+type Answer struct {
+	Id   uint64
+	Body any
+}
+
+// Refused answers with a kind of defect.
+type Refused struct {
+	Kind     defect.Kind
+	Detail   string
+	Faults   []string
+	Revision uint64
+	Primary  string
+}
+
+// Call goes outward, over HTTP: to a runner or to the platform.
+type Call struct {
+	Address string
+	Body    any
+}
+
+// Effects is what a state machine returns from a step.
+type Effects struct {
+	Sends   []Send
+	Saves   []Save
+	Answers []Answer
+	Calls   []Call
+	// Notes are short sentences for the log.
+	Notes []string
+	// Counts are added to the counters of the process.
+	Counts []string
+}
--- /dev/null
+++ b/wire/outward.go
@@ -0,0 +1,85 @@
+package wire
+
+// Order is what the holder of the duty tells a runner. A runner carries its
+// orders out one after another and remembers the last.
+type Order struct {
+	Holder      string `json:"holder"`
+	Epoch       uint64 `json:"epoch"`
+	Number      uint64 `json:"number"`
+	Incarnation string `json:"incarnation"`
+	Action      string `json:"action"`
+	Model       string `json:"model"`
+	Adapter     string `json:"adapter,omitempty"`
+	Size        int64  `json:"size"`
+}
+
+// The two actions of an order.
+const (
+	Load   = "load"
+	Unload = "unload"
+)
+
+// OrderCall sends an order; it may not be written to the socket once the
+// sender's clock shows more than UntilMs.
+type OrderCall struct {
+	Runner  string
+	Order   Order
+	UntilMs int64
+}
+
+// ReportCall reads a runner's report.
+type ReportCall struct{ Runner string }
+
+// PlatformCall reads the platform's list.
+type PlatformCall struct{}
+
+// The states of an order at its runner.
+const (
+	OrderUnderWay = "under way"
+	OrderDone     = "done"
+	OrderFailed   = "failed"
+)
+
+// Held is a model or adapter that a runner holds.
+type Held struct {
+	Model   string `json:"model"`
+	Adapter string `json:"adapter,omitempty"`
+	Size    int64  `json:"size"`
+}
+
+// Report is a runner's own word on itself; it answers orders too.
+type Report struct {
+	Runner      string `json:"runner"`
+	Incarnation string `json:"incarnation"`
+	Room        int64  `json:"room"`
+	Burden      int64  `json:"burden"`
+	Epoch       uint64 `json:"epoch"`
+	LastOrder   uint64 `json:"lastOrder"`
+	LastState   string `json:"lastState"`
+	Held        []Held `json:"held"`
+}
+
+// Reported brings a report, or that none came, back to the machine.
+type Reported struct {
+	Runner  string
+	Address string
+	Ok      bool
+	Report  Report
+}
+
+// Listed is a runner in the platform's list.
+type Listed struct {
+	Name        string `json:"name"`
+	Address     string `json:"address"`
+	Incarnation string `json:"incarnation"`
+	Leaving     bool   `json:"leaving"`
+}
+
+// Listing brings the platform's list, or that none came, to the machine.
+type Listing struct {
+	Ok      bool
+	Runners []Listed
+}
+
+// Tick tells a machine only that time has gone on.
+type Tick struct{}
--- /dev/null
+++ b/wire/record.go
@@ -0,0 +1,73 @@
+package wire
+
+import "slices"
+
+// Ballot orders the candidates for an epoch.
+type Ballot struct {
+	Round uint64 `json:"round"`
+	Name  string `json:"name"`
+}
+
+// Less orders ballots by round, then name.
+func (b Ballot) Less(other Ballot) bool {
+	if b.Round != other.Round {
+		return b.Round < other.Round
+	}
+	return b.Name < other.Name
+}
+
+// Seat is one disk: a daemon's name with the incarnation of its disk.
+type Seat struct {
+	Name        string `json:"name"`
+	Incarnation string `json:"incarnation"`
+}
+
+// Record is what witnesses keep of an epoch.
+type Record struct {
+	Epoch   uint64 `json:"epoch"`
+	Primary string `json:"primary"`
+	// Pair names the two disks that hold every answered write.
+	Pair      []Seat `json:"pair"`
+	Witnesses []Seat `json:"witnesses"`
+	// Before is the witness set that had to agree to this record.
+	Before []Seat `json:"before"`
+}
+
+// Pairs says whether the disk is one of the pair.
+func (r Record) Pairs(seat Seat) bool { return slices.Contains(r.Pair, seat) }
+
+// Fellow gives the other disk of the pair.
+func (r Record) Fellow(name string) (Seat, bool) {
+	for _, seat := range r.Pair {
+		if seat.Name != name {
+			return seat, true
+		}
+	}
+	return Seat{}, false
+}
+
+// Voters is every disk whose word a change of the record may need.
+func (r Record) Voters() []Seat {
+	voters := slices.Clone(r.Witnesses)
+	for _, seat := range r.Before {
+		if !slices.Contains(voters, seat) {
+			voters = append(voters, seat)
+		}
+	}
+	return voters
+}
+
+// Majority says whether those who agree are a majority of both sets.
+func (r Record) Majority(agrees func(Seat) bool) bool {
+	return most(r.Witnesses, agrees) && most(r.Before, agrees)
+}
+
+func most(set []Seat, agrees func(Seat) bool) bool {
+	count := 0
+	for _, seat := range set {
+		if agrees(seat) {
+			count++
+		}
+	}
+	return 2*count > len(set)
+}
--- /dev/null
+++ b/witness/witness.go
@@ -0,0 +1,140 @@
+// Package witness keeps epochs, and nothing else, on one durable record.
+package witness
+
+import (
+	"encoding/json"
+
+	"myrtlewinch/wire"
+)
+
+// HoldMs is how long a witness lets no other become primary after a renewal.
+const HoldMs = 1500
+
+// Key is where the record lies on the disk.
+const Key = "witness"
+
+// Memory is the durable record of one witness.
+type Memory struct {
+	Promised wire.Ballot `json:"promised"`
+	Kept     wire.Ballot `json:"kept"`
+	Record   wire.Record `json:"record"`
+	Founding bool        `json:"founding,omitempty"`
+}
+
+// Witness decides what one disk promises and keeps. Its caller saves the
+// memory, where it changed, before the answer leaves.
+type Witness struct {
+	Memory
+	self        wire.Seat
+	startMs     int64
+	holder      string
+	holdUntilMs int64
+}
+
+// New makes a witness from what its disk holds.
+func New(self wire.Seat, saved string, nowMs int64) (*Witness, error) {
+	w := &Witness{self: self, startMs: nowMs}
+	if saved == "" {
+		return w, nil
+	}
+	err := json.Unmarshal([]byte(saved), &w.Memory)
+	// A hold given before the restart may still run, and to whom it was
+	// given may be forgotten, so no one gets a vote until it is out.
+	w.holdUntilMs = nowMs + HoldMs
+	return w, err
+}
+
+// Blank says that this disk was never taken into a recorded epoch.
+func (w *Witness) Blank() bool {
+	for _, seat := range w.Record.Witnesses {
+		if seat == w.self {
+			return false
+		}
+	}
+	return true
+}
+
+// Text is the memory as it is saved.
+func (w *Witness) Text() string {
+	text, _ := json.Marshal(w.Memory)
+	return string(text)
+}
+
+// Promise answers a candidate. Changed says that the memory must be saved.
+func (w *Witness) Promise(nowMs int64, from string, ask wire.Promise) (answer wire.Promised, changed bool) {
+	answer = wire.Promised{Ballot: ask.Ballot, Highest: w.Promised, Record: w.Record, Kept: w.Kept, Blank: w.Blank()}
+	// A blank disk votes only in an explicit founding.
+	if w.Blank() && !(ask.Found && w.Record.Epoch == 0) {
+		return answer, false
+	}
+	// The hold that was given keeps every other out while it runs.
+	if nowMs < w.holdUntilMs && w.holder != from {
+		answer.WaitMs = w.holdUntilMs - nowMs
+		return answer, false
+	}
+	if ask.Ballot.Less(w.Promised) {
+		return answer, false
+	}
+	changed = w.Promised != ask.Ballot
+	w.Promised = ask.Ballot
+	answer.Granted = true
+	answer.Highest = w.Promised
+	return answer, changed
+}
+
+// Keep stores a record.
+func (w *Witness) Keep(nowMs int64, ask wire.Keep) (answer wire.Kept, changed bool) {
+	answer = wire.Kept{Ballot: ask.Ballot, Epoch: ask.Record.Epoch, Highest: w.Promised, Record: w.Record, EchoMs: ask.EchoMs}
+	taken := false
+	for _, seat := range ask.Record.Witnesses {
+		taken = taken || seat == w.self
+	}
+	// A blank disk is taken in only by a record that names it.
+	if w.Blank() && !taken {
+		return answer, false
+	}
+	if ask.Ballot.Less(w.Promised) {
+		return answer, false
+	}
+	before := w.Memory
+	w.Promised = ask.Ballot
+	// A higher record shows that this lower one was complete already.
+	if ask.Record.Epoch >= w.Record.Epoch {
+		w.Record = ask.Record
+		w.Kept = ask.Ballot
+	}
+	// The hold is the candidate's own, also while it completes another's record.
+	w.hold(nowMs, ask.Ballot.Name)
+	answer.Granted = true
+	answer.Highest = w.Promised
+	answer.Record = w.Record
+	return answer, before.Promised != w.Promised || before.Kept != w.Kept || before.Record.Epoch != w.Record.Epoch
+}
+
+// Renew prolongs the primary's hold. A witness that missed the record takes
+// it from the renewal, since only a complete record is renewed.
+func (w *Witness) Renew(nowMs int64, ask wire.Renew) (answer wire.Kept, changed bool) {
+	answer = wire.Kept{Ballot: ask.Ballot, Epoch: ask.Record.Epoch, Highest: w.Promised, Record: w.Record, EchoMs: ask.EchoMs}
+	if w.Blank() || ask.Ballot.Less(w.Promised) || ask.Record.Epoch < w.Record.Epoch {
+		return answer, false
+	}
+	if ask.Record.Epoch > w.Record.Epoch {
+		return w.Keep(nowMs, wire.Keep{Ballot: ask.Ballot, Record: ask.Record, EchoMs: ask.EchoMs})
+	}
+	w.hold(nowMs, ask.Ballot.Name)
+	answer.Granted = true
+	return answer, false
+}
+
+// Release ends the hold on purpose.
+func (w *Witness) Release(from string, ask wire.Release) {
+	if ask.Epoch == w.Record.Epoch && from == w.holder {
+		w.holdUntilMs = 0
+		w.holder = ""
+	}
+}
+
+func (w *Witness) hold(nowMs int64, holder string) {
+	w.holder = holder
+	w.holdUntilMs = nowMs + HoldMs
+}
--- /dev/null
+++ b/witness/witness_test.go
@@ -0,0 +1,108 @@
+package witness
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"myrtlewinch/wire"
+)
+
+var seats = []wire.Seat{{Name: "a", Incarnation: "1"}, {Name: "b", Incarnation: "1"}, {Name: "c", Incarnation: "1"}}
+
+func record(epoch uint64, primary string) wire.Record {
+	return wire.Record{Epoch: epoch, Primary: primary, Pair: seats[:2], Witnesses: seats, Before: seats}
+}
+
+func ballot(round uint64, name string) wire.Ballot { return wire.Ballot{Round: round, Name: name} }
+
+func TestWitness(t *testing.T) {
+	type step struct {
+		about   string
+		nowMs   int64
+		from    string
+		ask     any
+		granted bool
+	}
+	founded := func(t *testing.T) *Witness {
+		w, err := New(seats[0], "", 0)
+		qt.Assert(t, err, qt.IsNil)
+		w.Promise(0, "a", wire.Promise{Ballot: ballot(1, "a"), Found: true})
+		w.Keep(0, wire.Keep{Ballot: ballot(1, "a"), Record: record(1, "a"), Found: true})
+		return w
+	}
+	blank := func(t *testing.T) *Witness {
+		w, err := New(seats[0], "", 0)
+		qt.Assert(t, err, qt.IsNil)
+		return w
+	}
+	restarted := func(t *testing.T) *Witness {
+		w, err := New(seats[0], founded(t).Text(), 10_000)
+		qt.Assert(t, err, qt.IsNil)
+		return w
+	}
+	cases := []struct {
+		about string
+		make  func(*testing.T) *Witness
+		steps []step
+	}{
+		{"a blank disk votes only in a founding", blank, []step{
+			{"plain promise", 0, "b", wire.Promise{Ballot: ballot(1, "b")}, false},
+			{"renewal", 0, "b", wire.Renew{Ballot: ballot(1, "b"), Record: record(1, "b")}, false},
+			{"founding", 0, "b", wire.Promise{Ballot: ballot(1, "b"), Found: true}, true},
+		}},
+		{"a blank disk is taken in only by a record that names it", blank, []step{
+			{"not named", 0, "b", wire.Keep{Ballot: ballot(1, "b"), Record: wire.Record{Epoch: 3, Witnesses: seats[1:]}}, false},
+			{"named", 0, "b", wire.Keep{Ballot: ballot(1, "b"), Record: record(3, "b")}, true},
+		}},
+		{"the hold keeps others out", founded, []step{
+			{"while it runs", 1499, "b", wire.Promise{Ballot: ballot(2, "b")}, false},
+			{"the holder itself may", 1499, "a", wire.Promise{Ballot: ballot(2, "a")}, true},
+			{"lower ballot", 1600, "b", wire.Promise{Ballot: ballot(1, "b")}, false},
+			{"once out", 1600, "b", wire.Promise{Ballot: ballot(3, "b")}, true},
+			{"the old one renews no more", 1601, "a", wire.Renew{Ballot: ballot(1, "a"), Record: record(1, "a")}, false},
+		}},
+		{"a renewal prolongs", founded, []step{
+			{"renew", 1000, "a", wire.Renew{Ballot: ballot(1, "a"), Record: record(1, "a")}, true},
+			{"still out", 2400, "b", wire.Promise{Ballot: ballot(2, "b")}, false},
+			{"in at last", 2501, "b", wire.Promise{Ballot: ballot(2, "b")}, true},
+		}},
+		{"a restarted witness waits a full hold", restarted, []step{
+			{"too early", 11_499, "b", wire.Promise{Ballot: ballot(2, "b")}, false},
+			{"too early for all", 11_499, "a", wire.Promise{Ballot: ballot(2, "a")}, false},
+			{"after", 11_500, "b", wire.Promise{Ballot: ballot(2, "b")}, true},
+		}},
+		{"a release opens at once", founded, []step{
+			{"by another", 10, "b", wire.Release{Epoch: 1}, true},
+			{"still held", 11, "b", wire.Promise{Ballot: ballot(2, "b")}, false},
+			{"by the primary", 12, "a", wire.Release{Epoch: 1}, true},
+			{"open", 13, "b", wire.Promise{Ballot: ballot(2, "b")}, true},
+		}},
+		{"a lower epoch does not replace a higher", founded, []step{
+			{"higher", 1, "a", wire.Keep{Ballot: ballot(1, "a"), Record: record(2, "a")}, true},
+			{"lower renewal", 2, "a", wire.Renew{Ballot: ballot(1, "a"), Record: record(1, "a")}, false},
+		}},
+	}
+	for _, test := range cases {
+		t.Run(test.about, func(t *testing.T) {
+			w := test.make(t)
+			for _, s := range test.steps {
+				granted := true
+				switch ask := s.ask.(type) {
+				case wire.Promise:
+					answer, _ := w.Promise(s.nowMs, s.from, ask)
+					granted = answer.Granted
+				case wire.Keep:
+					answer, _ := w.Keep(s.nowMs, ask)
+					granted = answer.Granted
+				case wire.Renew:
+					answer, _ := w.Renew(s.nowMs, ask)
+					granted = answer.Granted
+				case wire.Release:
+					w.Release(s.from, ask)
+				}
+				qt.Assert(t, granted, qt.Equals, s.granted, qt.Commentf(s.about))
+			}
+		})
+	}
+}
