--- /dev/null
+++ b/cmd/fleet/main.go
@@ -0,0 +1,121 @@
+// Program fleet runs a whole site in one process over loopback, with traffic,
+// and reports what it saw; or it writes the settings for separate processes.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/integrii/flaggy"
+
+	"myrtlewinch/crew"
+	"myrtlewinch/description"
+	"myrtlewinch/program"
+	"myrtlewinch/site"
+	"myrtlewinch/stand"
+)
+
+const patience = 60 * time.Second
+
+func main() {
+	program.Begin("fleet", "Runs a whole site in one process with traffic, or writes settings for separate processes.")
+	file, write := "examples/zagreb.json", ""
+	seconds, port := 15, 7100
+	small, other := 30.0, 4.0
+	var loadMs, workMs int64 = 2000, 40
+	quiet := false
+	flaggy.String(&file, "d", "description", "the description of the site")
+	flaggy.String(&write, "w", "write", "write settings and run.sh into this folder and stop")
+	flaggy.Int(&port, "", "port", "with --write: the ports begin after this one")
+	flaggy.Int(&seconds, "", "seconds", "how long to send requests")
+	flaggy.Float64(&small, "", "small", "requests a second to each repeatable service")
+	flaggy.Float64(&other, "", "other", "requests a second to each other service")
+	flaggy.Int64(&loadMs, "", "loadMs", "how long a load takes at a runner")
+	flaggy.Int64(&workMs, "", "workMs", "how long an answer takes, or a piece of a telling")
+	flaggy.Bool(&quiet, "q", "quiet", "no log of the daemons")
+	program.Parse()
+	if seconds <= 0 || small <= 0 || other <= 0 || loadMs < 0 || workMs < 0 {
+		program.Misused("seconds, small, other, loadMs, workMs: must not be negative or nought")
+	}
+	if port < 1 || port > 65000 {
+		program.Misused("port: %d is not from 1 to 65000", port)
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		program.Misused("description: %v", err)
+	}
+	if write != "" {
+		writeSite(text, write, port)
+		return
+	}
+	run(text, seconds, small, other, loadMs, workMs, quiet)
+}
+
+func writeSite(text []byte, folder string, port int) {
+	var named struct{ Site string }
+	_ = json.Unmarshal(text, &named)
+	d, faults := description.Read(text, named.Site)
+	if len(faults) > 0 {
+		program.Misused("description: %v", faults)
+	}
+	if len(d.Controllers) < 3 {
+		program.Misused("description: a site has at least three controllers")
+	}
+	if err := site.Write(d, text, folder, port); err != nil {
+		program.Failed("write: %v", err)
+	}
+	fmt.Println("wrote", folder)
+}
+
+func run(text []byte, seconds int, small, other float64, loadMs, workMs int64, quiet bool) {
+	data, clean, err := site.TempData()
+	if err != nil {
+		program.Failed("data: %v", err)
+	}
+	defer clean()
+	logger := program.Log("fleet")
+	if quiet {
+		logger = log.New(io.Discard)
+	}
+	fleet, err := site.New(site.Options{Text: text, Data: data, LoadMs: loadMs, WorkMs: workMs, Pieces: 8, Log: logger})
+	if err != nil {
+		program.Misused("%v", err)
+	}
+	broken, err := drive(fleet, text, seconds, small, other)
+	fleet.Stop()
+	if err != nil {
+		clean()
+		program.Failed("%v", err)
+	}
+	if broken > 0 {
+		clean()
+		os.Exit(program.ExitFailed)
+	}
+}
+
+func drive(fleet *site.Fleet, text []byte, seconds int, small, other float64) (int, error) {
+	if err := fleet.Found(patience); err != nil {
+		return 0, err
+	}
+	if err := fleet.HandOver("0", text, patience); err != nil {
+		return 0, err
+	}
+	if err := fleet.Ready(patience); err != nil {
+		return 0, err
+	}
+	sender := stand.NewSender("s", fleet.RouterAddresses(), stand.MixOf(fleet.Description, small, other), fleet.Book, fleet.Clock.NowMs, 1)
+	var c crew.Crew
+	sender.Join(&c)
+	c.Signals(nil)
+	timeUp := make(chan struct{})
+	timer := time.AfterFunc(time.Duration(seconds)*time.Second, func() { close(timeUp) })
+	defer timer.Stop()
+	c.Until(timeUp)
+	_ = c.Run()
+	sender.Wait()
+	return fleet.Report(os.Stdout, sender)
+}
--- /dev/null
+++ b/cmd/operator/main.go
@@ -0,0 +1,166 @@
+// Program operator hands descriptions over, reads them, and shows the state
+// of a site.
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+
+	"github.com/integrii/flaggy"
+
+	"myrtlewinch/defect"
+	"myrtlewinch/program"
+	"myrtlewinch/site"
+)
+
+type command struct {
+	sub  *flaggy.Subcommand
+	work func()
+}
+
+var (
+	controllers string
+	file        string
+	base        string
+	witnesses   string
+	backup      string
+)
+
+func main() {
+	program.Begin("operator", "Hands descriptions over, reads them, and shows the state of a site.")
+	flaggy.String(&controllers, "c", "controllers", "http addresses of controllers, with commas")
+	commands := []command{
+		add("found", "begin a new site on the first controller named; all witnesses must be blank", found, func(s *flaggy.Subcommand) {
+			s.String(&witnesses, "", "witnesses", "names of three controllers, with commas")
+			s.String(&backup, "", "backup", "name of the controller that is the first backup")
+		}),
+		add("put", "hand a whole description over", func() { hand(http.MethodPut) }, handing),
+		add("patch", "hand changes of named parts over", func() { hand(http.MethodPatch) }, handing),
+		add("get", "print the description in force and, on standard error, its revision", get, nil),
+		add("history", "list the latest revisions", func() { show("/history") }, nil),
+		add("status", "show what each controller believes", status, nil),
+	}
+	program.Parse()
+	if len(program.List(controllers)) == 0 {
+		program.Misused("controllers: must be given")
+	}
+	for _, c := range commands {
+		if c.sub.Used {
+			c.work()
+			return
+		}
+	}
+	program.Misused("a command must be given: found, put, patch, get, history or status")
+}
+
+func add(name, about string, work func(), flags func(*flaggy.Subcommand)) command {
+	sub := flaggy.NewSubcommand(name)
+	sub.Description = about
+	if flags != nil {
+		flags(sub)
+	}
+	flaggy.AttachSubcommand(sub, 1)
+	return command{sub, work}
+}
+
+func handing(s *flaggy.Subcommand) {
+	s.String(&file, "f", "file", "the file with the JSON")
+	s.String(&base, "b", "base", "the revision that this is based on; 0 where there is none yet")
+}
+
+// primary asks each controller until one does not say that it is another.
+func primary(method, path string, body []byte) {
+	var last string
+	for _, address := range program.List(controllers) {
+		code, text, err := site.Ask(method, address, path, base, body)
+		if err != nil {
+			// An answer that was lost on the way may still have taken effect;
+			// one that was never dialled has not.
+			var dial *net.OpError
+			if method != http.MethodGet && !(errors.As(err, &dial) && dial.Op == "dial") {
+				program.Failed("%s: no answer (%v); it may have taken effect: read the description to find out", address, err)
+			}
+			last = err.Error()
+			continue
+		}
+		var said defect.Answer
+		if code != http.StatusOK && json.Unmarshal(text, &said) == nil && said.Kind == defect.NotPrimary {
+			last = fmt.Sprintf("%s is not the primary (it knows of %q)", address, said.Primary)
+			continue
+		}
+		if code != http.StatusOK {
+			fmt.Fprintf(os.Stderr, "%s: %s\n", said.Kind, said.Detail)
+			for _, fault := range said.Faults {
+				fmt.Fprintln(os.Stderr, "  "+fault)
+			}
+			if said.Revision > 0 {
+				fmt.Fprintf(os.Stderr, "  the revision in force is %d\n", said.Revision)
+			}
+			os.Exit(program.ExitFailed)
+		}
+		_, _ = os.Stdout.Write(text)
+		return
+	}
+	program.Failed("no controller answered as the primary: %s", last)
+}
+
+func found() {
+	body, _ := json.Marshal(map[string]any{"witnesses": program.List(witnesses), "backup": backup})
+	controllers = program.List(controllers)[0]
+	primary(http.MethodPost, "/found", body)
+}
+
+func hand(method string) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		program.Misused("file: %v", err)
+	}
+	if base == "" {
+		program.Misused("base: must be given")
+	}
+	primary(method, "/description", text)
+}
+
+func get() {
+	primary(http.MethodGet, "/description", nil)
+	fmt.Println()
+}
+
+func show(path string) {
+	for _, address := range program.List(controllers) {
+		if code, text, err := site.Ask(http.MethodGet, address, path, "", nil); err == nil && code == http.StatusOK {
+			indent(text)
+			return
+		}
+	}
+	program.Failed("no controller answered")
+}
+
+func status() {
+	answered := false
+	for _, address := range program.List(controllers) {
+		code, text, err := site.Ask(http.MethodGet, address, "/status", "", nil)
+		if err != nil || code != http.StatusOK {
+			fmt.Fprintf(os.Stderr, "%s: no answer\n", address)
+			continue
+		}
+		answered = true
+		indent(text)
+	}
+	if !answered {
+		program.Failed("no controller answered")
+	}
+}
+
+func indent(text []byte) {
+	var out bytes.Buffer
+	if json.Indent(&out, text, "", "  ") != nil {
+		out.Write(text)
+	}
+	fmt.Println(out.String())
+}
--- /dev/null
+++ b/cmd/runner/main.go
@@ -0,0 +1,68 @@
+// Program runner is the stand-in for a runner with its weight store.
+package main
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"myrtlewinch/daemon"
+	"myrtlewinch/program"
+	"myrtlewinch/stand"
+	"myrtlewinch/wire"
+)
+
+func main() {
+	program.Begin("runner", "Stand-in: a runner that holds models, announced to the platform.")
+	var name, address, platform string
+	var room, loadMs, workMs int64 = 96, 3000, 200
+	pieces := 8
+	flaggy.String(&name, "", "name", "name of the runner")
+	flaggy.String(&address, "", "http", "IP:port to listen at")
+	flaggy.String(&platform, "", "platform", "IP:port of the platform")
+	flaggy.Int64(&room, "", "room", "room for models")
+	flaggy.Int64(&loadMs, "", "loadMs", "how long a load takes")
+	flaggy.Int64(&workMs, "", "workMs", "how long an answer takes, or a piece of a telling")
+	flaggy.Int(&pieces, "", "pieces", "pieces of a telling")
+	program.Parse()
+	switch {
+	case name == "":
+		program.Misused("name: must be given")
+	case platform == "":
+		program.Misused("platform: must be given")
+	case room < 0 || loadMs < 0 || workMs < 0 || pieces < 0:
+		program.Misused("room, loadMs, workMs, pieces: must not be negative")
+	}
+	at := program.Listen("http", address)
+	token := make([]byte, 8)
+	if _, err := rand.Read(token); err != nil {
+		program.Failed("%v", err)
+	}
+	incarnation := hex.EncodeToString(token)
+	if err := announce(platform, wire.Listed{Name: name, Address: address, Incarnation: incarnation}); err != nil {
+		program.Failed("platform: %v", err)
+	}
+	runner := stand.NewRunner(name, incarnation, room, loadMs, nil)
+	program.Web(at, stand.NewRunnerDoor(runner, daemon.NewClock().NowMs, workMs, pieces))
+}
+
+func announce(platform string, listed wire.Listed) error {
+	text, _ := json.Marshal(listed)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+platform+"/runners/"+listed.Name, bytes.NewReader(text))
+	if err != nil {
+		return err
+	}
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	return answer.Body.Close()
+}
--- /dev/null
+++ b/cmd/sender/main.go
@@ -0,0 +1,67 @@
+// Program sender is the stand-in for callers: it asks the services of a
+// description at a rate, and says what it got.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"myrtlewinch/crew"
+	"myrtlewinch/daemon"
+	"myrtlewinch/description"
+	"myrtlewinch/program"
+	"myrtlewinch/rules"
+	"myrtlewinch/stand"
+)
+
+func main() {
+	program.Begin("sender", "Stand-in: asks the services of a description and tallies the answers.")
+	var file, routers string
+	seconds, small, other := 10, 30.0, 4.0
+	flaggy.String(&file, "d", "description", "the description whose services are asked")
+	flaggy.String(&routers, "", "routers", "IP:port of routers, with commas")
+	flaggy.Int(&seconds, "", "seconds", "how long to ask")
+	flaggy.Float64(&small, "", "small", "requests a second to each repeatable service")
+	flaggy.Float64(&other, "", "other", "requests a second to each other service")
+	program.Parse()
+	text, err := os.ReadFile(file)
+	if err != nil {
+		program.Misused("description: %v", err)
+	}
+	var named struct{ Site string }
+	_ = json.Unmarshal(text, &named)
+	d, faults := description.Read(text, named.Site)
+	if len(faults) > 0 {
+		program.Misused("description: %v", faults)
+	}
+	if len(program.List(routers)) == 0 {
+		program.Misused("routers: must be given")
+	}
+	if seconds <= 0 || small <= 0 || other <= 0 {
+		program.Misused("seconds, small, other: must be above 0")
+	}
+	book := rules.New(d.Store.LoadsPer10s, d.SecondGoes)
+	sender := stand.NewSender(fmt.Sprintf("sender-%d", os.Getpid()), program.List(routers), stand.MixOf(d, small, other), book, daemon.NewClock().NowMs, 1)
+	var c crew.Crew
+	sender.Join(&c)
+	c.Signals(nil)
+	timeUp := make(chan struct{})
+	timer := time.AfterFunc(time.Duration(seconds)*time.Second, func() { close(timeUp) })
+	defer timer.Stop()
+	c.Until(timeUp)
+	_ = c.Run()
+	sender.Wait()
+	for _, line := range sender.Lines() {
+		fmt.Println(line)
+	}
+	if breaches := book.Breaches(); len(breaches) > 0 {
+		for _, breach := range breaches {
+			fmt.Println("rule broken:", breach)
+		}
+		os.Exit(program.ExitFailed)
+	}
+}
--- /dev/null
+++ b/comparison/comparison.go
@@ -0,0 +1,170 @@
+// Package comparison sets side by side what two daemons believe.
+package comparison
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strings"
+
+	"myrtlewinch/control"
+	"myrtlewinch/traffic"
+	"myrtlewinch/wire"
+)
+
+// Belief is what one daemon believes: fields by name, with the age of what it
+// was learnt from where the daemon tells one (-1 where not).
+type Belief struct {
+	Name   string
+	Fields map[string]string
+	AgesMs map[string]int64
+}
+
+// Difference is a field that two daemons see differently.
+type Difference struct {
+	Field      string `json:"field"`
+	Left       string `json:"left"`
+	Right      string `json:"right"`
+	LeftAgeMs  int64  `json:"leftAgeMs"`
+	RightAgeMs int64  `json:"rightAgeMs"`
+}
+
+const absent = "(none)"
+
+// Read makes a belief of a daemon's status page.
+func Read(text []byte) (Belief, error) {
+	var part struct {
+		Part string `json:"part"`
+	}
+	if err := json.Unmarshal(text, &part); err != nil {
+		return Belief{}, err
+	}
+	b := Belief{Fields: map[string]string{}, AgesMs: map[string]int64{}}
+	switch part.Part {
+	case wire.Controller:
+		var s control.Status
+		if err := json.Unmarshal(text, &s); err != nil {
+			return b, err
+		}
+		b.controller(s)
+	case wire.Router:
+		var s traffic.Status
+		if err := json.Unmarshal(text, &s); err != nil {
+			return b, err
+		}
+		b.router(s)
+	default:
+		return b, fmt.Errorf("not a daemon's status: part is %q", part.Part)
+	}
+	return b, nil
+}
+
+func (b *Belief) put(field, value string, ageMs int64) {
+	b.Fields[field] = value
+	b.AgesMs[field] = ageMs
+}
+
+func seats(list []wire.Seat) string {
+	var names []string
+	for _, seat := range list {
+		names = append(names, seat.Name+"/"+seat.Incarnation)
+	}
+	sort.Strings(names)
+	return strings.Join(names, " ")
+}
+
+func (b *Belief) leaving(marks []wire.Mark) {
+	for _, mark := range marks {
+		b.put("leaving "+mark.Runner+"/"+mark.Incarnation, "yes", -1)
+	}
+}
+
+func (b *Belief) controller(s control.Status) {
+	b.Name = s.Name
+	ageMs := int64(-1)
+	for _, fellow := range s.Fellows {
+		b.put("roster "+fellow.Name, fellow.Address+" "+fellow.Incarnation, fellow.AgoMs)
+		if fellow.Name == s.Record.Primary {
+			ageMs = fellow.AgoMs
+		}
+	}
+	b.put("epoch", fmt.Sprint(s.Record.Epoch), ageMs)
+	b.put("primary", s.Record.Primary, ageMs)
+	b.put("pair", seats(s.Record.Pair), ageMs)
+	b.put("witnesses", seats(s.Record.Witnesses), ageMs)
+	b.put("revision", fmt.Sprint(s.Revision), ageMs)
+	for _, row := range s.Rows {
+		var held []string
+		for item, h := range row.Held {
+			held = append(held, fmt.Sprintf("%s=%d", item, h.Size))
+		}
+		sort.Strings(held)
+		b.put("row "+row.Runner+" incarnation", row.Incarnation, ageMs)
+		b.put("row "+row.Runner+" held", strings.Join(held, " "), ageMs)
+		if row.Intent != nil {
+			b.put("row "+row.Runner+" order", fmt.Sprintf("%d %s %s %s", row.Intent.Number, row.Intent.Action, row.Intent.Model, row.Intent.Adapter), ageMs)
+		}
+	}
+	b.leaving(s.Leaving)
+}
+
+func (b *Belief) router(s traffic.Status) {
+	b.Name = s.Name
+	b.put("epoch", fmt.Sprint(s.Epoch), s.WordMs)
+	b.put("primary", s.Primary, s.WordMs)
+	b.put("revision", fmt.Sprint(s.Revision), s.WordMs)
+	for _, entry := range s.Cache {
+		b.put("entry "+entry.Key, strings.Join(entry.Runners, " "), entry.AgeMs)
+	}
+	b.leaving(s.Leaving)
+}
+
+// Compare lists the differences in order of field. A field that only daemons
+// of one part have is no difference to one of another part; the roster's own
+// line and what a router was never asked for are not either.
+func Compare(left, right Belief) []Difference {
+	var out []Difference
+	names := map[string]bool{}
+	for name := range left.Fields {
+		names[name] = true
+	}
+	for name := range right.Fields {
+		names[name] = true
+	}
+	for name := range names {
+		l, inLeft := left.Fields[name]
+		r, inRight := right.Fields[name]
+		if l == r && inLeft == inRight {
+			continue
+		}
+		if !inLeft || !inRight {
+			if !left.speaks(name) || !right.speaks(name) {
+				continue
+			}
+		}
+		d := Difference{Field: name, Left: l, Right: r, LeftAgeMs: -1, RightAgeMs: -1}
+		if inLeft {
+			d.LeftAgeMs = left.AgesMs[name]
+		} else {
+			d.Left = absent
+		}
+		if inRight {
+			d.RightAgeMs = right.AgesMs[name]
+		} else {
+			d.Right = absent
+		}
+		out = append(out, d)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Field < out[j].Field })
+	return out
+}
+
+// speaks says whether a daemon that lacks the field would have it if it
+// believed it.
+func (b Belief) speaks(field string) bool {
+	kind, rest, _ := strings.Cut(field, " ")
+	if _, controller := b.Fields["pair"]; !controller {
+		return kind == "epoch" || kind == "primary" || kind == "revision" || kind == "leaving"
+	}
+	return kind != "entry" && !(kind == "roster" && rest == b.Name)
+}
--- /dev/null
+++ b/program/program.go
@@ -0,0 +1,134 @@
+// Package program is what the thin programs under cmd share: the command
+// line, exit codes and the log.
+package program
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/integrii/flaggy"
+
+	"myrtlewinch/crew"
+	"myrtlewinch/settings"
+)
+
+// Exit codes of all programs.
+const (
+	ExitWell    = 0
+	ExitFailed  = 1
+	ExitMisused = 2
+)
+
+// Begin sets the command line up; Parse reads it.
+func Begin(name, about string) {
+	flaggy.ResetParser()
+	flaggy.SetName(name)
+	flaggy.SetDescription(about)
+	flaggy.SetVersion(settings.Version)
+	flaggy.DefaultParser.ShowHelpOnUnexpected = true
+}
+
+// Parse reads the command line; what it does not know ends the program.
+func Parse() {
+	// Every value needs a flag, so words on their own were meant for one.
+	flaggy.Parse()
+	if extra := flaggy.TrailingArguments; len(extra) > 0 {
+		Misused("unexpected argument %q", extra[0])
+	}
+}
+
+// Misused ends the program since its flags or settings are off.
+func Misused(format string, args ...any) {
+	fmt.Fprintf(os.Stderr, "%s: %s\n", flaggy.DefaultParser.Name, fmt.Sprintf(format, args...))
+	os.Exit(ExitMisused)
+}
+
+// Failed ends the program since what it was to do did not succeed.
+func Failed(format string, args ...any) {
+	fmt.Fprintf(os.Stderr, "%s: %s\n", flaggy.DefaultParser.Name, fmt.Sprintf(format, args...))
+	os.Exit(ExitFailed)
+}
+
+// Log makes the log of a part; every line has its prefix.
+func Log(prefix string) *log.Logger {
+	return log.NewWithOptions(os.Stderr, log.Options{Prefix: prefix, ReportTimestamp: true, TimeFormat: time.RFC3339})
+}
+
+// Daemon is a controller or a router, ready to run.
+type Daemon interface {
+	Join(*crew.Crew)
+	Leave()
+}
+
+// Run runs a daemon until it is told to stop.
+func Run(part string, data bool, flags *settings.Flags, make func(settings.Settings, net.Listener, net.Listener, *log.Logger) (Daemon, error)) {
+	Parse()
+	set, err := flags.Read(data)
+	if err != nil {
+		Misused("%v", err)
+	}
+	fellows, err := net.Listen("tcp", set.Address)
+	if err != nil {
+		Failed("address: %v", err)
+	}
+	web, err := net.Listen("tcp", set.Http)
+	if err != nil {
+		Failed("http: %v", err)
+	}
+	logger := Log(part + " " + set.Name)
+	daemon, err := make(set, fellows, web, logger)
+	if err != nil {
+		Failed("%v", err)
+	}
+	var c crew.Crew
+	daemon.Join(&c)
+	c.Signals(daemon.Leave)
+	logger.Info("running", "address", set.Address, "http", set.Http, "version", settings.Version)
+	if err := c.Run(); err != nil {
+		Failed("%v", err)
+	}
+	logger.Info("stopped")
+}
+
+// Listen opens a stand-in's address.
+func Listen(field, address string) net.Listener {
+	if address == "" {
+		Misused("%s: must be given", field)
+	}
+	host, _, err := net.SplitHostPort(address)
+	if err != nil || net.ParseIP(host) == nil {
+		Misused("%s: %q is not IP:port", field, address)
+	}
+	at, err := net.Listen("tcp", address)
+	if err != nil {
+		Failed("%s: %v", field, err)
+	}
+	return at
+}
+
+// Web runs a handler until the program is told to stop.
+func Web(at net.Listener, handler http.Handler) {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
+	var c crew.Crew
+	c.Duty(func() error { return server.Serve(at) }, func() { _ = server.Close() })
+	c.Signals(nil)
+	if err := c.Run(); err != nil && err != http.ErrServerClosed {
+		Failed("%v", err)
+	}
+}
+
+// List splits a flag's value at its commas.
+func List(value string) []string {
+	var out []string
+	for _, item := range strings.Split(value, ",") {
+		if item = strings.TrimSpace(item); item != "" {
+			out = append(out, item)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/site/report.go
@@ -0,0 +1,62 @@
+package site
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+
+	"myrtlewinch/control"
+	"myrtlewinch/stand"
+	"myrtlewinch/traffic"
+)
+
+// Report says what a run showed: answers by kind, look-ups, and rules broken.
+func (f *Fleet) Report(out io.Writer, sender *stand.Sender) (broken int, err error) {
+	fmt.Fprintln(out, "answers by service and kind:")
+	for _, line := range sender.Lines() {
+		fmt.Fprintln(out, "  "+line)
+	}
+	var sum traffic.Tally
+	for _, part := range f.Routers {
+		var s traffic.Status
+		if err := read(part, &s); err != nil {
+			return 0, err
+		}
+		sum.Requests += s.Tally.Requests
+		sum.LookUps += s.Tally.LookUps
+		sum.Hits += s.Tally.Hits
+		sum.Misses += s.Tally.Misses
+		sum.MissesHeld += s.Tally.MissesHeld
+		sum.Goes += s.Tally.Goes
+		sum.SecondGoes += s.Tally.SecondGoes
+	}
+	var answered uint64
+	for _, part := range f.Controllers {
+		var s control.Status
+		if err := read(part, &s); err != nil {
+			return 0, err
+		}
+		answered += s.LookUps
+	}
+	fmt.Fprintf(out, "requests %d, look-ups sent %d, look-ups at the index %d", sum.Requests, sum.LookUps, answered)
+	if sum.Requests > 0 {
+		fmt.Fprintf(out, " (%.3f a request)", float64(answered)/float64(sum.Requests))
+	}
+	fmt.Fprintf(out, "\nhits %d, misses %d, held beyond the miss wait %d\n", sum.Hits, sum.Misses, sum.MissesHeld)
+	fmt.Fprintf(out, "goes %d, second goes %d, orders %d, runs %d\n", sum.Goes, sum.SecondGoes, f.Book.Orders(), f.Book.Ran)
+	breaches := f.Book.Breaches()
+	fmt.Fprintf(out, "rules broken: %d\n", len(breaches))
+	for _, breach := range breaches {
+		fmt.Fprintln(out, "  "+breach.String())
+	}
+	return len(breaches), nil
+}
+
+func read(part *Part, into any) error {
+	_, text, err := Ask(http.MethodGet, part.Settings.Http, "/status", "", nil)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(text, into)
+}
