--- a/control/index.go
+++ b/control/index.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"sort"
+
 	"myrtlewinch/choice"
 	"myrtlewinch/wire"
 )
@@ -60,7 +62,14 @@
 	if m.described == nil {
 		return
 	}
-	for key, routers := range m.index.waiting {
+	keys := make([]choice.Key, 0, len(m.index.waiting))
+	for key := range m.index.waiting {
+		keys = append(keys, key)
+	}
+	// In one order, so that a run can be repeated exactly.
+	sort.Slice(keys, func(i, j int) bool { return keys[i].String() < keys[j].String() })
+	for _, key := range keys {
+		routers := m.index.waiting[key]
 		for name, atMs := range routers {
 			if m.nowMs-atMs > waitingMs {
 				delete(routers, name)
--- a/control/place.go
+++ b/control/place.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"maps"
+	"slices"
 	"sort"
 
 	"myrtlewinch/description"
@@ -176,18 +178,17 @@
 	}
 	var victim *ledger.Row
 	var worst ledger.Item
-	lowest := n.score
+	lowest := 0.0
 	for _, s := range spots {
 		if s.room < n.size {
 			continue
 		}
-		for name := range s.row.Held {
+		for _, name := range slices.Sorted(maps.Keys(s.row.Held)) {
 			item := parseItem(name)
 			score, ok := m.spare(s.row, item, n)
-			if !ok || score > lowest || score == lowest && (victim == nil || victim.Runner+name > victim.Runner+worst.String()) && victim != nil {
-				continue
+			if ok && (victim == nil || score < lowest) {
+				victim, worst, lowest = s.row, item, score
 			}
-			victim, worst, lowest = s.row, item, score
 		}
 	}
 	if victim == nil {
--- /dev/null
+++ b/sim/outside.go
@@ -0,0 +1,279 @@
+package sim
+
+import (
+	"fmt"
+	"sort"
+
+	"myrtlewinch/defect"
+	"myrtlewinch/stand"
+	"myrtlewinch/traffic"
+	"myrtlewinch/wire"
+)
+
+// runner is a back end in the world.
+type runner struct {
+	name   string
+	room   int64
+	stand  *stand.Runner
+	life   int
+	up     bool
+	dark   bool
+	loadMs int64
+}
+
+// StartRunner starts a runner with a new incarnation and lists it.
+func (w *World) StartRunner(name string) {
+	r := w.runners[name]
+	if r.up {
+		return
+	}
+	r.life++
+	r.up, r.dark = true, false
+	if r.loadMs == 0 {
+		r.loadMs = 2000
+	}
+	r.stand = stand.NewRunner(name, fmt.Sprintf("%s-%d", name, r.life), r.room, r.loadMs, w.Book)
+	w.platform.Put(wire.Listed{Name: name, Address: "run:" + name, Incarnation: r.stand.Incarnation})
+	w.note("%s starts as %s", name, r.stand.Incarnation)
+}
+
+// CrashRunner ends a runner; what it ran breaks off.
+func (w *World) CrashRunner(name string) {
+	if r := w.runners[name]; r.up {
+		w.note("%s crashes", name)
+		r.up = false
+	}
+}
+
+// DarkenRunner makes a runner take everything and answer nothing.
+func (w *World) DarkenRunner(name string, dark bool) {
+	w.note("%s dark: %v", name, dark)
+	w.runners[name].dark = dark
+}
+
+// MarkLeaving marks a runner's present incarnation at the platform.
+func (w *World) MarkLeaving(name string) {
+	w.note("%s is marked leaving", name)
+	w.platform.Mark(name)
+}
+
+const outwardMs = 1000
+
+// call carries a call of a daemon outward.
+func (w *World) call(n *node, life int, call wire.Call) {
+	back := func(input any) { w.put(n, life, input) }
+	lost := func(input any) { w.after(outwardMs, func() { back(input) }) }
+	switch body := call.Body.(type) {
+	case wire.PlatformCall:
+		w.pass(n.name, "platform", func() {
+			list := w.platform.List()
+			for _, listed := range list {
+				if listed.Leaving {
+					w.Book.Learned(w.NowMs, listed.Name, listed.Incarnation)
+				}
+			}
+			w.pass("platform", n.name, func() { back(wire.Listing{Ok: true, Runners: list}) }, func() { lost(wire.Listing{}) })
+		}, func() { lost(wire.Listing{}) })
+	case wire.ReportCall:
+		none := wire.Reported{Runner: body.Runner, Address: call.Address}
+		w.reach(n.name, body.Runner, func(r *runner) {
+			said := none
+			said.Ok, said.Report = true, r.stand.Report(w.NowMs)
+			w.pass(body.Runner, n.name, func() { back(said) }, func() { lost(none) })
+		}, func() { lost(none) })
+	case wire.OrderCall:
+		none := wire.Reported{Runner: body.Runner, Address: call.Address}
+		// The shell checks the hold again right at the socket.
+		w.atSocket(n, life, body.UntilMs, func() {
+			w.reach(n.name, body.Runner, func(r *runner) {
+				said := none
+				report, kind := r.stand.Order(w.NowMs, body.Order)
+				said.Ok, said.Report = kind == "", report
+				w.pass(body.Runner, n.name, func() { back(said) }, func() { lost(none) })
+			}, func() { lost(none) })
+		}, func() { back(none) })
+	}
+}
+
+// atSocket is the moment at which a shell writes: a little later than the
+// machine decided, or much later if the process froze in between.
+func (w *World) atSocket(n *node, life int, untilMs int64, write, late func()) {
+	w.after(w.Random.Int63n(2), func() { w.writeNow(n, life, untilMs, write, late) })
+}
+
+func (w *World) writeNow(n *node, life int, untilMs int64, write, late func()) {
+	switch {
+	case !n.up || n.life != life:
+	case n.frozen:
+		n.backlog = append(n.backlog, func() { w.writeNow(n, life, untilMs, write, late) })
+	case n.clock(w.NowMs) >= untilMs && !w.Breaks.NoLeaverCheck:
+		late()
+	default:
+		write()
+	}
+}
+
+// reach brings something to a runner.
+func (w *World) reach(from, name string, arrive func(r *runner), lost func()) {
+	w.pass(from, name, func() {
+		r := w.runners[name]
+		if r == nil || !r.up || r.dark {
+			lost()
+			return
+		}
+		arrive(r)
+	}, lost)
+}
+
+// asked is a sender's request at a router.
+type asked struct {
+	id      uint64
+	name    string
+	service string
+	w       *World
+	n       *node
+	life    int
+	done    bool
+	pieces  int
+	telling bool
+	goLife  int
+}
+
+// told is what the router's machine answers: a refusal, or a go.
+func (a *asked) told(body any) {
+	switch said := body.(type) {
+	case wire.Refused:
+		a.w.pass(a.n.name, "senders", func() { a.end(string(said.Kind), said.Kind.Reply().Drop) }, func() { a.end("stream broke", false) })
+		delete(a.n.under, a.id)
+	case traffic.Go:
+		a.w.atSocket(a.n, a.life, said.UntilMs, func() { a.goTo(said) }, func() { a.ended(traffic.TooLate, 0) })
+	}
+}
+
+func (a *asked) ended(outcome traffic.Outcome, revision uint64) {
+	a.w.put(a.n, a.life, traffic.Ended{Id: a.id, Outcome: outcome, Revision: revision})
+}
+
+// goTo takes a go to the runner, and what comes of it back.
+func (a *asked) goTo(to traffic.Go) {
+	w := a.w
+	r := w.runners[to.Runner]
+	cut := w.cuts[[2]string{a.n.name, to.Runner}]
+	// A refused or unreachable stream is known before a byte is written.
+	if r == nil || !r.up || cut {
+		w.after(1, func() { a.ended(traffic.NotSent, 0) })
+		return
+	}
+	lost := func() {
+		if w.Breaks.ResendLost {
+			a.ended(traffic.NotSent, 0)
+			return
+		}
+		a.ended(traffic.Lost, 0)
+	}
+	deadline := func() { w.after(max(1, to.DeadlineMs-a.n.clock(w.NowMs)), lost) }
+	runnerLife := r.life
+	w.pass(a.n.name, to.Runner, func() {
+		if !r.up || r.life != runnerLife {
+			lost()
+			return
+		}
+		if r.dark {
+			deadline()
+			return
+		}
+		drop := r.stand.Run(w.NowMs, traffic.RunCall{
+			Request: to.Name, Service: to.Service, Model: to.Model, Adapter: to.Adapter, Revision: to.Revision,
+			Incarnation: to.Incarnation, Repeatable: to.Repeatable, Telling: to.Telling,
+		}, a.n.name)
+		if drop != nil {
+			w.pass(to.Runner, a.n.name, func() { a.ended(outcomeOf(drop), drop.Revision) }, deadline)
+			return
+		}
+		a.telling = to.Telling
+		a.work(r, runnerLife, to, 1, lost, deadline)
+	}, deadline)
+}
+
+func outcomeOf(drop *traffic.RunDrop) traffic.Outcome {
+	switch defect.Kind(drop.Kind) {
+	case defect.NotHeld:
+		return traffic.NotHeld
+	case defect.StaleRevision:
+		return traffic.Stale
+	case defect.OtherRunner:
+		return traffic.Other
+	case defect.AlreadyTaken:
+		return traffic.Repeated
+	}
+	return traffic.Busy
+}
+
+const tellingPieces = 5
+
+// work is the running of a request: a piece at a time for a telling.
+func (a *asked) work(r *runner, life int, to traffic.Go, piece int, lost, deadline func()) {
+	w := a.w
+	w.after(20+w.Random.Int63n(120), func() {
+		broken := func() {
+			if a.pieces > 0 {
+				// The router closes the sender's stream without an end.
+				a.ended(traffic.Answered, 0)
+				a.broke()
+				return
+			}
+			lost()
+		}
+		if !r.up || r.life != life {
+			broken()
+			return
+		}
+		if r.dark {
+			deadline()
+			return
+		}
+		last := !to.Telling || piece == tellingPieces
+		if last {
+			r.stand.Done()
+		}
+		w.pass(to.Runner, a.n.name, func() {
+			if !a.n.up || a.n.life != a.life {
+				return
+			}
+			a.pieces = piece
+			if !last {
+				return
+			}
+			a.ended(traffic.Answered, 0)
+			delete(a.n.under, a.id)
+			w.pass(a.n.name, "senders", func() { a.end("answered", false) }, func() { a.end("stream broke", false) })
+		}, broken)
+		if !last {
+			a.work(r, life, to, piece+1, lost, deadline)
+		}
+	})
+}
+
+// broke is the sender's stream breaking.
+func (a *asked) broke() {
+	delete(a.n.under, a.id)
+	a.end("stream broke", false)
+}
+
+func (a *asked) end(kind string, drop bool) {
+	if a.done {
+		return
+	}
+	a.done = true
+	a.w.Book.Told(a.w.NowMs, a.service, a.name, kind, drop)
+	a.w.senders.ended(a.w, a.service, kind)
+}
+
+func sortedIds(under map[uint64]*asked) []uint64 {
+	ids := make([]uint64, 0, len(under))
+	for id := range under {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	return ids
+}
--- /dev/null
+++ b/sim/scenario.go
@@ -0,0 +1,220 @@
+package sim
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+
+	"myrtlewinch/rules"
+	"myrtlewinch/wire"
+)
+
+// Scenario is a failure that is brought about on a serving site.
+type Scenario struct {
+	About string
+	// Do brings it about; the site serves, and goes on for RunMs after it.
+	Do    func(w *World)
+	RunMs int64
+}
+
+// settleMs is how long a founded site is given before its first failure.
+const settleMs = 12_000
+
+// Result is what a run showed.
+type Result struct {
+	World    *World
+	Breaches []rules.Breach
+}
+
+// Begin founds a world's site, hands the description over and begins sending.
+func (w *World) Begin() {
+	w.Run(2000)
+	w.Found()
+	w.Run(2000)
+	w.HandOver(w.Primary(), 0, w.Text)
+	w.Run(2000)
+	w.SendAll()
+	w.Run(settleMs)
+}
+
+// Play runs a scenario on a site with a seed and checks the rules.
+func Play(text string, seed int64, s Scenario) Result {
+	w := New(text, seed)
+	return w.Play(s)
+}
+
+// Play runs a scenario on this world.
+func (w *World) Play(s Scenario) Result {
+	w.Begin()
+	s.Do(w)
+	w.Run(s.RunMs)
+	w.StopSending()
+	w.CheckDescriptions()
+	return Result{w, w.Book.Breaches()}
+}
+
+// Report says what broke, and how to see it again.
+func (r Result) Report() string {
+	var lines []string
+	for _, breach := range r.Breaches {
+		lines = append(lines, breach.String())
+	}
+	return fmt.Sprintf("seed %d\n%s\n%s", r.World.Seed, strings.Join(lines, "\n"), r.World.Trace())
+}
+
+// Variant is the site's description with another pace, so that its text is
+// another one.
+func (w *World) Variant(number int) string {
+	return strings.Replace(w.Text, `"secondGoes": 10`, fmt.Sprintf(`"secondGoes": %d`, 10-number%3), 1) + strings.Repeat(" ", number)
+}
+
+func (w *World) others(names ...string) []string {
+	var out []string
+	for _, name := range append(w.names(""), "platform", "operator", "senders") {
+		skip := false
+		for _, n := range names {
+			skip = skip || n == name
+		}
+		if !skip {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+func (w *World) backup() string {
+	fellow, _ := w.status(w.nodes[w.Primary()]).Record.Fellow(w.Primary())
+	return fellow.Name
+}
+
+// Scenarios are the first ones; each is played with many seeds.
+var Scenarios = map[string]Scenario{
+	"quiet": {"nothing fails", func(*World) {}, 10_000},
+	"primary killed while a description is being accepted": {
+		"the outcome is one of in force and not, and never both", func(w *World) {
+			p := w.Primary()
+			w.HandOver(p, 1, w.Variant(1))
+			w.Run(w.Random.Int63n(40))
+			w.Kill(p)
+			w.Run(4000)
+			w.Start(p)
+		}, 20_000},
+	"primary loses its disk right after": {"an accepted description outlives the primary's disk", func(w *World) {
+		p := w.Primary()
+		w.HandOver(p, 1, w.Variant(1))
+		w.Run(300 + w.Random.Int63n(500))
+		w.Kill(p)
+		w.Wipe(p)
+		w.Run(2000)
+		w.Start(p)
+	}, 20_000},
+	"backup loses its disk right after": {"an accepted description outlives the backup's disk", func(w *World) {
+		b := w.backup()
+		w.HandOver(w.Primary(), 1, w.Variant(1))
+		w.Run(300 + w.Random.Int63n(500))
+		w.Kill(b)
+		w.Wipe(b)
+		w.Run(1000)
+		w.Start(b)
+	}, 20_000},
+	"frozen primary wakes": {"a primary that was replaced while it slept gives no order and accepts nothing", func(w *World) {
+		p := w.Primary()
+		w.Freeze(p)
+		w.Run(3000 + w.Random.Int63n(4000))
+		w.HandOver(p, 1, w.Variant(1))
+		w.Thaw(p)
+	}, 20_000},
+	"core cut in two": {"at most one side goes on", func(w *World) {
+		p := w.Primary()
+		w.Cut([]string{p}, w.others(p, "operator", "senders"), false)
+		w.HandOver(p, 1, w.Variant(1))
+		w.Run(8000)
+		w.Heal()
+	}, 20_000},
+	"primary cut off one way": {"it hears all and reaches none", func(w *World) {
+		p := w.Primary()
+		w.Cut([]string{p}, w.others(p), true)
+		w.Run(6000)
+		w.Heal()
+	}, 20_000},
+	"a spare alone misses the primary": {"one bad view starts no take-over", func(w *World) {
+		p, b := w.Primary(), w.backup()
+		w.Cut([]string{p}, []string{b}, false)
+		w.Run(8000)
+		w.Heal()
+	}, 15_000},
+	"runner crashes in a telling": {"the telling breaks off and does not look finished", func(w *World) {
+		w.CrashRunner("language-1")
+		w.CrashRunner("language-2")
+		w.Run(3000)
+		w.StartRunner("language-1")
+		w.StartRunner("language-2")
+	}, 20_000},
+	"runner goes dark": {"what it took ends as unknown", func(w *World) {
+		w.DarkenRunner("language-1", true)
+		w.Run(10_000)
+		w.DarkenRunner("language-1", false)
+	}, 10_000},
+	"runner marked leaving while requests are held": {"nothing reaches it once its time is up", func(w *World) {
+		w.Crowd(w.Site.Services[0].Name, 60)
+		w.MarkLeaving("language-1")
+		w.MarkLeaving("language-3")
+		w.Run(8000)
+		w.CrashRunner("language-1")
+		w.StartRunner("language-1")
+	}, 15_000},
+	"leaving while the primary is dead and routers freeze": {"a router that wakes does not send to a leaver", func(w *World) {
+		w.Kill(w.Primary())
+		w.Run(500)
+		for i, name := range w.names(wire.Router) {
+			if i%2 == 0 {
+				w.Freeze(name)
+			}
+		}
+		w.MarkLeaving("language-1")
+		w.Run(5000)
+		for _, name := range w.names(wire.Router) {
+			w.Thaw(name)
+		}
+	}, 15_000},
+	"total loss": {"all daemons are killed and started", func(w *World) {
+		names := w.names("")
+		for _, name := range names {
+			w.Kill(name)
+		}
+		w.Run(1000)
+		for _, name := range names {
+			w.Start(name)
+		}
+	}, 25_000},
+	"operators race": {"of two descriptions with one base one wins", func(w *World) {
+		p := w.Primary()
+		w.HandOver(p, 1, w.Variant(1))
+		w.HandOver(p, 1, w.Variant(2))
+		w.HandOver(w.backup(), 1, w.Variant(3))
+	}, 10_000},
+	"disk full at the primary": {"it steps down, and the next goes on", func(w *World) {
+		p := w.Primary()
+		w.nodes[p].disk.full = true
+		w.HandOver(p, 1, w.Variant(1))
+		w.Run(6000)
+		w.HandOver(w.Primary(), 1, w.Variant(2))
+	}, 15_000},
+	"disk stalled at the primary": {"it steps down, and the next goes on", func(w *World) {
+		p := w.Primary()
+		w.nodes[p].disk.stalled = true
+		w.HandOver(p, 1, w.Variant(1))
+		w.Run(6000)
+		w.nodes[p].disk.stalled = false
+	}, 15_000},
+}
+
+// Names lists the scenarios in order.
+func Names() []string {
+	var names []string
+	for name := range Scenarios {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
--- /dev/null
+++ b/sim/world.go
@@ -0,0 +1,465 @@
+// Package sim runs the daemons' own state machines under a virtual clock,
+// with a seeded network, disks and runners. It causes failures and checks the
+// rules from what senders and runners see.
+package sim
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand"
+	"sort"
+	"strings"
+
+	"myrtlewinch/control"
+	"myrtlewinch/daemon"
+	"myrtlewinch/description"
+	"myrtlewinch/rules"
+	"myrtlewinch/stand"
+	"myrtlewinch/traffic"
+	"myrtlewinch/wire"
+)
+
+const (
+	tickMs    = 50
+	traceMost = 400
+)
+
+// event is something that happens at a virtual time.
+type event struct {
+	atMs int64
+	seq  uint64
+	do   func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].atMs < e[j].atMs || e[i].atMs == e[j].atMs && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+// Push is heap's.
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+// Pop is heap's.
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+// World is a whole site in virtual time.
+type World struct {
+	Seed   int64
+	NowMs  int64
+	Book   *rules.Book
+	Text   string
+	Site   *description.Description
+	Random *rand.Rand
+
+	queue    events
+	seq      uint64
+	nodes    map[string]*node
+	address  map[string]string
+	runners  map[string]*runner
+	platform *stand.Platform
+	// cuts holds the directed pairs that no message passes.
+	cuts map[[2]string]bool
+	// lossPart of messages are lost and twicePart come twice.
+	lossPart, twicePart float64
+	seeds               []string
+	trace               []string
+	operator            operator
+	senders             senders
+	Net                 NetTally
+	// Breaks lets a test break the system on purpose, to show that a rule fires.
+	Breaks Breaks
+}
+
+// Breaks are deliberate faults of the system itself, for showing that a
+// checker fires. None is ever set otherwise.
+type Breaks struct {
+	// NoLeaverCheck makes routers' sends ignore their last moment.
+	NoLeaverCheck bool
+	// UnsyncedDisk makes disks say that they saved what they then lose.
+	UnsyncedDisk bool
+	// ResendLost makes routers send lost requests again whatever they are.
+	ResendLost bool
+	// ForgetHold makes frozen daemons believe that no time passed.
+	ForgetHold bool
+}
+
+// NetTally counts the control traffic.
+type NetTally struct{ Messages, Lost, LookUps uint64 }
+
+// node is one daemon.
+type node struct {
+	name, zone, part string
+	address          string
+	machine          daemon.Machine
+	up, frozen       bool
+	// life tells one run of the process from the next.
+	life    int
+	bootMs  int64
+	offset  int64
+	backlog []func()
+	disk    *simDisk
+	under   map[uint64]*asked
+}
+
+// simDisk is a disk: what is synced, and how it behaves.
+type simDisk struct {
+	keys          map[string]string
+	incarnation   string
+	slowMs        int64
+	stalled, full bool
+	lastMs        int64
+	wipes         int
+	// pending was asked for and is not synced yet.
+	pending []wire.Save
+}
+
+// New makes the world of a described site; nothing is founded.
+func New(text string, seed int64) *World {
+	var site string
+	for _, name := range []string{"zagreb", "alexandria"} {
+		if strings.Contains(text, `"`+name+`"`) {
+			site = name
+		}
+	}
+	d, faults := description.Read([]byte(text), site)
+	if len(faults) > 0 {
+		panic(fmt.Sprintf("sim: the description has faults: %v", faults))
+	}
+	w := &World{
+		Seed: seed, Text: text, Site: d, Random: rand.New(rand.NewSource(seed)),
+		Book:  rules.New(d.Store.LoadsPer10s, d.SecondGoes),
+		nodes: map[string]*node{}, address: map[string]string{}, runners: map[string]*runner{},
+		platform: stand.NewPlatform(), cuts: map[[2]string]bool{}, NowMs: 1_000_000,
+	}
+	for i, member := range d.Controllers {
+		n := w.addNode(member, wire.Controller)
+		n.disk = &simDisk{keys: map[string]string{}, incarnation: member.Name + "-disk-0"}
+		if i < 3 {
+			w.seeds = append(w.seeds, n.address)
+		}
+	}
+	for _, member := range d.Routers {
+		w.addNode(member, wire.Router)
+	}
+	for _, r := range d.Runners {
+		w.runners[r.Name] = &runner{name: r.Name, room: r.Room}
+		w.StartRunner(r.Name)
+	}
+	for _, name := range w.names("") {
+		w.Start(name)
+	}
+	w.senders.init(w)
+	w.operator.init()
+	return w
+}
+
+func (w *World) addNode(member description.Member, part string) *node {
+	n := &node{name: member.Name, zone: member.Zone, part: part, address: member.Name + ":1", under: map[uint64]*asked{}}
+	w.nodes[n.name] = n
+	w.address[n.address] = n.name
+	return n
+}
+
+// names lists the daemons of a part, or all, in order.
+func (w *World) names(part string) []string {
+	var out []string
+	for name, n := range w.nodes {
+		if part == "" || n.part == part {
+			out = append(out, name)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+func (w *World) at(atMs int64, do func()) {
+	w.seq++
+	heap.Push(&w.queue, event{max(atMs, w.NowMs), w.seq, do})
+}
+
+func (w *World) after(ms int64, do func()) { w.at(w.NowMs+ms, do) }
+
+func (w *World) note(format string, args ...any) {
+	w.trace = append(w.trace, fmt.Sprintf("%8d ", w.NowMs)+fmt.Sprintf(format, args...))
+	if len(w.trace) > traceMost {
+		w.trace = w.trace[len(w.trace)-traceMost:]
+	}
+}
+
+// Trace gives the latest of what happened.
+func (w *World) Trace() string { return strings.Join(w.trace, "\n") }
+
+// Run lets virtual time pass.
+func (w *World) Run(ms int64) {
+	end := w.NowMs + ms
+	for len(w.queue) > 0 && w.queue[0].atMs <= end {
+		e := heap.Pop(&w.queue).(event)
+		w.NowMs = e.atMs
+		e.do()
+	}
+	w.NowMs = end
+}
+
+// clock is the daemon's own clock: monotonic, with a start of its own.
+func (n *node) clock(nowMs int64) int64 { return nowMs - n.bootMs + n.offset }
+
+// put brings an input before a daemon; a frozen one takes it when it wakes.
+func (w *World) put(n *node, life int, input any) {
+	if !n.up || n.life != life {
+		return
+	}
+	if n.frozen {
+		// What can't wait for ever is lost, as a full ring loses it.
+		if len(n.backlog) < 4096 {
+			n.backlog = append(n.backlog, func() { w.put(n, life, input) })
+		}
+		return
+	}
+	w.perform(n, n.machine.Step(n.clock(w.NowMs), input))
+}
+
+// Start starts a daemon from what its disk holds.
+func (w *World) Start(name string) {
+	n := w.nodes[name]
+	if n.up {
+		return
+	}
+	n.up, n.frozen, n.backlog = true, false, nil
+	n.life++
+	n.bootMs = w.NowMs
+	n.offset = 3_600_000 + w.Random.Int63n(1_000_000)
+	n.under = map[uint64]*asked{}
+	self := wire.Place{Name: name, Address: n.address, Zone: n.zone, Part: n.part}
+	if n.part == wire.Controller {
+		self.Incarnation = n.disk.incarnation
+		machine, err := control.New(control.Settings{Site: w.Site.Site, Self: self, Seeds: w.seeds, Platform: "platform"}, cloned(n.disk.keys), n.clock(w.NowMs))
+		if err != nil {
+			panic(fmt.Sprintf("sim: %s does not start: %v", name, err))
+		}
+		n.machine = machine
+	} else {
+		self.Incarnation = fmt.Sprintf("%s-life-%d", name, n.life)
+		n.machine = traffic.New(traffic.Settings{Site: w.Site.Site, Self: self, Seeds: w.seeds, Platform: "platform"}, n.clock(w.NowMs))
+	}
+	w.note("%s starts", name)
+	life := n.life
+	w.after(w.Random.Int63n(tickMs), func() { w.tick(n, life) })
+}
+
+func cloned(keys map[string]string) map[string]string {
+	out := make(map[string]string, len(keys))
+	for key, value := range keys {
+		out[key] = value
+	}
+	return out
+}
+
+func (w *World) tick(n *node, life int) {
+	if !n.up || n.life != life {
+		return
+	}
+	if !n.frozen {
+		w.put(n, life, wire.Tick{})
+	}
+	w.after(tickMs, func() { w.tick(n, life) })
+}
+
+// Kill ends a daemon at once.
+func (w *World) Kill(name string) {
+	n := w.nodes[name]
+	if !n.up {
+		return
+	}
+	w.note("%s is killed", name)
+	n.up = false
+	if n.disk != nil && len(n.disk.pending) > 0 {
+		// A power cut leaves some first part of what was not synced yet.
+		for _, save := range n.disk.pending[:w.Random.Intn(len(n.disk.pending)+1)] {
+			save.Write.Apply(n.disk.keys)
+		}
+		n.disk.pending = nil
+	}
+	for _, id := range sortedIds(n.under) {
+		n.under[id].broke()
+	}
+}
+
+// Freeze stops a daemon where it stands; Thaw lets it go on.
+func (w *World) Freeze(name string) {
+	w.note("%s freezes", name)
+	w.nodes[name].frozen = true
+}
+
+// Thaw wakes a frozen daemon. Its clock went on.
+func (w *World) Thaw(name string) {
+	n := w.nodes[name]
+	if !n.frozen {
+		return
+	}
+	w.note("%s wakes", name)
+	n.frozen = false
+	if w.Breaks.ForgetHold {
+		n.bootMs = w.NowMs - (n.clock(w.NowMs) - n.offset)
+	}
+	backlog := n.backlog
+	n.backlog = nil
+	for _, do := range backlog {
+		do()
+	}
+}
+
+// Wipe empties a disk; the daemon must be down.
+func (w *World) Wipe(name string) {
+	d := w.nodes[name].disk
+	d.wipes++
+	d.keys = map[string]string{}
+	d.incarnation = fmt.Sprintf("%s-disk-%d", name, d.wipes)
+	d.full, d.stalled, d.slowMs = false, false, 0
+	w.note("%s loses its disk", name)
+}
+
+// Cut stops all messages between two groups; with oneWay only from the first.
+func (w *World) Cut(from, to []string, oneWay bool) {
+	w.note("cut %v | %v", from, to)
+	for _, a := range from {
+		for _, b := range to {
+			if a == b {
+				continue
+			}
+			w.cuts[[2]string{a, b}] = true
+			if !oneWay {
+				w.cuts[[2]string{b, a}] = true
+			}
+		}
+	}
+}
+
+// Heal ends all cuts and all loss.
+func (w *World) Heal() {
+	w.note("the network heals")
+	w.cuts = map[[2]string]bool{}
+	w.lossPart, w.twicePart = 0, 0
+}
+
+func (w *World) latencyMs() int64 {
+	if w.Random.Intn(50) == 0 {
+		return 1 + w.Random.Int63n(40)
+	}
+	return 1 + w.Random.Int63n(3)
+}
+
+// pass carries something from one name to another, unless the network is cut.
+func (w *World) pass(from, to string, arrive func(), lost func()) {
+	w.after(w.latencyMs(), func() {
+		if w.cuts[[2]string{from, to}] {
+			if lost != nil {
+				lost()
+			}
+			return
+		}
+		arrive()
+	})
+}
+
+// perform carries a daemon's effects out.
+func (w *World) perform(n *node, effects wire.Effects) {
+	life := n.life
+	for _, text := range effects.Notes {
+		w.note("%s: %s", n.name, text)
+	}
+	for _, save := range effects.Saves {
+		w.saveTo(n, life, save)
+	}
+	for _, send := range effects.Sends {
+		w.send(n, send)
+	}
+	for _, call := range effects.Calls {
+		w.call(n, life, call)
+	}
+	for _, answer := range effects.Answers {
+		if op := w.operator.asked[answer.Id]; op != nil && n.part == wire.Controller {
+			w.operator.answered(w, n, answer)
+			continue
+		}
+		if under := n.under[answer.Id]; under != nil {
+			under.told(answer.Body)
+		}
+	}
+}
+
+func (w *World) saveTo(n *node, life int, save wire.Save) {
+	d := n.disk
+	if d.full {
+		w.after(1, func() { w.put(n, life, wire.Saved{Number: save.Number}) })
+		return
+	}
+	// One save after the other, as on the disk's own thread.
+	done := max(w.NowMs, d.lastMs) + 1 + w.Random.Int63n(4) + d.slowMs
+	d.lastMs = done
+	d.pending = append(d.pending, save)
+	w.at(done, func() { w.saved(n, life, save) })
+}
+
+func (w *World) saved(n *node, life int, save wire.Save) {
+	d := n.disk
+	if d.stalled && n.life == life && n.up {
+		w.after(100, func() { w.saved(n, life, save) })
+		return
+	}
+	if n.life != life || !n.up {
+		return
+	}
+	if d.full {
+		d.pending = d.pending[1:]
+		w.put(n, life, wire.Saved{Number: save.Number})
+		return
+	}
+	d.pending = d.pending[1:]
+	if !w.Breaks.UnsyncedDisk {
+		save.Write.Apply(d.keys)
+	}
+	w.put(n, life, wire.Saved{Number: save.Number, Ok: true})
+}
+
+func (w *World) send(n *node, send wire.Send) {
+	to, ok := w.address[send.Address]
+	if !ok {
+		return
+	}
+	w.Net.Messages++
+	if _, isLookUp := send.Body.(wire.LookUp); isLookUp {
+		w.Net.LookUps++
+	}
+	if w.lossPart > 0 && w.Random.Float64() < w.lossPart {
+		w.Net.Lost++
+		return
+	}
+	envelope := wire.Envelope{Site: w.Site.Site, From: w.place(n), To: send.To, Body: send.Body}
+	times := 1
+	if w.twicePart > 0 && w.Random.Float64() < w.twicePart {
+		times = 2
+	}
+	for range times {
+		w.pass(n.name, to, func() {
+			if target := w.nodes[to]; target != nil {
+				w.put(target, target.life, envelope)
+			}
+		}, func() { w.Net.Lost++ })
+	}
+}
+
+func (w *World) place(n *node) wire.Place {
+	incarnation := fmt.Sprintf("%s-life-%d", n.name, n.life)
+	if n.part == wire.Controller {
+		incarnation = n.disk.incarnation
+	}
+	return wire.Place{Name: n.name, Address: n.address, Zone: n.zone, Part: n.part, Incarnation: incarnation}
+}
--- a/stand/runner.go
+++ b/stand/runner.go
@@ -3,6 +3,8 @@
 package stand
 
 import (
+	"sort"
+
 	"myrtlewinch/defect"
 	"myrtlewinch/ledger"
 	"myrtlewinch/rules"
@@ -61,6 +63,10 @@
 	for _, held := range r.held {
 		report.Held = append(report.Held, held)
 	}
+	sort.Slice(report.Held, func(i, j int) bool {
+		a, b := report.Held[i], report.Held[j]
+		return a.Model < b.Model || a.Model == b.Model && a.Adapter < b.Adapter
+	})
 	return report
 }
 
--- a/traffic/request.go
+++ b/traffic/request.go
@@ -188,7 +188,6 @@
 func (m *Machine) forget(r *request) {
 	m.unhold(r)
 	delete(m.requests, r.Id)
-	delete(m.silent, r.lookUp)
 }
 
 // wake gives every waiting request its turn, the eldest first.
