Ask whether the primary serves, not whether its daemon lives

Cause: an opinion counted any message of the recorded primary's daemon, so a primary that had lost its disk, or stepped down for a full one, was 'heard' by all and nobody took over. Ruled out: the witnesses' holds (they had run out) and the pair's record. Heartbeats now say whether their sender serves; a candidate also asks a witness again that held off a moment ago.

--- a/control/machine.go
+++ b/control/machine.go
@@ -189,7 +189,7 @@
 
 func (m *Machine) tick() {
 	primary := m.record.Primary
-	m.out.Sends = append(m.out.Sends, m.roster.Tick(m.nowMs, m.record.Epoch, primary)...)
+	m.out.Sends = append(m.out.Sends, m.roster.Tick(m.nowMs, m.record.Epoch, primary, m.active())...)
 	m.tickSeat()
 	m.tickCopies()
 	m.tickOffer()
@@ -217,6 +217,9 @@
 	m.roster.Heard(m.nowMs, e.From)
 	switch body := e.Body.(type) {
 	case wire.Heartbeat:
+		if body.Serving && body.Epoch >= m.record.Epoch {
+			m.seat.servedMs = m.nowMs
+		}
 	case wire.Hello:
 		m.reply(e, wire.Known{Fellows: m.roster.Places(), Record: m.record})
 	case wire.Known:
--- a/control/seat.go
+++ b/control/seat.go
@@ -14,6 +14,7 @@
 	missMs    = 1000
 	opinionMs = 300
 	goMs      = 800
+	againMs   = 150
 	// gapMs passes between the last possible order of one holder and the
 	// first of the next.
 	gapMs = 3000
@@ -37,10 +38,13 @@
 	sinceMs int64
 	nextMs  int64
 	heardMs int64
-	renewMs int64
-	round   uint64
-	ballot  wire.Ballot
-	opposed bool
+	// servedMs is when a heartbeat last said that the primary serves.
+	servedMs int64
+	renewMs  int64
+	askedMs  int64
+	round    uint64
+	ballot   wire.Ballot
+	opposed  bool
 	// asked holds whom the promise was asked of; granted who gave it.
 	asked   map[wire.Seat]bool
 	granted map[wire.Seat]bool
@@ -110,6 +114,15 @@
 			m.askPromises(false)
 		}
 	case promising, keeping:
+		// A witness that held off a moment ago may be free by now.
+		if s.role == promising && m.nowMs-s.askedMs >= againMs {
+			s.askedMs = m.nowMs
+			for _, voter := range s.top.Voters() {
+				if s.asked[voter] && !s.granted[voter] {
+					m.sendName(voter.Name, wire.Promise{Ballot: s.ballot, Found: s.founding != nil})
+				}
+			}
+		}
 		if m.nowMs-s.sinceMs >= goMs {
 			m.retreat(200 + int64(len(m.set.Self.Name)*37+int(m.set.Self.Name[len(m.set.Self.Name)-1])*13)%300)
 		}
@@ -157,10 +170,9 @@
 }
 
 func (m *Machine) opinion(e wire.Envelope, ask wire.Opinion) {
-	heardMs := m.nowMs - m.seat.heardMs
-	if agoMs, seen := m.roster.Seen(m.nowMs, m.record.Primary); seen {
-		heardMs = min(heardMs, agoMs)
-	}
+	// What counts is the primary's serving, not that its daemon lives: it may
+	// have lost its disk or stepped down.
+	heardMs := m.nowMs - max(m.seat.heardMs, m.seat.servedMs)
 	if m.isPrimary() || ask.Epoch < m.record.Epoch {
 		heardMs = 0
 	}
@@ -182,7 +194,7 @@
 func (m *Machine) askPromises(found bool) {
 	s := &m.seat
 	s.role = promising
-	s.sinceMs = m.nowMs
+	s.sinceMs, s.askedMs = m.nowMs, m.nowMs
 	s.round = max(s.round, m.ballot.Round, m.witness.Promised.Round) + 1
 	s.ballot = wire.Ballot{Round: s.round, Name: m.set.Self.Name}
 	s.asked, s.granted = map[wire.Seat]bool{}, map[wire.Seat]bool{}
--- a/traffic/machine.go
+++ b/traffic/machine.go
@@ -62,6 +62,7 @@
 	epoch       uint64
 	primary     string
 	echoMs      int64
+	servedMs    int64
 	askedMs     int64
 	leaveWordMs int64
 	platformMs  int64
@@ -134,7 +135,7 @@
 }
 
 func (m *Machine) tick() {
-	m.out.Sends = append(m.out.Sends, m.roster.Tick(m.nowMs, m.epoch, m.primary)...)
+	m.out.Sends = append(m.out.Sends, m.roster.Tick(m.nowMs, m.epoch, m.primary, false)...)
 	if m.nowMs-m.askedMs >= askMs {
 		m.ask()
 	}
@@ -162,14 +163,17 @@
 	m.roster.Heard(m.nowMs, e.From)
 	switch body := e.Body.(type) {
 	case wire.Heartbeat:
+		if body.Serving && body.Epoch == m.epoch {
+			m.servedMs = m.nowMs
+		}
 	case wire.Hello:
 		m.send(e.From, wire.Known{Fellows: m.roster.Places(), Record: wire.Record{Epoch: m.epoch, Primary: m.primary}})
 	case wire.Known:
 		m.roster.Learn(body.Fellows)
 		m.heed(body.Record.Epoch, body.Record.Primary)
 	case wire.Opinion:
-		if agoMs, seen := m.roster.Seen(m.nowMs, m.primary); seen && ask(body, m.epoch) {
-			m.send(e.From, wire.Opined{Epoch: body.Epoch, HeardMs: agoMs})
+		if body.Epoch == m.epoch {
+			m.send(e.From, wire.Opined{Epoch: body.Epoch, HeardMs: m.nowMs - max(m.servedMs, m.echoMs)})
 		}
 	case wire.Nudge:
 		if body.Epoch < m.epoch {
@@ -187,8 +191,6 @@
 	}
 }
 
-func ask(o wire.Opinion, epoch uint64) bool { return o.Epoch == epoch }
-
 // heed takes a newer primary as the one to ask. Only its word makes its epoch
 // the least that is listened to.
 func (m *Machine) heed(epoch uint64, primary string) {
--- a/watch/roster.go
+++ b/watch/roster.go
@@ -148,12 +148,12 @@
 }
 
 // Tick gives the messages that are due. Primary is whom to tell, if known.
-func (r *Roster) Tick(nowMs int64, epoch uint64, primary string) []wire.Send {
+func (r *Roster) Tick(nowMs int64, epoch uint64, primary string, serving bool) []wire.Send {
 	var sends []wire.Send
 	if nowMs-r.beatMs >= BeatMs {
 		r.beatMs = nowMs
 		for _, place := range r.Watchers(r.self.Name) {
-			sends = append(sends, wire.Send{To: place.Name, Address: place.Address, Body: wire.Heartbeat{Epoch: epoch}})
+			sends = append(sends, wire.Send{To: place.Name, Address: place.Address, Body: wire.Heartbeat{Epoch: epoch, Serving: serving}})
 		}
 		if to, ok := r.Place(primary); ok && primary != r.self.Name {
 			sends = append(sends, wire.Send{To: to.Name, Address: to.Address, Body: wire.Sightings{Seen: r.sightings(nowMs)}})
--- a/wire/bodies.go
+++ b/wire/bodies.go
@@ -14,8 +14,13 @@
 	Body any
 }
 
-// Heartbeat goes to the few watchers that the sender's place on the ring names.
-type Heartbeat struct{ Epoch uint64 }
+// Heartbeat goes to the few watchers that the sender's place on the ring
+// names. Serving says that the sender is the primary and its hold runs: that
+// a daemon lives does not mean that it still serves.
+type Heartbeat struct {
+	Epoch   uint64
+	Serving bool
+}
 
 // Hello asks a seed, or a fellow, for the fellows it knows.
 type Hello struct{}
