--- /dev/null
+++ b/cmd/sim/main.go
@@ -0,0 +1,60 @@
+// Program sim plays scenarios and random campaigns on a simulated site, in
+// virtual time, and checks the rules.
+package main
+
+import (
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/integrii/flaggy"
+
+	"myrtlewinch/program"
+	"myrtlewinch/sim"
+)
+
+func main() {
+	program.Begin("sim", "Plays failures on a simulated site in virtual time and checks the rules.")
+	file, scenario := "examples/zagreb.json", "campaign"
+	var seed, seeds int64 = 1, 1
+	count := 20
+	trace := false
+	flaggy.String(&file, "d", "description", "the description of the site")
+	flaggy.String(&scenario, "", "scenario", "a scenario, or campaign for faults at random")
+	flaggy.Int64(&seed, "", "seed", "the first seed")
+	flaggy.Int64(&seeds, "", "seeds", "how many seeds to play")
+	flaggy.Int(&count, "", "faults", "how many faults a campaign brings about")
+	flaggy.Bool(&trace, "", "trace", "print the trace also where no rule is broken")
+	program.Parse()
+	text, err := os.ReadFile(file)
+	if err != nil {
+		program.Misused("description: %v", err)
+	}
+	played, known := sim.Scenarios[scenario]
+	if !known && scenario != "campaign" {
+		program.Misused("scenario: there is no %q; there are: campaign, %s", scenario, strings.Join(sim.Names(), ", "))
+	}
+	if seeds < 1 || count < 1 {
+		program.Misused("seeds, faults: must be above 0")
+	}
+	broken := 0
+	for s := seed; s < seed+seeds; s++ {
+		var r sim.Result
+		if known {
+			r = sim.Play(string(text), s, played)
+		} else {
+			r = sim.Campaign(string(text), s, count)
+		}
+		if len(r.Breaches) > 0 {
+			broken++
+			fmt.Println(r.Report())
+		} else if trace {
+			fmt.Println(r.World.Trace())
+			fmt.Println(r.World.Kinds())
+		}
+	}
+	fmt.Printf("%d of %d seeds broke a rule\n", broken, seeds)
+	if broken > 0 {
+		os.Exit(program.ExitFailed)
+	}
+}
--- a/rules/book.go
+++ b/rules/book.go
@@ -172,6 +172,13 @@
 	b.breach("description lost", atMs, "%s", what)
 }
 
+// Unserved notes that a service did not come back in time.
+func (b *Book) Unserved(atMs int64, service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.breach("not back", atMs, "%s is not answered again in time", service)
+}
+
 // Order notes an order as a runner got it.
 func (b *Book) Order(atMs int64, runner, holder string, epoch uint64) {
 	b.mu.Lock()
--- a/rules/book_test.go
+++ b/rules/book_test.go
@@ -46,6 +46,7 @@
 		}, "slip back"},
 		{"accepted twice", func(b *Book) { b.Accepted(0, 2); b.Accepted(1, 2) }, "two accepted"},
 		{"lost", func(b *Book) { b.Lost(1, "revision 2") }, "description lost"},
+		{"not back", func(b *Book) { b.Unserved(1, "s") }, "not back"},
 		{"holders with a gap", func(b *Book) { b.Order(0, "r", "a", 1); b.Order(3000, "r", "b", 2) }, ""},
 		{"holders alternate", func(b *Book) { b.Order(0, "r", "a", 1); b.Order(2999, "p", "b", 2) }, "two holders"},
 		{"pace kept", func(b *Book) { b.Load(0, "r", "m"); b.Load(1, "r", "m"); b.Load(2, "r", "m") }, ""},
--- /dev/null
+++ b/sim/campaign.go
@@ -0,0 +1,285 @@
+package sim
+
+import (
+	"fmt"
+
+	"myrtlewinch/wire"
+)
+
+// fault is something a campaign brings about at random.
+type fault struct {
+	name string
+	do   func(w *World)
+}
+
+func (w *World) some(part string) string {
+	names := w.names(part)
+	return names[w.Random.Intn(len(names))]
+}
+
+func (w *World) someRunner() string {
+	return w.Site.Runners[w.Random.Intn(len(w.Site.Runners))].Name
+}
+
+// soon is a time within a few seconds, for a fault's end.
+func (w *World) soon() int64 { return 500 + w.Random.Int63n(6000) }
+
+// coreDown counts the core daemons that are not up and well, since a site
+// need survive only one of them at a time.
+func (w *World) coreDown() int {
+	down := 0
+	for _, name := range w.names(wire.Controller) {
+		n := w.nodes[name]
+		if !n.up || n.frozen || n.disk.full || n.disk.stalled || w.busy[name] {
+			down++
+		}
+	}
+	return down
+}
+
+// withCore does something to a core daemon if all others are well.
+func (w *World) withCore(name string, do func(name string)) {
+	if name == "" || w.coreDown() > 0 {
+		return
+	}
+	w.busy[name] = true
+	do(name)
+}
+
+// mend ends a core daemon's fault; it counts as well once it has caught up.
+func (w *World) mend(name string, do func()) {
+	w.after(w.soon(), func() {
+		do()
+		w.after(6000, func() { delete(w.busy, name) })
+	})
+}
+
+func (w *World) primaryOrSome() string {
+	if p := w.Primary(); p != "" && w.Random.Intn(2) == 0 {
+		return p
+	}
+	return w.some(wire.Controller)
+}
+
+var faults = []fault{
+	{"kill a core daemon", func(w *World) {
+		w.withCore(w.primaryOrSome(), func(name string) {
+			w.Kill(name)
+			w.mend(name, func() { w.Start(name) })
+		})
+	}},
+	{"wipe a core daemon", func(w *World) {
+		w.withCore(w.primaryOrSome(), func(name string) {
+			w.Kill(name)
+			w.Wipe(name)
+			w.mend(name, func() { w.Start(name) })
+		})
+	}},
+	{"move a core daemon, empty, to a new address", func(w *World) {
+		w.withCore(w.primaryOrSome(), func(name string) {
+			w.Kill(name)
+			w.Wipe(name)
+			w.Move(name)
+			w.mend(name, func() { w.Start(name) })
+		})
+	}},
+	{"freeze a core daemon", func(w *World) {
+		w.withCore(w.primaryOrSome(), func(name string) {
+			w.Freeze(name)
+			w.mend(name, func() { w.Thaw(name) })
+		})
+	}},
+	{"fill a core disk", func(w *World) {
+		w.withCore(w.primaryOrSome(), func(name string) {
+			w.note("the disk of %s fills", name)
+			w.nodes[name].disk.full = true
+			w.mend(name, func() {
+				w.nodes[name].disk.full = false
+				w.Kill(name)
+				w.Start(name)
+			})
+		})
+	}},
+	{"stall a core disk", func(w *World) {
+		w.withCore(w.primaryOrSome(), func(name string) {
+			w.note("the disk of %s stalls", name)
+			w.nodes[name].disk.stalled = true
+			w.mend(name, func() { w.nodes[name].disk.stalled = false })
+		})
+	}},
+	{"slow a core disk", func(w *World) {
+		name := w.some(wire.Controller)
+		w.nodes[name].disk.slowMs = 50 + w.Random.Int63n(200)
+		w.after(w.soon(), func() { w.nodes[name].disk.slowMs = 0 })
+	}},
+	{"cut a core daemon off", func(w *World) {
+		w.withCore(w.primaryOrSome(), func(name string) {
+			w.Cut([]string{name}, w.others(name), w.Random.Intn(3) == 0)
+			w.mend(name, w.Heal)
+		})
+	}},
+	{"cut the core off from routers", func(w *World) {
+		w.Cut(w.names(wire.Controller), w.names(wire.Router), w.Random.Intn(3) == 0)
+		w.after(w.soon(), w.Heal)
+	}},
+	{"cut the platform off", func(w *World) {
+		w.Cut([]string{"platform"}, w.names(""), false)
+		w.after(w.soon(), w.Heal)
+	}},
+	{"lose and double messages", func(w *World) {
+		w.lossPart, w.twicePart = 0.2*w.Random.Float64(), 0.2*w.Random.Float64()
+		w.after(w.soon(), w.Heal)
+	}},
+	{"kill a router", func(w *World) {
+		name := w.some(wire.Router)
+		w.Kill(name)
+		w.after(w.soon(), func() { w.Start(name) })
+	}},
+	{"freeze a router", func(w *World) {
+		name := w.some(wire.Router)
+		w.Freeze(name)
+		w.after(w.soon(), func() { w.Thaw(name) })
+	}},
+	{"kill all daemons", func(w *World) {
+		for _, name := range w.names("") {
+			w.Kill(name)
+			w.after(500, func() { w.Start(name) })
+		}
+	}},
+	{"crash a runner", func(w *World) {
+		name := w.someRunner()
+		w.CrashRunner(name)
+		w.after(w.soon(), func() { w.StartRunner(name) })
+	}},
+	{"replace a runner at once", func(w *World) {
+		name := w.someRunner()
+		w.CrashRunner(name)
+		w.StartRunner(name)
+	}},
+	{"darken a runner", func(w *World) {
+		name := w.someRunner()
+		w.DarkenRunner(name, true)
+		w.after(w.soon(), func() { w.DarkenRunner(name, false) })
+	}},
+	{"take a runner away", func(w *World) {
+		name := w.someRunner()
+		w.MarkLeaving(name)
+		w.after(4000+w.soon(), func() { w.CrashRunner(name); w.StartRunner(name) })
+	}},
+	{"a crowd", func(w *World) { w.Crowd(w.Site.Services[w.Random.Intn(len(w.Site.Services))].Name, 200) }},
+	{"a crowd for rare models", func(w *World) {
+		w.senders.rare = true
+		w.Crowd(w.Site.Services[w.Random.Intn(len(w.Site.Services))].Name, 100)
+		w.after(3000, func() { w.senders.rare = false })
+	}},
+	{"descriptions in quick succession", func(w *World) {
+		for i := range 4 {
+			w.after(int64(i)*150, func() { w.handOverNext() })
+		}
+	}},
+	{"operators collide", func(w *World) {
+		for range 3 {
+			w.handOverNext()
+		}
+	}},
+}
+
+// handOverNext hands a new text over, on the newest revision that is known.
+func (w *World) handOverNext() {
+	w.variants++
+	name := w.Primary()
+	if name == "" || w.Random.Intn(8) == 0 {
+		name = w.some(wire.Controller)
+	}
+	base := w.operator.lastNumber
+	if n := w.nodes[name]; n.up && !n.frozen {
+		base = w.status(n).Revision
+	}
+	w.HandOver(name, base, w.Variant(w.variants))
+}
+
+// Move gives a daemon a new address; it must be down.
+func (w *World) Move(name string) {
+	n := w.nodes[name]
+	delete(w.address, n.address)
+	w.moves++
+	n.address = fmt.Sprintf("%s:%d", name, 1+w.moves)
+	w.address[n.address] = name
+	w.note("%s moves to %s", name, n.address)
+}
+
+// MendAll ends every fault that still runs.
+func (w *World) MendAll() {
+	w.Heal()
+	for _, name := range w.names("") {
+		n := w.nodes[name]
+		if n.disk != nil {
+			// What a failed write left is known only after a restart.
+			if n.disk.full && n.up {
+				w.Kill(name)
+			}
+			n.disk.full, n.disk.stalled, n.disk.slowMs = false, false, 0
+		}
+		w.Thaw(name)
+		w.Start(name)
+	}
+	for _, r := range w.Site.Runners {
+		w.runners[r.Name].dark = false
+		if listed := w.runners[r.Name]; !listed.up {
+			w.StartRunner(r.Name)
+		}
+	}
+}
+
+// BackMs is how long a site may take to serve again after the last fault.
+const BackMs = 12_000
+
+// Campaign is a run of random faults, alone and together, with one last fault
+// near its end. Then all is mended and the site must serve again in time.
+func Campaign(text string, seed int64, count int) Result {
+	w := New(text, seed)
+	w.Begin()
+	for range count {
+		w.bringAbout()
+		if w.Random.Intn(3) == 0 {
+			w.Run(w.Random.Int63n(300))
+			w.bringAbout()
+		}
+		w.Run(500 + w.Random.Int63n(5000))
+	}
+	w.Run(10_000)
+	w.bringAbout()
+	w.Run(100)
+	w.note("all is mended")
+	w.MendAll()
+	w.checkBack()
+	w.StopSending()
+	w.Run(4000)
+	w.CheckDescriptions()
+	return Result{w, w.Book.Breaches()}
+}
+
+func (w *World) bringAbout() {
+	f := faults[w.Random.Intn(len(faults))]
+	w.note("fault: %s", f.name)
+	w.faults = append(w.faults, f.name)
+	f.do(w)
+}
+
+// checkBack gives the site its time and looks whether every service answers.
+func (w *World) checkBack() {
+	before := map[string]int{}
+	w.Run(BackMs)
+	for _, s := range w.Site.Services {
+		before[s.Name] = w.Answered(s.Name)
+	}
+	w.Run(2000)
+	for _, s := range w.Site.Services {
+		if s.Repeatable && w.Answered(s.Name) == before[s.Name] {
+			w.Book.Unserved(w.NowMs, s.Name)
+		}
+	}
+}
+
+// Faults lists what a run brought about.
+func (w *World) Faults() []string { return w.faults }
--- a/sim/sim_test.go
+++ b/sim/sim_test.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"fmt"
 	"os"
 	"testing"
 
@@ -32,3 +33,27 @@
 		}
 	}
 }
+
+// TestCampaigns brings faults about at random on both sites.
+func TestCampaigns(t *testing.T) {
+	for _, site := range []string{"zagreb", "alexandria"} {
+		text := example(t, site)
+		for seed := int64(1); seed <= 12; seed++ {
+			t.Run(fmt.Sprintf("%s/%d", site, seed), func(t *testing.T) {
+				t.Parallel()
+				if r := Campaign(text, seed, 20); len(r.Breaches) > 0 {
+					t.Fatal(r.Report())
+				}
+			})
+		}
+	}
+}
+
+// A run with the same seed is the same run.
+func TestCampaignRepeats(t *testing.T) {
+	text := example(t, "alexandria")
+	first, second := Campaign(text, 7, 8), Campaign(text, 7, 8)
+	qt.Assert(t, second.World.Trace(), qt.Equals, first.World.Trace())
+	qt.Assert(t, second.World.Kinds(), qt.Equals, first.World.Kinds())
+	qt.Assert(t, second.World.Net, qt.Equals, first.World.Net)
+}
--- a/sim/world.go
+++ b/sim/world.go
@@ -74,6 +74,9 @@
 	operator            operator
 	senders             senders
 	Net                 NetTally
+	busy                map[string]bool
+	variants, moves     int
+	faults              []string
 	// Breaks lets a test break the system on purpose, to show that a rule fires.
 	Breaks Breaks
 }
@@ -137,7 +140,7 @@
 		Seed: seed, Text: text, Site: d, Random: rand.New(rand.NewSource(seed)),
 		Book:  rules.New(d.Store.LoadsPer10s, d.SecondGoes),
 		nodes: map[string]*node{}, address: map[string]string{}, runners: map[string]*runner{},
-		platform: stand.NewPlatform(), cuts: map[[2]string]bool{}, NowMs: 1_000_000,
+		platform: stand.NewPlatform(), cuts: map[[2]string]bool{}, busy: map[string]bool{}, NowMs: 1_000_000,
 	}
 	for i, member := range d.Controllers {
 		n := w.addNode(member, wire.Controller)
