--- a/control/copy.go
+++ b/control/copy.go
@@ -275,7 +275,7 @@
 	if m.isPrimary() && said.Record.Epoch == m.record.Epoch || !m.heedPrimary(e.From, said.Record, said.Ballot) {
 		return
 	}
-	m.roster.Learn(said.Fellows)
+	m.roster.Learn(m.nowMs, said.Fellows)
 	m.copies.soft = said.Soft
 	m.table.Forget()
 	took := false
--- a/control/machine.go
+++ b/control/machine.go
@@ -198,10 +198,11 @@
 	m.rememberFellows()
 }
 
-// rememberFellows keeps the known controllers on the disk, so that seeds may
-// be swapped while this daemon is down.
+// rememberFellows keeps the known fellows on the disk, so that seeds may be
+// swapped while this daemon is down. Routers keep no files: after the loss of
+// everything it is the controllers that find them.
 func (m *Machine) rememberFellows() {
-	text, _ := json.Marshal(m.roster.Part(wire.Controller))
+	text, _ := json.Marshal(m.roster.Others())
 	if string(text) == m.fellows || m.broken {
 		return
 	}
@@ -223,7 +224,7 @@
 	case wire.Hello:
 		m.reply(e, wire.Known{Fellows: m.roster.Places(), Record: m.record})
 	case wire.Known:
-		m.roster.Learn(body.Fellows)
+		m.roster.Learn(m.nowMs, body.Fellows)
 		// What a fellow holds as its record is complete, so it may be taken.
 		if body.Record.Epoch > m.record.Epoch && !m.isPrimary() {
 			m.adopt(body.Record, wire.Ballot{})
--- a/daemon/shell.go
+++ b/daemon/shell.go
@@ -68,7 +68,7 @@
 		set: set, machine: machine, disk: d,
 		inputs: ring.New[any](inputsMost), saves: ring.New[wire.Save](inputsMost),
 		doorway: doorway{listener: fellows, streams: map[net.Conn]bool{}},
-		out:     outward.New(set.Clock.NowMs), answers: map[uint64]chan any{}, counts: map[string]uint64{},
+		out:     outward.New(), answers: map[uint64]chan any{}, counts: map[string]uint64{},
 		webAt: web, ended: make(chan struct{}),
 	}
 	s.lines = newLines(s.Count)
@@ -252,12 +252,14 @@
 func (s *Shell) exchange(call wire.Call) any {
 	ctx, cancel := context.WithTimeout(context.Background(), outwardMs*time.Millisecond)
 	defer cancel()
-	always := s.set.Clock.NowMs() + outwardMs
+	always := func() bool { return true }
 	switch body := call.Body.(type) {
 	case wire.OrderCall:
 		text, _ := json.Marshal(body.Order)
+		// The hold is checked again right before the order is written.
+		inTime := func() bool { return s.set.Clock.NowMs() < body.UntilMs }
 		reported := wire.Reported{Runner: body.Runner, Address: call.Address}
-		reported.Ok = s.fetch(ctx, http.MethodPost, call.Address, "/orders", text, body.UntilMs, &reported.Report)
+		reported.Ok = s.fetch(ctx, http.MethodPost, call.Address, "/orders", text, inTime, &reported.Report)
 		return reported
 	case wire.ReportCall:
 		reported := wire.Reported{Runner: body.Runner, Address: call.Address}
@@ -271,8 +273,8 @@
 	return lost(call)
 }
 
-func (s *Shell) fetch(ctx context.Context, method, address, path string, body []byte, untilMs int64, into any) bool {
-	answer, _, err := s.out.Go(ctx, method, "http://"+address+path, body, untilMs)
+func (s *Shell) fetch(ctx context.Context, method, address, path string, body []byte, may func() bool, into any) bool {
+	answer, _, err := s.out.Go(ctx, method, "http://"+address+path, body, may)
 	if err != nil {
 		s.Count("calls outward failed")
 		return false
--- a/outward/transport.go
+++ b/outward/transport.go
@@ -1,6 +1,6 @@
 // Package outward is the way out to runners and to the platform, over
 // HTTP/1.1. It tells for certain whether a byte of a request was written, and
-// writes none after the last moment that its caller set.
+// writes none once its caller's check at the socket says no.
 package outward
 
 import (
@@ -16,7 +16,7 @@
 	"github.com/cockroachdb/errors"
 )
 
-// ErrTooLate says that the moment had passed before the first byte.
+// ErrTooLate says that the check said no before the first byte.
 var ErrTooLate = errors.New("too late to send")
 
 const (
@@ -25,14 +25,11 @@
 )
 
 // Transport sends requests that are never repeated by themselves.
-type Transport struct {
-	inner *http.Transport
-	nowMs func() int64
-}
+type Transport struct{ inner *http.Transport }
 
-// New makes a transport with the process's monotonic clock.
-func New(nowMs func() int64) *Transport {
-	t := &Transport{nowMs: nowMs}
+// New makes a transport.
+func New() *Transport {
+	t := &Transport{}
 	dialer := net.Dialer{Timeout: dialMs * time.Millisecond}
 	t.inner = &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -40,7 +37,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &stream{Conn: conn, nowMs: nowMs}, nil
+			return &stream{Conn: conn}, nil
 		},
 		// What a runner sends is relayed as it is.
 		DisableCompression:     true,
@@ -53,16 +50,15 @@
 
 // shot is one request on its way.
 type shot struct {
-	untilMs int64
-	wrote   atomic.Bool
-	late    atomic.Bool
+	may   func() bool
+	wrote atomic.Bool
+	late  atomic.Bool
 }
 
 // stream checks the moment right at the socket.
 type stream struct {
 	net.Conn
-	nowMs func() int64
-	shot  atomic.Pointer[shot]
+	shot atomic.Pointer[shot]
 }
 
 // Write refuses the first byte of a request that is too late.
@@ -71,7 +67,7 @@
 	if shot == nil || shot.wrote.Load() {
 		return s.Conn.Write(p)
 	}
-	if s.nowMs() >= shot.untilMs {
+	if !shot.may() {
 		shot.late.Store(true)
 		return 0, ErrTooLate
 	}
@@ -90,8 +86,8 @@
 
 // Go sends a request once. Wrote says whether any byte may have reached the
 // other side; without it the request certainly has not.
-func (t *Transport) Go(ctx context.Context, method, url string, body []byte, untilMs int64) (answer *http.Response, wrote bool, err error) {
-	sent := &shot{untilMs: untilMs}
+func (t *Transport) Go(ctx context.Context, method, url string, body []byte, may func() bool) (answer *http.Response, wrote bool, err error) {
+	sent := &shot{may: may}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if s, ok := info.Conn.(*stream); ok {
--- a/rules/book.go
+++ b/rules/book.go
@@ -97,6 +97,15 @@
 	b.goes[service] = append(b.goes[service], goSeen{atMs, second})
 }
 
+// Sent notes that a router wrote a request to a runner's stream.
+func (b *Book) Sent(atMs int64, router string, revision uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if revision < b.revision[router] {
+		b.breach("slip back", atMs, "%s sent under revision %d after a runner saw %d from it", router, revision, b.revision[router])
+	}
+}
+
 // Started notes that a runner began to run a request.
 func (b *Book) Started(atMs int64, service, id, runner string, repeatable bool, router string, revision uint64) {
 	b.mu.Lock()
@@ -115,12 +124,7 @@
 	if end, told := b.told[key]; told && end.drop {
 		b.breach("drop ran", atMs, "%s ran on %s after it was dropped as %q", key, runner, end.kind)
 	}
-	if router != "" {
-		if revision < b.revision[router] {
-			b.breach("slip back", atMs, "%s used revision %d after %d", router, revision, b.revision[router])
-		}
-		b.revision[router] = max(b.revision[router], revision)
-	}
+	b.revision[router] = max(b.revision[router], revision)
 	for number, acceptedMs := range b.accepted {
 		if revision < number && atMs-acceptedMs > InForceMs {
 			b.breach("in force", atMs, "%s ran under revision %d, %d ms after %d was accepted", key, revision, atMs-acceptedMs, number)
--- a/sim/campaign.go
+++ b/sim/campaign.go
@@ -205,6 +205,12 @@
 	w.moves++
 	n.address = fmt.Sprintf("%s:%d", name, 1+w.moves)
 	w.address[n.address] = name
+	n.seeds = nil
+	for _, core := range w.names(wire.Controller) {
+		if core != name && len(n.seeds) < 3 {
+			n.seeds = append(n.seeds, w.nodes[core].address)
+		}
+	}
 	w.note("%s moves to %s", name, n.address)
 }
 
--- a/traffic/gate.go
+++ b/traffic/gate.go
@@ -38,11 +38,12 @@
 // Gate is a router as a process: its machine in a shell, and the way of a
 // request through it.
 type Gate struct {
-	shell *daemon.Shell
-	set   settings.Settings
-	self  wire.Place
-	under atomic.Int64
-	names atomic.Uint64
+	shell   *daemon.Shell
+	machine *Machine
+	set     settings.Settings
+	self    wire.Place
+	under   atomic.Int64
+	names   atomic.Uint64
 }
 
 // NewGate makes the router; nothing runs yet.
@@ -56,7 +57,7 @@
 		Name: set.Name, Address: set.Address, Zone: set.Zone, Part: wire.Router, Incarnation: hex.EncodeToString(token),
 	}
 	machine := New(Settings{Site: set.Site, Self: self, Seeds: set.Seeds, Platform: set.Platform}, clock.NowMs())
-	g := &Gate{set: set, self: self}
+	g := &Gate{machine: machine, set: set, self: self}
 	g.shell = daemon.New(daemon.Settings{Site: set.Site, Self: self, Clock: clock, Log: logger, TickMs: tickMs}, machine, nil, fellows, web, g)
 	return g, nil
 }
@@ -202,7 +203,9 @@
 	// Each piece of a telling has the time that a whole plain answer has.
 	slow := time.AfterFunc(time.Duration(leftMs)*time.Millisecond, cancel)
 	defer slow.Stop()
-	answer, wrote, err := g.shell.Outward().Go(ctx, http.MethodPost, "http://"+to.Address+"/run", body, to.UntilMs)
+	answer, wrote, err := g.shell.Outward().Go(ctx, http.MethodPost, "http://"+to.Address+"/run", body, func() bool {
+		return g.machine.MaySend(g.shell.Clock().NowMs(), to)
+	})
 	switch {
 	case errors.Is(err, outward.ErrTooLate) && !wrote:
 		ended.Outcome = TooLate
--- a/traffic/machine.go
+++ b/traffic/machine.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 
 	"myrtlewinch/choice"
 	"myrtlewinch/defect"
@@ -52,7 +53,9 @@
 	roster *watch.Roster
 
 	// The revision in force as far as this router knows.
-	revision    uint64
+	revision uint64
+	// inUse is the revision for those at the socket, on other threads.
+	inUse       atomic.Uint64
 	described   *description.Description
 	revUntilMs  int64
 	heldSum     string
@@ -104,6 +107,12 @@
 	}
 }
 
+// MaySend is the check at the socket: a go that was made under an earlier
+// revision, or whose time has passed, may not be written any more.
+func (m *Machine) MaySend(nowMs int64, to Go) bool {
+	return nowMs < to.UntilMs && m.inUse.Load() == to.Revision
+}
+
 // Step takes one input and returns what to do.
 func (m *Machine) Step(nowMs int64, input any) wire.Effects {
 	m.nowMs = nowMs
@@ -169,7 +178,7 @@
 	case wire.Hello:
 		m.send(e.From, wire.Known{Fellows: m.roster.Places(), Record: wire.Record{Epoch: m.epoch, Primary: m.primary}})
 	case wire.Known:
-		m.roster.Learn(body.Fellows)
+		m.roster.Learn(m.nowMs, body.Fellows)
 		m.heed(body.Record.Epoch, body.Record.Primary)
 	case wire.Opinion:
 		if body.Epoch == m.epoch {
@@ -215,7 +224,7 @@
 		return
 	}
 	m.epoch, m.primary, m.echoMs = w.Epoch, from.Name, w.EchoMs
-	m.roster.Learn(w.Fellows)
+	m.roster.Learn(m.nowMs, w.Fellows)
 	m.mark(w.Leaving)
 	m.leaveWordMs = max(m.leaveWordMs, w.EchoMs)
 	if w.Revision > m.revision {
@@ -227,6 +236,7 @@
 			return
 		}
 		m.revision, m.described = w.Revision, d
+		m.inUse.Store(w.Revision)
 		m.heldSum, m.held = "", nil
 		m.revUntilMs = m.nowMs
 		m.note("revision %d is in use", m.revision)
--- a/watch/roster.go
+++ b/watch/roster.go
@@ -40,13 +40,13 @@
 // New makes a roster that knows only seeds and what was remembered.
 func New(self wire.Place, seeds []string, remembered []wire.Place) *Roster {
 	r := &Roster{self: self, seeds: seeds, fellows: map[string]*fellow{}, beatMs: -BeatMs, helloMs: -helloMs}
-	r.Learn(remembered)
+	r.Learn(0, remembered)
 	return r
 }
 
-// Learn takes places told by others. A place that was heard directly lately
-// is believed over one that is only told.
-func (r *Roster) Learn(places []wire.Place) {
+// Learn takes places told by others. A place that was heard of lately is
+// believed over one that is only told; a silent one may have moved.
+func (r *Roster) Learn(nowMs int64, places []wire.Place) {
 	for _, place := range places {
 		if place.Name == "" || place.Name == r.self.Name || len(r.fellows) >= most {
 			continue
@@ -54,7 +54,7 @@
 		known := r.fellows[place.Name]
 		if known == nil {
 			r.fellows[place.Name] = &fellow{place: place}
-		} else if !known.seen {
+		} else if !known.seen || nowMs-known.seenMs > MissMs {
 			known.place = place
 		}
 	}
@@ -121,6 +121,11 @@
 	return places
 }
 
+// Others lists all fellows without this daemon.
+func (r *Roster) Others() []wire.Place {
+	return slices.DeleteFunc(r.Places(), func(p wire.Place) bool { return p.Name == r.self.Name })
+}
+
 // Part lists the fellows of a part, without this daemon.
 func (r *Roster) Part(part string) []wire.Place {
 	return slices.DeleteFunc(r.Places(), func(p wire.Place) bool { return p.Part != part || p.Name == r.self.Name })
@@ -185,7 +190,7 @@
 			sends = append(sends, wire.Send{Address: seed, Body: wire.Hello{}})
 		}
 	}
-	places := slices.DeleteFunc(r.Places(), func(p wire.Place) bool { return p.Name == r.self.Name })
+	places := r.Others()
 	if len(places) > 0 {
 		place := places[int(nowMs/helloMs)%len(places)]
 		sends = append(sends, wire.Send{To: place.Name, Address: place.Address, Body: wire.Hello{}})
