--- a/control/machine.go
+++ b/control/machine.go
@@ -25,6 +25,8 @@
 	Self     wire.Place
 	Seeds    []string
 	Platform string
+	// GapMs replaces the usual gap between the orders of two holders.
+	GapMs int64
 }
 
 // Keys of a controller's own rows on the disk.
@@ -67,6 +69,9 @@
 
 // New makes a controller from what its disk holds.
 func New(set Settings, keys map[string]string, nowMs int64) (*Machine, error) {
+	if set.GapMs == 0 {
+		set.GapMs = gapMs
+	}
 	m := &Machine{set: set, nowMs: nowMs, state: ledger.New(), saves: map[uint64]func(bool){}}
 	var err error
 	if m.witness, err = witness.New(m.ownSeat(), keys[witness.Key], nowMs); err != nil {
--- a/control/seat.go
+++ b/control/seat.go
@@ -331,7 +331,7 @@
 	s.renewMs = m.nowMs
 	// Another may have ordered until now; the same daemon has only itself to fear.
 	if !again {
-		s.ordersMs = m.nowMs + gapMs
+		s.ordersMs = m.nowMs + m.set.GapMs
 	}
 	s.takesMs = m.nowMs + RouterHoldMs
 	m.duty.begin(m.nowMs)
--- /dev/null
+++ b/sim/broken_test.go
@@ -0,0 +1,131 @@
+package sim
+
+import (
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"myrtlewinch/rules"
+	"myrtlewinch/wire"
+)
+
+// crashes ends one runner after the other while a crowd is served.
+var crashes = Scenario{"", func(w *World) {
+	// Second copies come once every model that is asked for has its first.
+	w.Run(60_000)
+	for _, r := range w.Site.Runners {
+		w.Crowd("narration", 60)
+		w.Run(150)
+		w.CrashRunner(r.Name)
+		w.Run(500)
+		w.StartRunner(r.Name)
+		w.Run(8000)
+	}
+}, 2000}
+
+// TestBrokenVariants breaks the system on purpose, or promises more than it
+// keeps, and shows that the rule that is meant for it fires.
+func TestBrokenVariants(t *testing.T) {
+	cases := []struct {
+		about  string
+		rule   string
+		spoil  func(w *World)
+		played Scenario
+	}{
+		{"no check at the socket", "leaver", func(w *World) { w.Breaks.NoSocketCheck = true }, Scenario{"", func(w *World) {
+			w.Crowd("narration", 400)
+			for range 20 {
+				w.Run(7)
+				for _, name := range w.names(wire.Router) {
+					w.Freeze(name)
+				}
+				for _, r := range w.Site.Runners {
+					w.MarkLeaving(r.Name)
+				}
+				w.Run(8000)
+				for _, name := range w.names(wire.Router) {
+					w.Thaw(name)
+				}
+			}
+		}, 2000}},
+		{"no gap between holders", "two holders", func(w *World) { w.Breaks.GapMs = 1 }, Scenario{"", func(w *World) {
+			for range 4 {
+				w.senders.rare = true
+				w.Crowd("commentary", 60)
+				w.Run(2500 + w.Random.Int63n(900))
+				p := w.Primary()
+				w.Kill(p)
+				w.Run(8000)
+				w.Start(p)
+				w.Run(8000)
+			}
+		}, 2000}},
+		{"disks that forget", "description lost", func(w *World) { w.Breaks.UnsyncedDisk = true }, Scenarios["total loss"]},
+		{"lost goes are sent again", "twice", func(w *World) { w.Breaks.ResendLost = true }, crashes},
+		{"drops that run", "drop ran", func(w *World) { w.Breaks.DropThenRun = true }, Scenarios["quiet"]},
+		{"tellings that look whole", "torn answer", func(w *World) { w.Breaks.TellWrong = true }, crashes},
+		{"a store slower than described", "store pace", func(w *World) { w.Book = rules.New(2, 10) }, Scenarios["quiet"]},
+		{"runners smaller than they say", "room", func(w *World) {
+			for _, r := range w.runners {
+				r.stand.Room = 20
+			}
+			w.lieAboutRoom = 96
+		}, Scenarios["quiet"]},
+		{"no allowance of second goes", "second goes", func(w *World) { w.Book = rules.New(100, -40) }, Scenarios["quiet"]},
+		{"nobody starts again", "not back", func(*World) {}, Scenario{"", func(w *World) {
+			for _, name := range w.names("") {
+				w.Kill(name)
+			}
+			w.checkBack()
+		}, 100}},
+	}
+	for _, test := range cases {
+		t.Run(test.about, func(t *testing.T) {
+			t.Parallel()
+			fired := map[string]bool{}
+			for seed := int64(1); seed <= 6 && !fired[test.rule]; seed++ {
+				w := New(example(t, "zagreb"), seed)
+				test.spoil(w)
+				for _, r := range w.runners {
+					r.stand.Book = w.Book
+				}
+				for _, breach := range w.Play(test.played).Breaches {
+					fired[breach.Rule] = true
+				}
+			}
+			qt.Assert(t, fired[test.rule], qt.IsTrue, qt.Commentf("fired: %v", fired))
+		})
+	}
+}
+
+// The slip back of a router, and a revision that is not in force in time, are
+// brought about by routers whose holds never run out.
+func TestBrokenRevisions(t *testing.T) {
+	fired := map[string]bool{}
+	for seed := int64(1); seed <= 4; seed++ {
+		w := New(example(t, "zagreb"), seed)
+		w.Breaks.NoSocketCheck = true
+		w.Breaks.ForgetHold = true
+		r := w.Play(Scenario{"", func(w *World) {
+			for i := range 4 {
+				w.Crowd("move", 200)
+				w.Run(100)
+				frozen := w.names(wire.Router)[:4]
+				for _, name := range frozen {
+					w.Freeze(name)
+				}
+				w.HandOver(w.Primary(), uint64(1+i), strings.Repeat(" ", i+1)+w.Text)
+				w.Run(9000)
+				for _, name := range frozen {
+					w.Thaw(name)
+				}
+				w.Run(1000)
+			}
+		}, 2000})
+		for _, breach := range r.Breaches {
+			fired[breach.Rule] = true
+		}
+	}
+	qt.Assert(t, fired["in force"], qt.IsTrue, qt.Commentf("fired: %v", fired))
+}
--- a/sim/outside.go
+++ b/sim/outside.go
@@ -79,6 +79,9 @@
 		w.reach(n.name, body.Runner, func(r *runner) {
 			said := none
 			said.Ok, said.Report = true, r.stand.Report(w.NowMs)
+			if w.lieAboutRoom > 0 {
+				said.Report.Room = w.lieAboutRoom
+			}
 			w.pass(body.Runner, n.name, func() { back(said) }, func() { lost(none) })
 		}, func() { lost(none) })
 	case wire.OrderCall:
@@ -146,6 +149,9 @@
 		a.w.pass(a.n.name, "senders", func() { a.end(string(said.Kind), said.Kind.Reply().Drop) }, func() { a.end("stream broke", false) })
 		delete(a.n.under, a.id)
 	case traffic.Go:
+		if a.w.Breaks.DropThenRun && a.w.Random.Intn(20) == 0 {
+			a.end("no runner", true)
+		}
 		machine := a.n.machine.(*traffic.Machine)
 		a.w.atSocket(a.n, a.life, func() bool { return machine.MaySend(a.n.clock(a.w.NowMs), said) }, func() { a.goTo(said) }, func() { a.ended(traffic.TooLate, 0) })
 	}
@@ -219,6 +225,9 @@
 	w.after(20+w.Random.Int63n(120), func() {
 		broken := func() {
 			if a.pieces > 0 {
+				if w.Breaks.TellWrong {
+					w.Book.Wrong(w.NowMs, a.service, a.name, "a telling looked finished without its end mark")
+				}
 				// The router closes the sender's stream without an end.
 				a.ended(traffic.Answered, 0)
 				a.broke()
--- a/sim/world.go
+++ b/sim/world.go
@@ -76,7 +76,9 @@
 	Net                 NetTally
 	busy                map[string]bool
 	variants, moves     int
-	faults              []string
+	// lieAboutRoom is what runners report as their room, for a broken variant.
+	lieAboutRoom int64
+	faults       []string
 	// Breaks lets a test break the system on purpose, to show that a rule fires.
 	Breaks Breaks
 }
@@ -90,6 +92,12 @@
 	UnsyncedDisk bool
 	// ResendLost makes routers send lost requests again whatever they are.
 	ResendLost bool
+	// GapMs replaces the gap between two holders.
+	GapMs int64
+	// DropThenRun tells senders of a drop and sends the request all the same.
+	DropThenRun bool
+	// TellWrong makes routers end a torn telling as if it were whole.
+	TellWrong bool
 	// ForgetHold makes frozen daemons believe that no time passed.
 	ForgetHold bool
 }
@@ -103,6 +111,7 @@
 	address          string
 	machine          daemon.Machine
 	up, frozen       bool
+	frozenMs         int64
 	// life tells one run of the process from the next.
 	life    int
 	bootMs  int64
@@ -246,7 +255,7 @@
 	self := wire.Place{Name: name, Address: n.address, Zone: n.zone, Part: n.part}
 	if n.part == wire.Controller {
 		self.Incarnation = n.disk.incarnation
-		machine, err := control.New(control.Settings{Site: w.Site.Site, Self: self, Seeds: n.seeds, Platform: "platform"}, cloned(n.disk.keys), n.clock(w.NowMs))
+		machine, err := control.New(control.Settings{Site: w.Site.Site, Self: self, Seeds: n.seeds, Platform: "platform", GapMs: w.Breaks.GapMs}, cloned(n.disk.keys), n.clock(w.NowMs))
 		if err != nil {
 			panic(fmt.Sprintf("sim: %s does not start: %v", name, err))
 		}
@@ -301,7 +310,7 @@
 // Freeze stops a daemon where it stands; Thaw lets it go on.
 func (w *World) Freeze(name string) {
 	w.note("%s freezes", name)
-	w.nodes[name].frozen = true
+	w.nodes[name].frozen, w.nodes[name].frozenMs = true, w.NowMs
 }
 
 // Thaw wakes a frozen daemon. Its clock went on.
@@ -313,7 +322,7 @@
 	w.note("%s wakes", name)
 	n.frozen = false
 	if w.Breaks.ForgetHold {
-		n.bootMs = w.NowMs - (n.clock(w.NowMs) - n.offset)
+		n.bootMs += w.NowMs - n.frozenMs
 	}
 	backlog := n.backlog
 	n.backlog = nil
