Pace repeated loads too, keep a tenth of the pace unused; test the router's machine

Cause: an order that no report names is sent again without a token, so after a take-over or a heal several loads began together; and orders sent a second apart may arrive together. A request whose controller died while it waited is now told of a load by the next word to its router; a hit's look-up that goes unanswered again shows a dead controller (test fails without it).

--- a/control/duty.go
+++ b/control/duty.go
@@ -240,9 +240,15 @@
 			continue
 		}
 		named := s.report.Incarnation == row.Incarnation && s.report.LastOrder >= row.Intent.Number
-		if !named && m.settled() {
-			m.sendOrder(name)
+		if named || !m.settled() {
+			continue
+		}
+		// A load that is sent again may begin only now, so it is paced anew:
+		// after a take-over or a cut many may be open at once.
+		if row.Intent.Action == wire.Load && !m.duty.pace.take(m.nowMs, m.described.Store.LoadsPer10s) {
+			continue
 		}
+		m.sendOrder(name)
 	}
 }
 
--- a/control/index.go
+++ b/control/index.go
@@ -92,6 +92,20 @@
 	}
 }
 
+// tellWaited tells a router what is loaded of what its requests wait for.
+func (m *Machine) tellWaited(to wire.Place, keys []wire.LookUp) {
+	if m.described == nil {
+		return
+	}
+	for _, ask := range keys {
+		key := choice.Key{Service: ask.Service, Model: ask.Model, Adapter: ask.Adapter}
+		line := m.table.Look(key, m.described, m.state, m.softNow())
+		if len(line.Holders) > 0 {
+			m.send(to, wire.Index{Key: key.String(), At: m.state.Position, Holders: line.Holders})
+		}
+	}
+}
+
 // tickIndex brings the demand to the primary.
 func (m *Machine) tickIndex() {
 	if m.nowMs-m.index.toldMs < demandMs {
--- a/control/offer.go
+++ b/control/offer.go
@@ -217,6 +217,7 @@
 		}
 	}
 	m.reply(e, word)
+	m.tellWaited(e.From, ask.Waiting)
 	// An acknowledgement may be the last that was waited for.
 	if o.pending != nil {
 		m.tickOffer()
--- a/control/pace.go
+++ b/control/pace.go
@@ -7,10 +7,19 @@
 	tokens float64
 }
 
-// take takes a token if there is one. The bucket holds one token, so that no
-// ten seconds ever see more than the pace and one.
+// spare is the part of the pace that is left unused: orders may arrive closer
+// together than they were sent.
+const spare = 0.1
+
+// earned is what came in since the last look, in whole.
+func (p *pace) earned(nowMs, loadsPer10s int64) float64 {
+	return min(1, p.tokens+float64(nowMs-p.atMs)*float64(loadsPer10s)*(1-spare)/10_000)
+}
+
+// take takes a token if there is one. The bucket holds one token, so that
+// loads never come in a burst.
 func (p *pace) take(nowMs, loadsPer10s int64) bool {
-	p.tokens = min(1, p.tokens+float64(nowMs-p.atMs)*float64(loadsPer10s)/10_000)
+	p.tokens = p.earned(nowMs, loadsPer10s)
 	p.atMs = nowMs
 	if p.tokens < 1 {
 		return false
@@ -21,5 +30,5 @@
 
 // ready says whether take would succeed.
 func (p *pace) ready(nowMs, loadsPer10s int64) bool {
-	return p.tokens+float64(nowMs-p.atMs)*float64(loadsPer10s)/10_000 >= 1
+	return p.earned(nowMs, loadsPer10s) >= 1
 }
--- a/rules/book.go
+++ b/rules/book.go
@@ -207,7 +207,7 @@
 			within++
 		}
 	}
-	if int64(within) > b.pace+1 {
+	if int64(within) > b.pace {
 		b.breach("store pace", atMs, "%d loads within 10 s, %s of %s the last", within, item, runner)
 	}
 }
--- a/rules/book_test.go
+++ b/rules/book_test.go
@@ -49,9 +49,9 @@
 		{"not back", func(b *Book) { b.Unserved(1, "s") }, "not back"},
 		{"holders with a gap", func(b *Book) { b.Order(0, "r", "a", 1); b.Order(3000, "r", "b", 2) }, ""},
 		{"holders alternate", func(b *Book) { b.Order(0, "r", "a", 1); b.Order(2999, "p", "b", 2) }, "two holders"},
-		{"pace kept", func(b *Book) { b.Load(0, "r", "m"); b.Load(1, "r", "m"); b.Load(2, "r", "m") }, ""},
+		{"pace kept", func(b *Book) { b.Load(0, "r", "m"); b.Load(1, "r", "m"); b.Load(10_000, "r", "m") }, ""},
 		{"pace outrun", func(b *Book) {
-			for ms := range int64(4) {
+			for ms := range int64(3) {
 				b.Load(ms, "r", "m")
 			}
 		}, "store pace"},
--- a/traffic/machine.go
+++ b/traffic/machine.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync/atomic"
 
 	"myrtlewinch/choice"
@@ -35,6 +36,8 @@
 	// suspectMs keeps a runner that just failed from being the first choice.
 	suspectMs = 1000
 	silentMs  = 300
+	// waitingMost bounds the keys that a question names.
+	waitingMost = 64
 )
 
 // Settings is what a router knows before it knows anyone.
@@ -160,10 +163,26 @@
 func (m *Machine) ask() {
 	m.askedMs = m.nowMs
 	if place, ok := m.roster.Place(m.primary); ok && m.primary != "" {
-		m.send(place, wire.Ask{EchoMs: m.nowMs, Revision: m.revision, Held: m.heldSum})
+		m.send(place, wire.Ask{EchoMs: m.nowMs, Revision: m.revision, Held: m.heldSum, Waiting: m.waitingKeys()})
 	}
 }
 
+// waitingKeys lists what the eldest waiting requests need, once each.
+func (m *Machine) waitingKeys() []wire.LookUp {
+	var keys []wire.LookUp
+	for _, id := range m.order {
+		r := m.requests[id]
+		if r == nil || r.away || m.entry(r.key) != nil || len(keys) >= waitingMost {
+			continue
+		}
+		key := wire.LookUp{Service: r.Service, Model: r.Model, Adapter: r.Adapter}
+		if !slices.Contains(keys, key) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
 func (m *Machine) receive(e wire.Envelope) {
 	if e.Site != m.set.Site {
 		m.count(defect.OtherSite)
--- /dev/null
+++ b/traffic/machine_test.go
@@ -0,0 +1,369 @@
+package traffic
+
+import (
+	"fmt"
+	"os"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"myrtlewinch/defect"
+	"myrtlewinch/wire"
+)
+
+// bench drives one router by hand.
+type bench struct {
+	c     *qt.C
+	m     *Machine
+	nowMs int64
+	out   wire.Effects
+	ids   uint64
+}
+
+var core = wire.Place{Name: "core-1", Address: "c1", Part: wire.Controller}
+
+func newBench(c *qt.C) *bench {
+	text, err := os.ReadFile("../examples/zagreb.json")
+	c.Assert(err, qt.IsNil)
+	b := &bench{c: c, nowMs: 10_000}
+	b.m = New(Settings{Site: "zagreb", Self: wire.Place{Name: "edge-1", Incarnation: "i", Zone: "trnje"}, Platform: "p"}, b.nowMs)
+	b.take(wire.Nudge{Epoch: 1})
+	b.word(wire.Word{Revision: 1, Text: string(text), Sum: "one"})
+	return b
+}
+
+func (b *bench) step(input any) wire.Effects {
+	b.out = b.m.Step(b.nowMs, input)
+	return b.out
+}
+
+func (b *bench) take(body any) wire.Effects {
+	return b.step(wire.Envelope{Site: "zagreb", From: core, Body: body})
+}
+
+// word answers the latest question with the primary's word, renewed.
+func (b *bench) word(w wire.Word) {
+	b.nowMs++
+	b.m.ask()
+	b.nowMs++
+	w.EchoMs, w.For, w.Renew = b.nowMs-1, "i", true
+	if w.Epoch == 0 {
+		w.Epoch = 1
+	}
+	b.take(w)
+}
+
+func (b *bench) ask(service, model, name string) wire.Effects {
+	b.ids++
+	return b.step(Request{Id: b.ids, Service: service, Model: model, Name: name, Given: true})
+}
+
+func (b *bench) index(key string, number uint64, runners ...string) wire.Effects {
+	index := wire.Index{Id: b.m.asks, Key: key, At: wire.Position{Epoch: 1, Number: number}}
+	for _, name := range runners {
+		index.Holders = append(index.Holders, wire.Holder{Runner: name, Incarnation: name + "-1", Address: name})
+	}
+	return b.take(index)
+}
+
+func (b *bench) lookUps() int {
+	count := 0
+	for _, send := range b.out.Sends {
+		if _, ok := send.Body.(wire.LookUp); ok {
+			count++
+		}
+	}
+	return count
+}
+
+// goes gives the runners that the last step sent requests to.
+func (b *bench) goes() []string {
+	var runners []string
+	for _, answer := range b.out.Answers {
+		if to, ok := answer.Body.(Go); ok {
+			runners = append(runners, to.Runner)
+		}
+	}
+	return runners
+}
+
+func (b *bench) kind() defect.Kind {
+	for _, answer := range b.out.Answers {
+		if said, ok := answer.Body.(wire.Refused); ok {
+			return said.Kind
+		}
+	}
+	return ""
+}
+
+const moves = "move//"
+
+func TestMissWaitsHitDoesNot(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c)
+	b.ask("move", "", "a")
+	c.Assert(b.lookUps(), qt.Equals, 1)
+	c.Assert(b.goes(), qt.HasLen, 0, qt.Commentf("a miss waits"))
+	b.index(moves, 1, "table-1")
+	c.Assert(b.goes(), qt.DeepEquals, []string{"table-1"})
+	b.ask("move", "", "b")
+	c.Assert(b.lookUps(), qt.Equals, 1, qt.Commentf("a hit asks too"))
+	c.Assert(b.goes(), qt.DeepEquals, []string{"table-1"}, qt.Commentf("and goes without waiting"))
+	// Newer replaces older, never the reverse.
+	b.index(moves, 3, "table-2")
+	b.index(moves, 2, "table-3")
+	b.ask("move", "", "c")
+	c.Assert(b.goes(), qt.DeepEquals, []string{"table-2"})
+	// Past its bound an entry is a miss.
+	b.word(wire.Word{Revision: 1, Sum: "one"})
+	b.nowMs += entryMs + 1
+	b.word(wire.Word{Revision: 1, Sum: "one"})
+	b.ask("move", "", "d")
+	c.Assert(b.goes(), qt.HasLen, 0)
+	c.Assert(b.m.Tally.Hits, qt.Equals, uint64(2))
+	c.Assert(b.m.Tally.LookUps, qt.Equals, b.m.Tally.Requests)
+	c.Assert(len(b.m.cache), qt.Equals, 1, qt.Commentf("only what was named is kept"))
+	b.take(wire.Index{Key: "narration/narrator-1/", Holders: []wire.Holder{{Runner: "language-1"}}})
+	c.Assert(len(b.m.cache), qt.Equals, 1)
+}
+
+// Look-ups that a hit did not wait for must still show a dead controller.
+func TestDeadIndexIsLeft(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c)
+	other := core
+	other.Name, other.Address = "core-2", "c2"
+	b.m.roster.Heard(b.nowMs, other)
+	b.ask("move", "", "a")
+	b.index(moves, 1, "table-1")
+	b.ask("move", "", "b")
+	b.step(Ended{Id: b.ids, Outcome: Answered})
+	before := b.m.target
+	b.nowMs += silentMs
+	b.step(wire.Tick{})
+	c.Assert(b.m.target, qt.Equals, before+1)
+}
+
+func TestOutcomes(t *testing.T) {
+	const plain, repeatable = "commentary", "move"
+	cases := []struct {
+		about   string
+		service string
+		outcome Outcome
+		holders int
+		again   bool
+		kind    defect.Kind
+	}{
+		{"answered", plain, Answered, 2, false, ""},
+		{"lost, may not be repeated", plain, Lost, 2, false, defect.OutcomeUnknown},
+		{"nonsense, may not be repeated", plain, Nonsense, 2, false, defect.BrokenAnswer},
+		{"lost, repeatable", repeatable, Lost, 2, true, ""},
+		{"lost, repeatable, no other", repeatable, Lost, 1, false, defect.OutcomeUnknown},
+		{"not sent", plain, NotSent, 2, true, ""},
+		{"not sent, no other", plain, NotSent, 1, false, defect.NoRunner},
+		{"not held", plain, NotHeld, 2, true, ""},
+		{"not held, no other", plain, NotHeld, 1, false, defect.NoRunner},
+		{"another incarnation", plain, Other, 2, true, ""},
+		{"busy", plain, Busy, 2, true, ""},
+		{"busy, no other", plain, Busy, 1, false, defect.RunnerDropped},
+		{"repeated", plain, Repeated, 2, false, defect.AlreadyTaken},
+		{"too late", plain, TooLate, 1, true, ""},
+	}
+	for _, test := range cases {
+		t.Run(test.about, func(t *testing.T) {
+			c := qt.New(t)
+			b := newBench(c)
+			key, model, runners := moves, "", []string{"table-1", "table-2"}
+			if test.service == plain {
+				key, model, runners = "commentary/commentator-1/", "commentator-1", []string{"language-1", "language-2"}
+			}
+			b.ask(test.service, model, "q")
+			b.index(key, 1, runners[:test.holders]...)
+			c.Assert(b.goes(), qt.HasLen, 1)
+			first := b.goes()[0]
+			b.step(Ended{Id: b.ids, Outcome: test.outcome})
+			c.Assert(len(b.goes()) == 1, qt.Equals, test.again)
+			c.Assert(b.kind(), qt.Equals, test.kind)
+			if test.again && test.outcome != TooLate {
+				c.Assert(b.goes()[0], qt.Not(qt.Equals), first)
+			}
+		})
+	}
+}
+
+// Once a go may have run, nothing that follows is called a drop.
+func TestNoDropAfterALostGo(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c)
+	b.ask("move", "", "q")
+	b.index(moves, 1, "table-1", "table-2")
+	b.step(Ended{Id: 1, Outcome: Lost})
+	c.Assert(b.goes(), qt.HasLen, 1)
+	b.step(Ended{Id: 1, Outcome: Busy})
+	c.Assert(b.kind(), qt.Equals, defect.OutcomeUnknown)
+}
+
+func TestIdsOfSenders(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c)
+	ask := func() { b.ask("commentary", "commentator-1", "mine") }
+	ask()
+	ask()
+	c.Assert(b.kind(), qt.Equals, defect.AlreadyTaken, qt.Commentf("while the first waits"))
+	b.index("commentary/commentator-1/", 1, "language-1")
+	b.step(Ended{Id: 1, Outcome: Busy})
+	c.Assert(b.kind(), qt.Equals, defect.RunnerDropped)
+	ask()
+	c.Assert(b.kind(), qt.Equals, defect.Kind(""), qt.Commentf("a drop frees the id"))
+	b.step(Ended{Id: b.ids, Outcome: Lost})
+	c.Assert(b.kind(), qt.Equals, defect.OutcomeUnknown)
+	ask()
+	c.Assert(b.kind(), qt.Equals, defect.AlreadyTaken, qt.Commentf("what may have run does not"))
+}
+
+func TestSecondGoesAreBounded(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c)
+	b.ask("move", "", "first")
+	b.index(moves, 1, "table-1", "table-2")
+	second := 0
+	for range 100 {
+		b.step(Ended{Id: b.ids, Outcome: Busy})
+		if len(b.goes()) == 1 {
+			second++
+			b.step(Ended{Id: b.ids, Outcome: Busy})
+		}
+		b.ask("move", "", "")
+	}
+	// A fifth of ninety-nine that were earned on top of this router's share
+	// of the allowance, which is a little above one.
+	c.Assert(second, qt.Equals, 20)
+}
+
+func TestRevisions(t *testing.T) {
+	text, err := os.ReadFile("../examples/zagreb.json")
+	qt.Assert(t, err, qt.IsNil)
+	next := string(text) + " "
+	cases := []struct {
+		about  string
+		do     func(b *bench)
+		goes   bool
+		number uint64
+	}{
+		{"renewed", func(b *bench) {}, true, 1},
+		{"hold out", func(b *bench) {
+			b.nowMs += wordHoldMs + 1
+			b.m.leaveWordMs = b.nowMs
+		}, false, 1},
+		{"no word on leavers", func(b *bench) { b.nowMs += leaveMs + 1 }, false, 1},
+		{"the platform read instead", func(b *bench) {
+			b.nowMs += leaveMs
+			b.step(wire.Tick{})
+			b.nowMs++
+			b.step(wire.Listing{Ok: true})
+		}, true, 1},
+		{"acknowledged and still pending", func(b *bench) {
+			b.word(wire.Word{Revision: 1, Sum: "one", Pending: "two", PendingText: next})
+			b.nowMs += pendingMs - 2
+			b.m.leaveWordMs = b.nowMs
+		}, true, 1},
+		{"acknowledged and no word since", func(b *bench) {
+			b.word(wire.Word{Revision: 1, Sum: "one", Pending: "two", PendingText: next})
+			b.nowMs += pendingMs + 1
+			b.m.leaveWordMs = b.nowMs
+		}, false, 1},
+		{"accepted", func(b *bench) {
+			b.word(wire.Word{Revision: 1, Sum: "one", Pending: "two", PendingText: next})
+			b.word(wire.Word{Revision: 2, Sum: "two"})
+		}, true, 2},
+		{"another text was accepted", func(b *bench) {
+			b.word(wire.Word{Revision: 1, Sum: "one", Pending: "two", PendingText: next})
+			b.word(wire.Word{Revision: 2, Sum: "three"})
+		}, true, 1},
+		{"given up by the next primary", func(b *bench) {
+			b.word(wire.Word{Revision: 1, Sum: "one", Pending: "two", PendingText: next})
+			b.word(wire.Word{Epoch: 2, Revision: 1, Sum: "one"})
+			b.nowMs += pendingMs + 1
+			b.m.leaveWordMs = b.nowMs
+		}, true, 1},
+		{"an older word", func(b *bench) {
+			b.word(wire.Word{Revision: 2, Sum: "two", Text: next})
+			b.word(wire.Word{Revision: 1, Sum: "one"})
+		}, true, 2},
+		{"a lower epoch", func(b *bench) {
+			b.word(wire.Word{Epoch: 3, Revision: 1, Sum: "one"})
+			b.word(wire.Word{Epoch: 2, Revision: 2, Sum: "two", Text: next})
+		}, true, 1},
+		{"a runner knows a higher one", func(b *bench) { b.m.higher = 2 }, false, 1},
+		{"a word for the process before", func(b *bench) {
+			b.nowMs += wordHoldMs + 1
+			b.take(wire.Word{EchoMs: b.nowMs, For: "old", Epoch: 1, Revision: 1, Renew: true})
+		}, false, 1},
+	}
+	for _, test := range cases {
+		t.Run(test.about, func(t *testing.T) {
+			c := qt.New(t)
+			b := newBench(c)
+			b.ask("move", "", "")
+			b.index(moves, 1, "table-1")
+			test.do(b)
+			b.ask("move", "", "")
+			c.Assert(len(b.goes()) == 1, qt.Equals, test.goes)
+			c.Assert(b.m.revision, qt.Equals, test.number)
+		})
+	}
+}
+
+func TestLeaversAndFreezes(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c)
+	b.ask("move", "", "a")
+	b.index(moves, 1, "table-1")
+	to := b.out.Answers[0].Body.(Go)
+	c.Assert(b.m.MaySend(b.nowMs, to), qt.IsTrue)
+	c.Assert(b.m.MaySend(b.nowMs+leaveMs, to), qt.IsFalse, qt.Commentf("a frozen router wakes with an old word"))
+	b.word(wire.Word{Revision: 1, Sum: "one", Leaving: []wire.Mark{{Runner: "table-1", Incarnation: "table-1-1"}}})
+	b.ask("move", "", "b")
+	c.Assert(b.goes(), qt.HasLen, 0)
+	// Marks only grow: a later word without it changes nothing.
+	b.word(wire.Word{Revision: 1, Sum: "one"})
+	b.ask("move", "", "c")
+	c.Assert(b.goes(), qt.HasLen, 0)
+}
+
+func TestFinalAnswersComeAtOnce(t *testing.T) {
+	cases := []struct {
+		about string
+		do    func(b *bench)
+		kind  defect.Kind
+	}{
+		{"no description", func(b *bench) {
+			b.m = New(Settings{Site: "zagreb", Self: wire.Place{Name: "e", Incarnation: "i"}}, b.nowMs)
+			b.ask("move", "", "a")
+		}, defect.NoWord},
+		{"unknown service", func(b *bench) { b.ask("tea", "", "a") }, defect.UnknownService},
+		{"unknown model", func(b *bench) { b.ask("narration", "m", "a") }, defect.UnknownModel},
+		{"model of another service", func(b *bench) { b.ask("narration", "referee-1", "a") }, defect.ModelNotAllowed},
+		{"model where there is none", func(b *bench) { b.ask("move", "referee-1", "a") }, defect.ModelNotAllowed},
+		{"too large", func(b *bench) { b.step(Request{Id: 9, Service: "move", Bytes: 1 << 20}) }, defect.TooLarge},
+		{"stopping", func(b *bench) { b.step(Leave{}); b.ask("move", "", "a") }, defect.Stopping},
+		{"no answer of the index", func(b *bench) {
+			b.ask("move", "", "a")
+			b.nowMs += unansweredMs
+			b.m.leaveWordMs = b.nowMs
+			b.step(wire.Tick{})
+		}, defect.NoWord},
+		{"holding full", func(b *bench) {
+			for n := range 65 {
+				b.ask("narration", "narrator-1", fmt.Sprint(n))
+			}
+		}, defect.HoldingFull},
+	}
+	for _, test := range cases {
+		t.Run(test.about, func(t *testing.T) {
+			b := newBench(qt.New(t))
+			test.do(b)
+			qt.Assert(t, b.kind(), qt.Equals, test.kind)
+		})
+	}
+}
--- a/traffic/policy.go
+++ b/traffic/policy.go
@@ -147,6 +147,10 @@
 func (choicePolicy) Decide(m *Machine, r *request) verdict {
 	e := m.entry(r.key)
 	if e == nil {
+		// A runner has said no and the index knows no other: that is final.
+		if r.last != "" {
+			return drop(r.last, "no other runner is to be had")
+		}
 		return wait
 	}
 	// The description may have changed while the request waited.
--- a/wire/bodies.go
+++ b/wire/bodies.go
@@ -157,6 +157,10 @@
 	// Held is the sum of the next revision's text that the router
 	// acknowledges, or empty.
 	Held string
+	// Waiting lists keys that requests wait for here, so that a controller
+	// that died takes no one's wait with it. It is no look-up: it is sent at
+	// the same pace whatever the requests are.
+	Waiting []LookUp
 }
 
 // Word answers an Ask.
