--- a/daemon/door.go
+++ b/daemon/door.go
@@ -59,7 +59,11 @@
 			continue
 		}
 		crew.Side(func() {
-			server.ServeCodec(wire.NewServerCodec(stream))
+			codec := wire.NewServerCodec(stream)
+			server.ServeCodec(codec)
+			if codec.Fault != nil {
+				s.Count("malformed")
+			}
 			s.doorway.remove(stream)
 		})
 	}
--- /dev/null
+++ b/site/bad_test.go
@@ -0,0 +1,201 @@
+package site
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"myrtlewinch/crew"
+	"myrtlewinch/defect"
+	"myrtlewinch/stand"
+	"myrtlewinch/wire"
+)
+
+// TestBadInput hands bad input to real doors: each is named and has no effect.
+func TestBadInput(t *testing.T) {
+	c := qt.New(t)
+	f := up(c, "alexandria.json")
+	edge, core := f.Routers[0].Settings.Http, f.Controllers[0].Settings.Http
+	whole := string(f.options.Text)
+	cases := []struct {
+		about, method, address, path, base, body string
+		status                                   int
+		kind                                     defect.Kind
+		detail                                   string
+	}{
+		{"unknown service", "POST", edge, "/services/tea", "", `{}`, 404, defect.UnknownService, "tea"},
+		{"unknown model", "POST", edge, "/services/desk", "", `{"model":"m"}`, 404, defect.UnknownModel, "m"},
+		{"model of another service", "POST", edge, "/services/desk", "", `{"model":"specimen-1"}`, 422, defect.ModelNotAllowed, "specimen-1"},
+		{"unknown adapter", "POST", edge, "/services/desk", "", `{"model":"label-1","adapter":"a"}`, 404, defect.UnknownAdapter, "a"},
+		{"adapter of another model", "POST", edge, "/services/desk", "", `{"model":"label-1","adapter":"label-2-hand-1"}`, 422, defect.ModelNotAllowed, "label-2"},
+		{"bad JSON", "POST", edge, "/services/desk", "", `{`, 400, defect.BadRequest, ""},
+		{"unknown field", "POST", edge, "/services/desk", "", `{"colour":1}`, 400, defect.BadRequest, "colour"},
+		{"text after the end", "POST", edge, "/services/page", "", `{} x`, 400, defect.BadRequest, ""},
+		{"too large for the service", "POST", edge, "/services/page", "", `{"input":"` + strings.Repeat("x", 70_000) + `"}`, 413, defect.TooLarge, "65536"},
+		{"wrong method", "GET", edge, "/services/page", "", ``, 405, defect.WrongMethod, ""},
+		{"no such page", "GET", edge, "/tea", "", ``, 404, defect.UnknownPage, ""},
+		{"stale base", "PUT", core, "/description", "7", whole, 412, defect.StaleBase, ""},
+		{"no base", "PUT", core, "/description", "", whole, 428, defect.NoBase, "If-Match"},
+		{"odd base", "PUT", core, "/description", "x", whole, 400, defect.BadRequest, "x"},
+		{"faulty", "PUT", core, "/description", "1", strings.Replace(whole, `"size": 22`, `"size": 0, "colour": 1`, 1), 422, defect.FaultyDescription, ""},
+		{"faulty part", "PATCH", core, "/description", "1", `{"store":{"loadsPer10s":0}}`, 422, defect.FaultyDescription, ""},
+		{"too large", "PUT", core, "/description", "1", whole + strings.Repeat(" ", 1<<20), 413, defect.TooLarge, ""},
+		{"not the primary", "PUT", f.Controllers[1].Settings.Http, "/description", "1", whole, 421, defect.NotPrimary, ""},
+		{"founded already", "POST", core, "/found", "", `{"witnesses":["core-1","core-2","core-3"],"backup":"core-2"}`, 409, defect.AlreadyFounded, ""},
+		{"wrong method at the core", "DELETE", core, "/description", "", ``, 405, defect.WrongMethod, ""},
+	}
+	for _, test := range cases {
+		t.Run(test.about, func(t *testing.T) {
+			c := qt.New(t)
+			status, text, err := Ask(test.method, test.address, test.path, test.base, []byte(test.body))
+			c.Assert(err, qt.IsNil)
+			c.Assert(status, qt.Equals, test.status, qt.Commentf("%s", text))
+			var said defect.Answer
+			c.Assert(json.Unmarshal(text, &said), qt.IsNil)
+			c.Assert(said.Kind, qt.Equals, test.kind)
+			c.Assert(said.Detail, qt.Contains, test.detail)
+			c.Assert(said.Ran, qt.Equals, "no")
+		})
+	}
+	status, text, err := Ask(http.MethodGet, core, "/description", "", nil)
+	c.Assert(err, qt.IsNil)
+	c.Assert(status, qt.Equals, 200)
+	c.Assert(string(text), qt.Equals, whole, qt.Commentf("nothing that was refused took effect"))
+	// What is no message of this site is counted and has no effect.
+	stream, err := net.Dial("tcp", f.Controllers[0].Settings.Address)
+	c.Assert(err, qt.IsNil)
+	_, err = stream.Write([]byte("\xff\xff\xff\xff and more than fits"))
+	c.Assert(err, qt.IsNil)
+	_, err = io.ReadAll(stream)
+	c.Assert(err == nil || strings.Contains(err.Error(), "reset"), qt.IsTrue, qt.Commentf("an oversized frame ends the stream: %v", err))
+	for _, frame := range []string{"\xff\xff\xff\xff", "\x00\x00\x00\x04oops"} {
+		stream, err := net.Dial("tcp", f.Controllers[0].Settings.Address)
+		c.Assert(err, qt.IsNil)
+		_, err = io.WriteString(stream, frame)
+		c.Assert(err, qt.IsNil)
+		_, _ = io.ReadAll(stream)
+		_ = stream.Close()
+	}
+	c.Assert(f.until(patience, func() error {
+		var counts map[string]uint64
+		_, text, err := Ask(http.MethodGet, core, "/counters", "", nil)
+		if err == nil && json.Unmarshal(text, &counts) == nil && counts["malformed"] < 3 {
+			err = fmt.Errorf("malformed: %d", counts["malformed"])
+		}
+		return err
+	}), qt.IsNil)
+	c.Assert(f.Book.Breaches(), qt.HasLen, 0)
+}
+
+// strange is a runner that holds everything and answers as it is told to.
+type strange struct {
+	inner  http.Handler
+	answer func(w http.ResponseWriter, request string)
+}
+
+func (s *strange) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/run" || s.answer == nil {
+		s.inner.ServeHTTP(w, r)
+		return
+	}
+	var call struct {
+		Request string `json:"request"`
+	}
+	_ = json.NewDecoder(r.Body).Decode(&call)
+	s.answer(w, call.Request)
+}
+
+// TestStrangeRunners: whatever a runner sends, a sender gets the runner's own
+// whole answer to its own request, or a kind of defect, or a broken stream.
+func TestStrangeRunners(t *testing.T) {
+	c := qt.New(t)
+	f := up(c, "alexandria.json")
+	// One page runner remains, and it is strange.
+	odd := &strange{inner: f.Runners[9].Door}
+	at, err := listen()
+	c.Assert(err, qt.IsNil)
+	server := &http.Server{Handler: odd}
+	served := make(chan error, 1)
+	crew.Side(func() { served <- server.Serve(at) })
+	c.Cleanup(func() { _ = server.Close(); <-served })
+	odd.answer = func(w http.ResponseWriter, request string) {
+		fmt.Fprintf(w, `{"request":"another","incarnation":"first-scan-1","answer":"secret"}`)
+	}
+	for _, name := range []string{"scan-2", "scan-3"} {
+		f.Platform.Remove(name)
+	}
+	f.Platform.Put(wire.Listed{Name: "scan-1", Address: at.Addr().String(), Incarnation: "first-scan-1"})
+	ask := func() (int, string, error) {
+		status, text, err := Ask(http.MethodPost, f.Routers[0].Settings.Http, "/services/page", "", []byte(`{}`))
+		return status, string(text), err
+	}
+	// Wait until the table knows only the strange one.
+	c.Assert(f.until(patience, func() error {
+		status, text, err := ask()
+		if err == nil && status != 502 {
+			err = fmt.Errorf("%d %s", status, text)
+		}
+		return err
+	}), qt.IsNil)
+	cases := []struct {
+		about  string
+		answer func(w http.ResponseWriter, request string)
+		kind   defect.Kind
+	}{
+		{"for another request", odd.answer, defect.BrokenAnswer},
+		{"no JSON", func(w http.ResponseWriter, _ string) { fmt.Fprint(w, "<html>secret</html>") }, defect.BrokenAnswer},
+		{"of another incarnation", func(w http.ResponseWriter, request string) {
+			fmt.Fprintf(w, `{"request":%q,"incarnation":"x","answer":"secret"}`, request)
+		}, defect.BrokenAnswer},
+		{"too much", func(w http.ResponseWriter, request string) {
+			fmt.Fprintf(w, `{"request":%q,"incarnation":"first-scan-1","answer":"secret%s"}`, request, strings.Repeat("x", 9<<20))
+		}, defect.BrokenAnswer},
+		{"torn", func(w http.ResponseWriter, request string) {
+			w.Header().Set("Content-Length", "5000")
+			fmt.Fprintf(w, `{"request":%q,"incarnation":"first-scan-1","answer":"secret`, request)
+		}, defect.OutcomeUnknown},
+		{"an odd status", func(w http.ResponseWriter, _ string) { w.WriteHeader(500) }, defect.BrokenAnswer},
+		{"a redirect", func(w http.ResponseWriter, _ string) {
+			w.Header().Set("Location", "http://"+f.Runners[0].Address+"/run")
+			w.WriteHeader(307)
+		}, defect.BrokenAnswer},
+		{"a stream that breaks", func(http.ResponseWriter, string) { panic(http.ErrAbortHandler) }, defect.OutcomeUnknown},
+	}
+	for _, test := range cases {
+		odd.answer = test.answer
+		status, text, err := ask()
+		c.Assert(err, qt.IsNil)
+		c.Assert(status, qt.Equals, 502, qt.Commentf("%s: %s", test.about, text))
+		var said defect.Answer
+		c.Assert(json.Unmarshal([]byte(text), &said), qt.IsNil)
+		c.Assert(said.Kind, qt.Equals, test.kind, qt.Commentf(test.about))
+		c.Assert(said.Ran, qt.Equals, "unknown")
+		c.Assert(strings.Contains(text, "secret"), qt.IsFalse, qt.Commentf(test.about))
+	}
+}
+
+// TestTornTellings: a telling that breaks off never looks finished.
+func TestTornTellings(t *testing.T) {
+	c := qt.New(t)
+	f := up(c, "zagreb.json")
+	for _, r := range f.Runners {
+		r.Door.Torn = true
+	}
+	sender := stand.NewSender("s", f.RouterAddresses(), stand.MixOf(f.Description, 1, 1), f.Book, f.Clock.NowMs, 1)
+	for _, mix := range sender.Mix {
+		if !mix.Telling {
+			continue
+		}
+		mix.Models, mix.Adapters = mix.Models[:1], nil
+		for range 10 {
+			c.Assert(sender.One(mix), qt.Equals, "telling broke off")
+		}
+	}
+	c.Assert(f.Book.Breaches(), qt.HasLen, 0)
+}
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -23,6 +23,8 @@
 	stream io.ReadWriteCloser
 	mu     sync.Mutex
 	body   *gob.Decoder
+	// Fault is what ended the reading, if it was not the stream's own end.
+	Fault error
 }
 
 func (f *frames) write(header, body any) error {
@@ -52,6 +54,7 @@
 	}
 	length := binary.BigEndian.Uint32(size[:])
 	if length > FrameMost {
+		f.Fault = ErrFrame
 		return ErrFrame
 	}
 	frame := make([]byte, length)
@@ -59,14 +62,22 @@
 		return err
 	}
 	f.body = gob.NewDecoder(bytes.NewReader(frame))
-	return f.body.Decode(header)
+	if err := f.body.Decode(header); err != nil {
+		f.Fault = err
+		return err
+	}
+	return nil
 }
 
 func (f *frames) readBody(body any) error {
 	if body == nil {
 		return nil
 	}
-	return f.body.Decode(body)
+	err := f.body.Decode(body)
+	if err != nil {
+		f.Fault = err
+	}
+	return err
 }
 
 func (f *frames) Close() error { return f.stream.Close() }
