--- /dev/null
+++ b/defect/kind_test.go
@@ -0,0 +1,36 @@
+package defect
+
+import (
+	"fmt"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// The list is closed: every kind that is declared has its answer, and the
+// operators' page says the same as the table.
+func TestEveryKindIsAnsweredAndDocumented(t *testing.T) {
+	c := qt.New(t)
+	source, err := os.ReadFile("kind.go")
+	c.Assert(err, qt.IsNil)
+	page, err := os.ReadFile("../docs/operators.md")
+	c.Assert(err, qt.IsNil)
+	declared := regexp.MustCompile(`Kind = "([^"]+)"`).FindAllStringSubmatch(string(source), -1)
+	c.Assert(len(declared), qt.Equals, len(Table))
+	for _, match := range declared {
+		reply, ok := Table[Kind(match[1])]
+		c.Assert(ok, qt.IsTrue, qt.Commentf("%s has no answer", match[1]))
+		after, ran := "", "unknown"
+		if reply.RetryAfterSec > 0 {
+			after = fmt.Sprint(reply.RetryAfterSec)
+		}
+		if reply.Drop {
+			ran = "no"
+		}
+		line := strings.Join(strings.Fields(fmt.Sprintf("| %s | %d | %s | %s |", match[1], reply.Status, after, ran)), " ")
+		c.Assert(strings.Contains(string(page), line), qt.IsTrue, qt.Commentf("the page lacks %q", line))
+	}
+}
