Give each model its turn, clear room on one runner, keep simulated disks in order

Routers now name what waits in their constant question; a thing that lacks for 3 s gets its turn after the minimum stay; what must go is chosen runner by runner, adapters with their model. Ruled out: a longer stay (fewer loads, but starves again).

--- a/cmd/sim/main.go
+++ b/cmd/sim/main.go
@@ -51,6 +51,7 @@
 		} else if trace {
 			fmt.Println(r.World.Trace())
 			fmt.Println(r.World.Kinds())
+			fmt.Println("models asked for often and never answered:", r.World.Starved())
 		}
 	}
 	fmt.Printf("%d of %d seeds broke a rule\n", broken, seeds)
--- a/control/duty.go
+++ b/control/duty.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"math"
 	"slices"
 	"sort"
 	"strings"
@@ -17,6 +18,7 @@
 	darkMs       = 1500
 	orderMs      = 600
 	demandHalfMs = 10_000
+	waitedMs     = 1500
 )
 
 // duty is what only the primary does: it reads the platform and the runners,
@@ -44,17 +46,21 @@
 
 // want is the demand for an item: a count that halves with time.
 type want struct {
-	score   float64
-	atMs    int64
-	firstMs int64
+	score float64
+	atMs  int64
+	// waitedMs is when a router last said that a request waits for it.
+	waitedMs int64
+	// lackMs is since when it is wanted and nowhere held, or nought.
+	lackMs int64
+}
+
+// wanted says whether anyone asked lately or waits now.
+func (w *want) wanted(nowMs int64) bool {
+	return w.now(nowMs) >= 1 || w.waitedMs > 0 && nowMs-w.waitedMs < waitedMs
 }
 
 func (w *want) now(nowMs int64) float64 {
-	score := w.score
-	for ms := nowMs - w.atMs; ms >= demandHalfMs; ms -= demandHalfMs {
-		score /= 2
-	}
-	return score
+	return w.score * math.Exp2(-float64(nowMs-w.atMs)/demandHalfMs)
 }
 
 func newDuty() duty {
@@ -114,11 +120,26 @@
 func (d *duty) want(nowMs int64, item ledger.Item, count int64) {
 	w := d.wants[item]
 	if w == nil {
-		w = &want{firstMs: nowMs}
+		w = &want{}
 		d.wants[item] = w
 	}
 	w.score = w.now(nowMs) + float64(count)
 	w.atMs = nowMs
+	if count == 0 {
+		w.waitedMs = nowMs
+	}
+}
+
+// waited notes that requests wait for a key; it adds nothing to its count,
+// which was counted when they came.
+func (d *duty) waited(nowMs int64, model, adapter string) {
+	if model == "" {
+		return
+	}
+	d.want(nowMs, ledger.Item{Model: model}, 0)
+	if adapter != "" {
+		d.want(nowMs, ledger.Item{Model: model, Adapter: adapter}, 0)
+	}
 }
 
 func (m *Machine) tickDuty() {
--- a/control/index.go
+++ b/control/index.go
@@ -102,6 +102,10 @@
 		line := m.table.Look(key, m.described, m.state, m.softNow())
 		if len(line.Holders) > 0 {
 			m.send(to, wire.Index{Key: key.String(), At: m.state.Position, Holders: line.Holders})
+			continue
+		}
+		if service, ok := m.described.Service(ask.Service); ok && service.Allows(ask.Model) {
+			m.duty.waited(m.nowMs, ask.Model, ask.Adapter)
 		}
 	}
 }
--- a/control/place.go
+++ b/control/place.go
@@ -14,6 +14,9 @@
 	placeMs = 200
 	// stayMs is how long a loaded item stays at least, against thrash.
 	stayMs = 8_000
+	// turnMs is how long a thing that is asked for may lack before it gets its
+	// turn, whoever asks more for what is held.
+	turnMs = 3_000
 	// busyScore is the demand that earns a further copy.
 	busyScore = 200
 )
@@ -24,7 +27,7 @@
 	size   int64
 	copies int
 	score  float64
-	first  int64
+	lackMs int64
 	wanted int
 }
 
@@ -43,14 +46,14 @@
 }
 
 // needs lists what is wanted more often than it is held: one copy before two,
-// then who has asked most, then who has waited longest.
+// then what has been lacking longest once that is long, then who asks most.
 func (m *Machine) needs() []need {
 	var out []need
 	add := func(item ledger.Item, size, wanted int64) {
 		n := need{item: item, size: size, wanted: int(wanted)}
 		if w := m.duty.wants[item]; w != nil {
-			n.score, n.first = w.now(m.nowMs), w.firstMs
-			if n.score >= 1 {
+			n.score = w.now(m.nowMs)
+			if w.wanted(m.nowMs) {
 				n.wanted = max(n.wanted, 1)
 			}
 			if n.score >= busyScore {
@@ -58,6 +61,17 @@
 			}
 		}
 		n.copies = m.copiesOf(item)
+		if w := m.duty.wants[item]; w != nil {
+			switch {
+			case n.copies > 0 || n.wanted == 0:
+				w.lackMs = 0
+			case w.lackMs == 0:
+				w.lackMs = m.nowMs
+			}
+			if w.lackMs > 0 {
+				n.lackMs = m.nowMs - w.lackMs
+			}
+		}
 		if n.copies < n.wanted {
 			out = append(out, n)
 		}
@@ -77,10 +91,10 @@
 		if a.copies != b.copies {
 			return a.copies < b.copies
 		}
-		if a.score != b.score {
-			return a.score > b.score
+		if (a.lackMs >= turnMs || b.lackMs >= turnMs) && a.lackMs != b.lackMs {
+			return a.lackMs > b.lackMs
 		}
-		return a.first < b.first
+		return a.score > b.score
 	})
 	return out
 }
@@ -171,8 +185,8 @@
 			return true
 		}
 	}
-	// Room is made only when the load could follow, and only by dropping what
-	// is less used than what is needed.
+	// Room is made only when the load could follow, on the runner where least
+	// is lost by it.
 	if !m.duty.pace.ready(m.nowMs, pace) {
 		return true
 	}
@@ -183,12 +197,9 @@
 		if s.room < n.size {
 			continue
 		}
-		for _, name := range slices.Sorted(maps.Keys(s.row.Held)) {
-			item := parseItem(name)
-			score, ok := m.spare(s.row, item, n)
-			if ok && (victim == nil || score < lowest) {
-				victim, worst, lowest = s.row, item, score
-			}
+		first, cost, ok := m.clear(s, n)
+		if ok && (victim == nil || cost < lowest) {
+			victim, worst, lowest = s.row, first, cost
 		}
 	}
 	if victim == nil {
@@ -198,6 +209,63 @@
 	return true
 }
 
+// group is a model with its adapters on one runner; they go together.
+type group struct {
+	first ledger.Item
+	size  int64
+	score float64
+}
+
+// clear finds what would have to go on a runner for the need: the least used
+// first. It gives the first thing to unload, and what all of it is worth.
+func (m *Machine) clear(s spot, n need) (first ledger.Item, cost float64, ok bool) {
+	var groups []group
+	for _, name := range slices.Sorted(maps.Keys(s.row.Held)) {
+		item := parseItem(name)
+		if item.Adapter != "" {
+			// Only a need for an adapter may push single adapters out.
+			if score, may := m.spare(s.row, item, n); may && n.item.Adapter != "" {
+				groups = append(groups, group{item, s.row.Held[name].Size, score})
+			}
+			continue
+		}
+		if g, may := m.groupOf(s.row, item, n); may && item.Model != n.item.Model {
+			groups = append(groups, g)
+		}
+	}
+	sort.SliceStable(groups, func(i, j int) bool { return groups[i].score < groups[j].score })
+	free := s.free
+	for i, g := range groups {
+		if i == 0 {
+			first = g.first
+		}
+		free += g.size
+		cost += 1 + g.score
+		if free >= n.size {
+			return first, cost, true
+		}
+	}
+	return first, cost, false
+}
+
+// groupOf gathers a model with its adapters, if all of it may go.
+func (m *Machine) groupOf(row *ledger.Row, model ledger.Item, n need) (group, bool) {
+	score, may := m.spare(row, model, n)
+	g := group{model, row.Held[model.String()].Size, score}
+	for _, name := range slices.Sorted(maps.Keys(row.Held)) {
+		adapter := parseItem(name)
+		if adapter.Model != model.Model || adapter.Adapter == "" {
+			continue
+		}
+		_, adapterMay := m.spare(row, adapter, n)
+		may = may && adapterMay
+		g.size += row.Held[name].Size
+		// Adapters go before their model.
+		g.first = adapter
+	}
+	return g, may
+}
+
 // spare says whether an item may be dropped for the need, and its demand.
 func (m *Machine) spare(row *ledger.Row, item ledger.Item, n need) (float64, bool) {
 	since, known := m.duty.seen[row.Runner].since[item.String()]
@@ -210,31 +278,24 @@
 	}
 	wanted := 0
 	if item.Adapter == "" {
-		// A model goes only once its adapters have gone.
-		for name := range row.Held {
-			if held := parseItem(name); held.Model == item.Model && held.Adapter != "" {
-				return 0, false
-			}
-		}
 		if model, ok := m.described.Model(item.Model); ok {
 			wanted = int(model.Copies)
 		}
-		if n.item.Model == item.Model {
-			return 0, false
-		}
 	} else if adapter, ok := m.described.Adapter(item.Adapter); ok {
 		wanted = int(adapter.Copies)
 	}
 	copies := m.copiesOf(item)
-	// What operators want held stays; a last copy yields to a need that is
-	// asked for more, a further copy to any first one.
-	if copies <= wanted {
+	switch {
+	case copies <= wanted:
+		// What operators want held stays.
 		return 0, false
+	case n.copies > 0:
+		// A further copy is worth less than any other's last one.
+		return score, copies > 1 && score < n.score
+	case copies > 1:
+		return 0, true
 	}
-	if copies > 1 && n.copies == 0 {
-		return -1 + score/1e9, true
-	}
-	return score, score < n.score
+	return score, score < n.score || n.lackMs >= turnMs
 }
 
 func parseItem(name string) ledger.Item {
--- a/sim/outside.go
+++ b/sim/outside.go
@@ -133,6 +133,7 @@
 	id      uint64
 	name    string
 	service string
+	model   string
 	w       *World
 	n       *node
 	life    int
@@ -278,6 +279,9 @@
 	a.done = true
 	a.w.Book.Told(a.w.NowMs, a.service, a.name, kind, drop)
 	a.w.senders.ended(a.w, a.service, kind)
+	if kind == "answered" && a.model != "" {
+		a.w.senders.servedOf[a.model]++
+	}
 }
 
 func sortedIds(under map[uint64]*asked) []uint64 {
--- a/sim/people.go
+++ b/sim/people.go
@@ -23,10 +23,13 @@
 	lastOkMs   map[string]int64
 	worstGapMs map[string]int64
 	rare       bool
+	// askedFor and servedOf count by model.
+	askedFor, servedOf map[string]int
 }
 
 func (s *senders) init(w *World) {
 	s.kinds, s.rates = map[string]map[string]int{}, map[string]float64{}
+	s.askedFor, s.servedOf = map[string]int{}, map[string]int{}
 	s.lastOkMs, s.worstGapMs = map[string]int64{}, map[string]int64{}
 	for _, service := range w.Site.Services {
 		s.rates[service.Name] = 2
@@ -89,7 +92,10 @@
 	routers := w.names(wire.Router)
 	n := w.nodes[routers[w.Random.Intn(len(routers))]]
 	w.senders.count++
-	a := &asked{id: w.senders.count, name: fmt.Sprintf("q-%d", w.senders.count), service: name, w: w, n: n}
+	a := &asked{id: w.senders.count, name: fmt.Sprintf("q-%d", w.senders.count), service: name, model: model, w: w, n: n}
+	if model != "" {
+		w.senders.askedFor[model]++
+	}
 	w.pass("senders", n.name, func() {
 		if !n.up {
 			a.end("no stream", false)
@@ -112,6 +118,17 @@
 	}
 }
 
+// Starved counts the models that were asked for often and answered never.
+func (w *World) Starved() int {
+	starved := 0
+	for model, count := range w.senders.askedFor {
+		if count >= 5 && w.senders.servedOf[model] == 0 {
+			starved++
+		}
+	}
+	return starved
+}
+
 // Kinds gives the tally as text.
 func (w *World) Kinds() string {
 	var lines []string
--- a/sim/scenario.go
+++ b/sim/scenario.go
@@ -90,6 +90,10 @@
 // Scenarios are the first ones; each is played with many seeds.
 var Scenarios = map[string]Scenario{
 	"quiet": {"nothing fails", func(*World) {}, 10_000},
+	"rare models for two minutes": {"all models are asked for alike", func(w *World) {
+		w.senders.rare = true
+		w.Run(120_000)
+	}, 1000},
 	"primary killed while a description is being accepted": {
 		"the outcome is one of in force and not, and never both", func(w *World) {
 			p := w.Primary()
--- a/sim/world.go
+++ b/sim/world.go
@@ -129,7 +129,6 @@
 	incarnation   string
 	slowMs        int64
 	stalled, full bool
-	lastMs        int64
 	wipes         int
 	// pending was asked for and is not synced yet.
 	pending []wire.Save
@@ -411,37 +410,35 @@
 }
 
 func (w *World) saveTo(n *node, life int, save wire.Save) {
-	d := n.disk
-	if d.full {
-		w.after(1, func() { w.put(n, life, wire.Saved{Number: save.Number}) })
-		return
+	n.disk.pending = append(n.disk.pending, save)
+	if len(n.disk.pending) == 1 {
+		w.saveNext(n, life)
 	}
-	// One save after the other, as on the disk's own thread.
-	done := max(w.NowMs, d.lastMs) + 1 + w.Random.Int63n(4) + d.slowMs
-	d.lastMs = done
-	d.pending = append(d.pending, save)
-	w.at(done, func() { w.saved(n, life, save) })
 }
 
-func (w *World) saved(n *node, life int, save wire.Save) {
+// saveNext brings the first save that waits to the platter: one after the
+// other, as on the disk's own thread.
+func (w *World) saveNext(n *node, life int) {
 	d := n.disk
-	if d.stalled && n.life == life && n.up {
-		w.after(100, func() { w.saved(n, life, save) })
-		return
-	}
-	if n.life != life || !n.up {
-		return
-	}
-	if d.full {
+	w.after(1+w.Random.Int63n(4)+d.slowMs, func() {
+		// What a power cut left was settled when it happened.
+		if !n.up || n.life != life {
+			return
+		}
+		if d.stalled {
+			w.saveNext(n, life)
+			return
+		}
+		save := d.pending[0]
 		d.pending = d.pending[1:]
-		w.put(n, life, wire.Saved{Number: save.Number})
-		return
-	}
-	d.pending = d.pending[1:]
-	if !w.Breaks.UnsyncedDisk {
-		save.Write.Apply(d.keys)
-	}
-	w.put(n, life, wire.Saved{Number: save.Number, Ok: true})
+		if !d.full && !w.Breaks.UnsyncedDisk {
+			save.Write.Apply(d.keys)
+		}
+		if len(d.pending) > 0 {
+			w.saveNext(n, life)
+		}
+		w.put(n, life, wire.Saved{Number: save.Number, Ok: !d.full})
+	})
 }
 
 func (w *World) send(n *node, send wire.Send) {
