--- a/cmd/sim/main.go
+++ b/cmd/sim/main.go
@@ -25,6 +25,8 @@
 	flaggy.Int64(&seeds, "", "seeds", "how many seeds to play")
 	flaggy.Int(&count, "", "faults", "how many faults a campaign brings about")
 	flaggy.Bool(&trace, "", "trace", "print the trace also where no rule is broken")
+	measure := false
+	flaggy.Bool(&measure, "", "measure", "print the table of measurements instead, over the seeds")
 	program.Parse()
 	text, err := os.ReadFile(file)
 	if err != nil {
@@ -37,6 +39,10 @@
 	if seeds < 1 || count < 1 {
 		program.Misused("seeds, faults: must be above 0")
 	}
+	if measure {
+		fmt.Print("| what | middle | worst |\n| --- | --- | --- |\n" + sim.Measure(string(text), seeds))
+		return
+	}
 	broken := 0
 	for s := seed; s < seed+seeds; s++ {
 		var r sim.Result
--- a/rules/book.go
+++ b/rules/book.go
@@ -43,6 +43,7 @@
 	secondGoes int64
 	// Worst figures, for measurements.
 	LeaverWorstMs int64
+	OldWorstMs    int64
 	Ran           int
 }
 
@@ -126,6 +127,9 @@
 	}
 	b.revision[router] = max(b.revision[router], revision)
 	for number, acceptedMs := range b.accepted {
+		if revision < number {
+			b.OldWorstMs = max(b.OldWorstMs, atMs-acceptedMs)
+		}
 		if revision < number && atMs-acceptedMs > InForceMs {
 			b.breach("in force", atMs, "%s ran under revision %d, %d ms after %d was accepted", key, revision, atMs-acceptedMs, number)
 		}
--- /dev/null
+++ b/sim/measure.go
@@ -0,0 +1,247 @@
+package sim
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+
+	"myrtlewinch/control"
+	"myrtlewinch/traffic"
+	"myrtlewinch/wire"
+)
+
+// Measurement is one figure over several seeds, with the worst and the middle.
+type Measurement struct {
+	About string
+	Unit  string
+	Of    func(w *World) (float64, error)
+}
+
+// worst and middle of what the seeds gave.
+func spread(values []float64) (middle, worst float64) {
+	sort.Float64s(values)
+	return values[len(values)/2], values[len(values)-1]
+}
+
+func (w *World) small() string {
+	for _, s := range w.Site.Services {
+		if s.Repeatable {
+			return s.Name
+		}
+	}
+	return ""
+}
+
+// outage brings a loss about and gives the longest time without an answer of
+// the small service.
+func outage(loss func(w *World)) func(w *World) (float64, error) {
+	return func(w *World) (float64, error) {
+		w.Begin()
+		w.senders.worstGapMs[w.small()] = 0
+		loss(w)
+		w.Run(25_000)
+		return float64(w.WorstGapMs(w.small())), nil
+	}
+}
+
+// controlOutage gives the time until a controller speaks for the site again.
+func controlOutage(loss func(w *World)) func(w *World) (float64, error) {
+	return func(w *World) (float64, error) {
+		w.Begin()
+		loss(w)
+		from := w.NowMs
+		for w.Primary() == "" {
+			w.Run(10)
+			if w.NowMs-from > 60_000 {
+				return 0, fmt.Errorf("no controller spoke for the site within 60 s")
+			}
+		}
+		return float64(w.NowMs - from), nil
+	}
+}
+
+func loseAll(w *World) {
+	names := w.names("")
+	for _, name := range names {
+		w.Kill(name)
+	}
+	for _, name := range names {
+		w.Start(name)
+	}
+}
+
+func loseZone(w *World) {
+	zone := w.nodes[w.Primary()].zone
+	for _, name := range w.names("") {
+		if w.nodes[name].zone == zone {
+			w.Kill(name)
+		}
+	}
+	for _, r := range w.Site.Runners {
+		if r.Zone == zone {
+			w.CrashRunner(r.Name)
+		}
+	}
+}
+
+// lookUpsPerRequest counts over the routers from now on for a time.
+func (w *World) lookUpsPerRequest(ms int64) (float64, error) {
+	before := w.tallies()
+	sent := w.Net.LookUps
+	w.Run(ms)
+	after := w.tallies()
+	requests := after.Requests - before.Requests
+	if requests == 0 {
+		return 0, fmt.Errorf("no request was made")
+	}
+	return float64(w.Net.LookUps-sent) / float64(requests), nil
+}
+
+func (w *World) tallies() traffic.Tally {
+	var sum traffic.Tally
+	for _, name := range w.names(wire.Router) {
+		tally := w.nodes[name].machine.(*traffic.Machine).Tally
+		sum.Requests += tally.Requests
+		sum.LookUps += tally.LookUps
+		sum.Hits += tally.Hits
+	}
+	return sum
+}
+
+func messagesPerSec(busy bool) func(w *World) (float64, error) {
+	return func(w *World) (float64, error) {
+		w.Begin()
+		if !busy {
+			w.StopSending()
+			w.Run(5000)
+		}
+		before := w.Net.Messages
+		w.Run(10_000)
+		return float64(w.Net.Messages-before) / 10, nil
+	}
+}
+
+// Measurements lists what is measured.
+func Measurements() []Measurement {
+	return []Measurement{
+		{"small service without an answer, primary killed", "ms", outage(func(w *World) { w.Kill(w.Primary()) })},
+		{"small service without an answer, zone of the primary lost", "ms", outage(loseZone)},
+		{"small service without an answer, every daemon killed and started", "ms", outage(loseAll)},
+		{"no controller speaks, primary killed", "ms", controlOutage(func(w *World) { w.Kill(w.Primary()) })},
+		{"no controller speaks, primary stopped as planned", "ms", controlOutage(func(w *World) {
+			n := w.nodes[w.Primary()]
+			w.put(n, n.life, control.StepDown{})
+		})},
+		{"no controller speaks, every daemon killed and started", "ms", controlOutage(loseAll)},
+		{"last run under the old revision after acceptance, routers cut off", "ms", oldRevision},
+		{"last request to a leaver after the mark could be read", "ms", lastToLeaver},
+		{"second goes in the worst ten seconds, a part of first goes", "ratio", worstSeconds},
+		{"look-ups a request, warm", "ratio", func(w *World) (float64, error) {
+			w.Begin()
+			return w.lookUpsPerRequest(10_000)
+		}},
+		{"look-ups a request, all routers cold", "ratio", func(w *World) (float64, error) {
+			w.Begin()
+			for _, name := range w.names(wire.Router) {
+				w.Kill(name)
+				w.Start(name)
+			}
+			w.Run(2000)
+			return w.lookUpsPerRequest(10_000)
+		}},
+		{"look-ups a request, after recovery of everything", "ratio", func(w *World) (float64, error) {
+			w.Begin()
+			loseAll(w)
+			w.Run(6000)
+			return w.lookUpsPerRequest(10_000)
+		}},
+		{"messages between daemons a second, idle", "count", messagesPerSec(false)},
+		{"messages between daemons a second, busy", "count", messagesPerSec(true)},
+		{"first answer for a cold rare model", "ms", coldModel},
+	}
+}
+
+func oldRevision(w *World) (float64, error) {
+	w.Begin()
+	w.Crowd(w.small(), 400)
+	w.Cut(w.names(wire.Controller), w.names(wire.Router)[:2], false)
+	w.HandOver(w.Primary(), 1, w.Variant(1))
+	w.Run(15_000)
+	if w.operator.outcomes["accepted"] < 2 {
+		return 0, fmt.Errorf("the description was not accepted: %v", w.operator.outcomes)
+	}
+	return float64(w.Book.OldWorstMs), nil
+}
+
+func lastToLeaver(w *World) (float64, error) {
+	w.Begin()
+	for range 4 {
+		for _, s := range w.Site.Services {
+			w.Crowd(s.Name, 50)
+		}
+		w.MarkLeaving(w.someRunner())
+		w.Run(4000)
+	}
+	return float64(w.Book.LeaverWorstMs), nil
+}
+
+func worstSeconds(w *World) (float64, error) {
+	w.Begin()
+	for range 6 {
+		w.Crowd(w.small(), 100)
+		w.CrashRunner(w.Site.Runners[len(w.Site.Runners)-1].Name)
+		w.Run(1000)
+		w.StartRunner(w.Site.Runners[len(w.Site.Runners)-1].Name)
+		w.Run(1000)
+	}
+	seconds, firsts := w.Book.WorstSeconds(w.small())
+	if firsts == 0 {
+		return 0, fmt.Errorf("no go was made")
+	}
+	return float64(seconds) / float64(firsts), nil
+}
+
+func coldModel(w *World) (float64, error) {
+	w.Run(2000)
+	w.Found()
+	w.Run(2000)
+	w.HandOver(w.Primary(), 0, w.Text)
+	w.Run(8000)
+	from := w.NowMs
+	w.senders.rare = true
+	for w.Answered(w.Site.Services[1].Name) == 0 {
+		if w.NowMs == from {
+			w.ask(w.Site.Services[1].Name)
+		}
+		w.Run(5)
+		if w.NowMs-from > 60_000 {
+			return 0, fmt.Errorf("no answer within 60 s")
+		}
+	}
+	return float64(w.NowMs - from), nil
+}
+
+// Measure plays every measurement with some seeds and gives a table. What
+// could not be measured says so and gives no figure.
+func Measure(text string, seeds int64) string {
+	var out strings.Builder
+	for _, m := range Measurements() {
+		var values []float64
+		var failed error
+		for seed := int64(1); seed <= seeds; seed++ {
+			value, err := m.Of(New(text, seed))
+			if err != nil {
+				failed = fmt.Errorf("seed %d: %w", seed, err)
+				break
+			}
+			values = append(values, value)
+		}
+		if failed != nil {
+			fmt.Fprintf(&out, "| %s | not measured: %v | |\n", m.About, failed)
+			continue
+		}
+		middle, worst := spread(values)
+		fmt.Fprintf(&out, "| %s (%s) | %.4g | %.4g |\n", m.About, m.Unit, middle, worst)
+	}
+	return out.String()
+}
