Keep requests from a leaver under an entry of its incarnation before

Ruled out: late words and the platform's reading, both were fresh. Routers now also skip runners whose present incarnation is leaving by the latest word.

--- a/sim/scenario.go
+++ b/sim/scenario.go
@@ -167,6 +167,14 @@
 		w.CrashRunner("language-1")
 		w.StartRunner("language-1")
 	}, 15_000},
+	"runner replaced and marked leaving at once": {"old entries do not lead to the leaver", func(w *World) {
+		for _, name := range []string{"language-1", "language-2", "language-3"} {
+			w.CrashRunner(name)
+			w.StartRunner(name)
+			w.Run(300)
+			w.MarkLeaving(name)
+		}
+	}, 8000},
 	"leaving while the primary is dead and routers freeze": {"a router that wakes does not send to a leaver", func(w *World) {
 		w.Kill(w.Primary())
 		w.Run(500)
--- a/traffic/machine.go
+++ b/traffic/machine.go
@@ -75,7 +75,11 @@
 	reading     bool
 	readMs      int64
 	marks       map[wire.Mark]bool
-	leaving     bool
+	// leavers are the runners whose present incarnation is leaving by the
+	// latest word. A cached entry may still name the incarnation before, and
+	// a request to that would reach the leaver as well.
+	leavers map[string]bool
+	leaving bool
 
 	cache    map[choice.Key]*entry
 	requests map[uint64]*request
@@ -292,8 +296,10 @@
 }
 
 func (m *Machine) mark(leaving []wire.Mark) {
+	m.leavers = map[string]bool{}
 	for _, mark := range leaving {
 		m.marks[mark] = true
+		m.leavers[mark.Runner] = true
 	}
 }
 
@@ -302,11 +308,13 @@
 	if !in.Ok {
 		return
 	}
+	var leaving []wire.Mark
 	for _, l := range in.Runners {
 		if l.Leaving {
-			m.marks[wire.Mark{Runner: l.Name, Incarnation: l.Incarnation}] = true
+			leaving = append(leaving, wire.Mark{Runner: l.Name, Incarnation: l.Incarnation})
 		}
 	}
+	m.mark(leaving)
 	m.leaveWordMs = max(m.leaveWordMs, m.readMs)
 	m.wake()
 }
--- a/traffic/machine_test.go
+++ b/traffic/machine_test.go
@@ -331,6 +331,20 @@
 	c.Assert(b.goes(), qt.HasLen, 0)
 }
 
+// A stale entry names the incarnation before the one that is leaving; what is
+// sent to it would reach the leaver.
+func TestLeaverUnderAnOldEntry(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c)
+	b.ask("move", "", "a")
+	b.index(moves, 1, "table-1")
+	b.word(wire.Word{Revision: 1, Sum: "one", Leaving: []wire.Mark{{Runner: "table-1", Incarnation: "table-1-2"}}})
+	b.ask("move", "", "b")
+	c.Assert(b.goes(), qt.HasLen, 0)
+	b.word(wire.Word{Revision: 1, Sum: "one"})
+	c.Assert(b.goes(), qt.DeepEquals, []string{"table-1"}, qt.Commentf("it was replaced and is no leaver any more"))
+}
+
 func TestFinalAnswersComeAtOnce(t *testing.T) {
 	cases := []struct {
 		about string
--- a/traffic/policy.go
+++ b/traffic/policy.go
@@ -163,7 +163,7 @@
 	for i, h := range e.holders {
 		mark := wire.Mark{Runner: h.Runner, Incarnation: h.Incarnation}
 		runner, listed := m.described.Runner(h.Runner)
-		if !listed || !service.Uses(runner.Pool) || m.marks[mark] || r.tried[mark] {
+		if !listed || !service.Uses(runner.Pool) || m.marks[mark] || m.leavers[h.Runner] || r.tried[mark] {
 			continue
 		}
 		cost := 4 * (m.busy[h.Runner] + h.Burden)
