--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -12,7 +12,6 @@
 	"github.com/charmbracelet/log"
 	"github.com/integrii/flaggy"
 
-	"myrtlewinch/crew"
 	"myrtlewinch/description"
 	"myrtlewinch/program"
 	"myrtlewinch/site"
@@ -108,14 +107,6 @@
 		return 0, err
 	}
 	sender := stand.NewSender("s", fleet.RouterAddresses(), stand.MixOf(fleet.Description, small, other), fleet.Book, fleet.Clock.NowMs, 1)
-	var c crew.Crew
-	sender.Join(&c)
-	c.Signals(nil)
-	timeUp := make(chan struct{})
-	timer := time.AfterFunc(time.Duration(seconds)*time.Second, func() { close(timeUp) })
-	defer timer.Stop()
-	c.Until(timeUp)
-	_ = c.Run()
-	sender.Wait()
+	sender.For(time.Duration(seconds) * time.Second)
 	return fleet.Report(os.Stdout, sender)
 }
--- a/cmd/sender/main.go
+++ b/cmd/sender/main.go
@@ -10,7 +10,6 @@
 
 	"github.com/integrii/flaggy"
 
-	"myrtlewinch/crew"
 	"myrtlewinch/daemon"
 	"myrtlewinch/description"
 	"myrtlewinch/program"
@@ -46,15 +45,7 @@
 	}
 	book := rules.New(d.Store.LoadsPer10s, d.SecondGoes)
 	sender := stand.NewSender(fmt.Sprintf("sender-%d", os.Getpid()), program.List(routers), stand.MixOf(d, small, other), book, daemon.NewClock().NowMs, 1)
-	var c crew.Crew
-	sender.Join(&c)
-	c.Signals(nil)
-	timeUp := make(chan struct{})
-	timer := time.AfterFunc(time.Duration(seconds)*time.Second, func() { close(timeUp) })
-	defer timer.Stop()
-	c.Until(timeUp)
-	_ = c.Run()
-	sender.Wait()
+	sender.For(time.Duration(seconds) * time.Second)
 	for _, line := range sender.Lines() {
 		fmt.Println(line)
 	}
--- a/stand/sender.go
+++ b/stand/sender.go
@@ -106,18 +106,21 @@
 	}
 }
 
-// Stop ends the asking; Wait waits for what is under way.
-func (s *Sender) Stop() {
-	select {
-	case <-s.stop:
-	default:
-		close(s.stop)
-	}
+// For asks for a time, or until the process is told to stop, and waits until
+// every answer has come.
+func (s *Sender) For(length time.Duration) {
+	var c crew.Crew
+	s.Join(&c)
+	c.Signals(nil)
+	timeUp := make(chan struct{})
+	timer := time.AfterFunc(length, func() { close(timeUp) })
+	defer timer.Stop()
+	c.Until(timeUp)
+	_ = c.Run()
+	s.under.Wait()
+	s.inner.CloseIdleConnections()
 }
 
-// Wait waits until every answer has come.
-func (s *Sender) Wait() { s.under.Wait(); s.inner.CloseIdleConnections() }
-
 func (s *Sender) tally(service, kind string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
