--- a/cmd/operator/main.go
+++ b/cmd/operator/main.go
@@ -16,11 +16,14 @@
 	"myrtlewinch/defect"
 	"myrtlewinch/program"
 	"myrtlewinch/site"
+	"myrtlewinch/topology"
 )
 
 type command struct {
 	sub  *flaggy.Subcommand
 	work func()
+	// alone says that it asks no controller.
+	alone bool
 }
 
 var (
@@ -44,18 +47,22 @@
 		add("get", "print the description in force and, on standard error, its revision", get, nil),
 		add("history", "list the latest revisions", func() { show("/history") }, nil),
 		add("status", "show what each controller believes", status, nil),
+		add("topology", "print the machines of a GeoJSON file as a change for patch; needs no controller", drawn, func(s *flaggy.Subcommand) {
+			s.String(&file, "f", "file", "the GeoJSON file")
+		}),
 	}
+	commands[len(commands)-1].alone = true
 	program.Parse()
-	if len(program.List(controllers)) == 0 {
-		program.Misused("controllers: must be given")
-	}
 	for _, c := range commands {
 		if c.sub.Used {
+			if len(program.List(controllers)) == 0 && !c.alone {
+				program.Misused("controllers: must be given")
+			}
 			c.work()
 			return
 		}
 	}
-	program.Misused("a command must be given: found, put, patch, get, history or status")
+	program.Misused("a command must be given: found, put, patch, get, history, topology or status")
 }
 
 func add(name, about string, work func(), flags func(*flaggy.Subcommand)) command {
@@ -65,7 +72,7 @@
 		flags(sub)
 	}
 	flaggy.AttachSubcommand(sub, 1)
-	return command{sub, work}
+	return command{sub: sub, work: work}
 }
 
 func handing(s *flaggy.Subcommand) {
@@ -126,6 +133,22 @@
 	primary(method, "/description", text)
 }
 
+// drawn reads a map; a file that does not fit is refused whole.
+func drawn() {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		program.Misused("file: %v", err)
+	}
+	parts, faults := topology.Read(text)
+	if len(faults) > 0 {
+		for _, fault := range faults {
+			fmt.Fprintln(os.Stderr, "  "+fault)
+		}
+		program.Misused("file: %s does not fit", file)
+	}
+	fmt.Println(string(parts.Text()))
+}
+
 func get() {
 	primary(http.MethodGet, "/description", nil)
 	fmt.Println()
