Let routers go on by majority while the core is cut off from them

Cause: a router's hold on its revision came from the primary alone, so a core that was cut off stopped service after 6 s. Routers now renew each other's holds by majority, acknowledgements end that and tell what was given, and offers are named by tokens. Also new: rolling restart, swapped seeds, wiped core machines, large descriptions.

--- a/control/offer.go
+++ b/control/offer.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"fmt"
+
 	"myrtlewinch/defect"
 	"myrtlewinch/description"
 	"myrtlewinch/ledger"
@@ -12,6 +14,9 @@
 	// the question that the primary's word answered.
 	RouterHoldMs = 6000
 	lineMost     = 16
+	// giveUpMs is when a description that routers do not acknowledge is given
+	// up, so that its operator gets a final answer.
+	giveUpMs = 12_000
 )
 
 // offer is the taking of descriptions and the routers' holds on revisions.
@@ -19,6 +24,9 @@
 	// current is the revision that both disks of the pair hold; the state's
 	// own may be ahead of it by one that is not answered yet.
 	current ledger.Revision
+	// token names the offer that became current, as routers held it.
+	token   string
+	count   int
 	pending *candidate
 	line    []HandOver
 	holds   map[string]*routerHold
@@ -29,14 +37,19 @@
 	from   HandOver
 	number uint64
 	text   string
-	sum    string
-	given  bool
+	// token names this very offer: a text that is offered again is another
+	// offer, and an acknowledgement of the first says nothing of it.
+	token   string
+	sinceMs int64
+	given   bool
 }
 
 // routerHold is what a router was given and what it acknowledged.
 type routerHold struct {
 	untilMs int64
 	acked   string
+	// givenMs is until when renewals that the router gave to fellows may run.
+	givenMs int64
 }
 
 // Accepted answers a description that is in force.
@@ -100,7 +113,9 @@
 			return
 		}
 		o.line = o.line[1:]
-		o.pending = &candidate{from: in, number: o.current.Number + 1, text: string(text), sum: wire.Sum(string(text))}
+		o.pending = &candidate{from: in, number: o.current.Number + 1, text: string(text), sinceMs: m.nowMs}
+		o.count++
+		o.pending.token = fmt.Sprintf("%s-%d-%d", wire.Sum(string(text)), m.record.Epoch, o.count)
 		m.note("revision %d is offered to the routers", o.pending.number)
 		m.nudge()
 		m.tickOffer()
@@ -123,7 +138,18 @@
 		m.nextOffer()
 		return
 	}
-	if o.pending.given || !m.routersReady() {
+	if o.pending.given {
+		return
+	}
+	if !m.routersReady() {
+		// Nothing was written, so it can't come into force any more.
+		if m.nowMs-o.pending.sinceMs >= giveUpMs {
+			id := o.pending.from.Id
+			o.pending = nil
+			m.refuse(id, defect.NotTaken, "too few routers acknowledged it", nil)
+			m.nudge()
+			m.nextOffer()
+		}
 		return
 	}
 	o.pending.given = true
@@ -134,6 +160,7 @@
 			return
 		}
 		m.offer.current = ledger.Revision{Number: pending.number, Text: pending.text}
+		m.offer.token = pending.token
 		m.offer.pending = nil
 		m.note("revision %d is in force", pending.number)
 		m.answer(pending.from.Id, Accepted{Revision: pending.number})
@@ -143,14 +170,33 @@
 }
 
 // routersReady says whether every router that counts has acknowledged the
-// pending revision or can't use the present one any more.
+// pending revision or can't use the present one any more. Routers may renew
+// each other's holds by majority, so a majority must have acknowledged, which
+// ends that; and what those gave before must have run out.
 func (m *Machine) routersReady() bool {
-	for _, hold := range m.offer.holds {
-		if hold.acked != m.offer.pending.sum && m.nowMs < hold.untilMs {
-			return false
+	o := &m.offer
+	acked, givenMs := 0, int64(0)
+	for _, hold := range o.holds {
+		if hold.acked != o.pending.token {
+			if m.nowMs < hold.untilMs {
+				return false
+			}
+			continue
 		}
+		givenMs = max(givenMs, hold.givenMs)
+	}
+	if m.described == nil {
+		return true
+	}
+	for _, member := range m.described.Routers {
+		if hold := o.holds[member.Name]; hold != nil && hold.acked == o.pending.token {
+			acked++
+		}
+	}
+	if acked == len(m.described.Routers) {
+		return true
 	}
-	return true
+	return 2*acked > len(m.described.Routers) && m.nowMs >= givenMs
 }
 
 // endOffer ends what an ended primacy can't settle.
@@ -190,7 +236,7 @@
 	o := &m.offer
 	word := wire.Word{
 		EchoMs: ask.EchoMs, For: e.From.Incarnation, Epoch: m.record.Epoch,
-		Revision: o.current.Number, Sum: wire.Sum(o.current.Text),
+		Revision: o.current.Number, Sum: o.token,
 		Leaving: m.duty.marks(m.state), Fellows: m.roster.Places(),
 	}
 	if ask.Revision != o.current.Number && ask.Held != word.Sum {
@@ -203,16 +249,17 @@
 			o.holds[e.From.Name] = hold
 		}
 		hold.acked = ask.Held
+		hold.givenMs = m.nowMs + ask.GivenMs
 		// A router that has not acknowledged is given no more time on the
 		// present revision while a next one is pending.
-		if o.pending == nil || ask.Held == o.pending.sum {
+		if o.pending == nil || ask.Held == o.pending.token {
 			word.Renew = true
 			hold.untilMs = m.nowMs + RouterHoldMs
 		}
 	}
 	if o.pending != nil {
-		word.Pending = o.pending.sum
-		if ask.Held != o.pending.sum {
+		word.Pending = o.pending.token
+		if ask.Held != o.pending.token {
 			word.PendingText = o.pending.text
 		}
 	}
--- a/control/seat.go
+++ b/control/seat.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"slices"
 
 	"myrtlewinch/defect"
@@ -343,6 +344,7 @@
 		}
 		m.seat.established = true
 		m.offer.current = m.state.Revision
+		m.offer.token = fmt.Sprintf("%s-%d", wire.Sum(m.state.Revision.Text), m.record.Epoch)
 		m.nudge()
 		m.note("the pair is whole; epoch %d serves", m.record.Epoch)
 		if f := m.seat.founding; f != nil {
--- a/sim/broken_test.go
+++ b/sim/broken_test.go
@@ -129,3 +129,36 @@
 	}
 	qt.Assert(t, fired["in force"], qt.IsTrue, qt.Commentf("fired: %v", fired))
 }
+
+// fellows cuts some routers off while the others, which renewed their holds,
+// acknowledge a next revision. The runners' own guard is off.
+func fellows(w *World) {
+	for _, r := range w.runners {
+		r.stand.Careless = true
+	}
+	w.Cut(w.names(wire.Controller), w.names(wire.Router)[:2], false)
+	w.Run(4500)
+	w.HandOver(w.Primary(), 1, w.Variant(1))
+	for range 40 {
+		w.Run(250)
+		w.Crowd(w.small(), 20)
+	}
+}
+
+// Renewals that fellows gave are waited for; kept from the primary, the old
+// revision would be used too long.
+func TestBrokenFellows(t *testing.T) {
+	for _, site := range []string{"zagreb", "alexandria"} {
+		for _, kept := range []bool{false, true} {
+			w := New(example(t, site), 1)
+			w.Breaks.NoGiven = kept
+			r := w.Play(Scenario{"", fellows, 10_000})
+			fired := false
+			for _, breach := range r.Breaches {
+				fired = fired || breach.Rule == "in force"
+			}
+			qt.Assert(t, fired, qt.Equals, kept, qt.Commentf("%s: %v", site, r.Breaches))
+			qt.Assert(t, w.operator.outcomes["accepted"], qt.Equals, 2)
+		}
+	}
+}
--- a/sim/campaign.go
+++ b/sim/campaign.go
@@ -122,6 +122,17 @@
 		w.Cut(w.names(wire.Controller), w.names(wire.Router), w.Random.Intn(3) == 0)
 		w.after(w.soon(), w.Heal)
 	}},
+	{"cut some routers off from the core, with descriptions", func(w *World) {
+		names := w.names(wire.Router)
+		w.Random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+		cut := names[:1+w.Random.Intn(len(names))]
+		w.Cut(w.names(wire.Controller), cut, w.Random.Intn(3) == 0)
+		for range 3 {
+			w.after(w.Random.Int63n(8000), func() { w.handOverNext() })
+		}
+		w.after(w.Random.Int63n(8000), func() { w.Kill(names[0]); w.Start(names[0]) })
+		w.after(2*w.soon(), w.Heal)
+	}},
 	{"cut the platform off", func(w *World) {
 		w.Cut([]string{"platform"}, w.names(""), false)
 		w.after(w.soon(), w.Heal)
@@ -244,6 +255,12 @@
 // near its end. Then all is mended and the site must serve again in time.
 func Campaign(text string, seed int64, count int) Result {
 	w := New(text, seed)
+	// Half of the runs do without the runners' own guard of revisions, so that
+	// it does not hide what the routers do.
+	w.careless = seed%2 == 1
+	for _, r := range w.runners {
+		r.stand.Careless = w.careless
+	}
 	w.Begin()
 	for range count {
 		w.bringAbout()
--- a/sim/measure.go
+++ b/sim/measure.go
@@ -127,6 +127,11 @@
 		{"small service without an answer, primary killed", "ms", outage(func(w *World) { w.Kill(w.Primary()) })},
 		{"small service without an answer, zone of the primary lost", "ms", outage(loseZone)},
 		{"small service without an answer, every daemon killed and started", "ms", outage(loseAll)},
+		{"small service without an answer, core cut off from all routers for 40 s", "ms", outage(func(w *World) {
+			w.Cut(w.names(wire.Controller), w.names(wire.Router), false)
+			w.Run(40_000)
+			w.Heal()
+		})},
 		{"no controller speaks, primary killed", "ms", controlOutage(func(w *World) { w.Kill(w.Primary()) })},
 		{"no controller speaks, primary stopped as planned", "ms", controlOutage(func(w *World) {
 			n := w.nodes[w.Primary()]
--- a/sim/outside.go
+++ b/sim/outside.go
@@ -33,6 +33,7 @@
 		r.loadMs = 2000
 	}
 	r.stand = stand.NewRunner(name, fmt.Sprintf("%s-%d", name, r.life), r.room, r.loadMs, w.Book)
+	r.stand.Careless = w.careless
 	w.platform.Put(wire.Listed{Name: name, Address: "run:" + name, Incarnation: r.stand.Incarnation})
 	w.note("%s starts as %s", name, r.stand.Incarnation)
 }
--- a/sim/scenario.go
+++ b/sim/scenario.go
@@ -128,6 +128,24 @@
 		w.HandOver(p, 1, w.Variant(1))
 		w.Thaw(p)
 	}, 20_000},
+	"core cut off from routers for long": {"routers go on by a majority of themselves", func(w *World) {
+		w.Cut(w.names(wire.Controller), w.names(wire.Router), false)
+		w.HandOver(w.Primary(), 1, w.Variant(1))
+		w.Run(40_000)
+		w.Heal()
+	}, 15_000},
+	"some routers cut off while descriptions come": {"those cut off stop in time", func(w *World) {
+		names := w.names(wire.Router)
+		w.Cut(w.names(wire.Controller), names[:2], false)
+		w.Run(w.Random.Int63n(3000))
+		for range 3 {
+			w.handOverNext()
+			w.Run(w.Random.Int63n(9000))
+		}
+		w.Kill(names[len(names)-1])
+		w.Start(names[len(names)-1])
+		w.handOverNext()
+	}, 20_000},
 	"core cut in two": {"at most one side goes on", func(w *World) {
 		p := w.Primary()
 		w.Cut([]string{p}, w.others(p, "operator", "senders"), false)
@@ -199,6 +217,42 @@
 			w.Start(name)
 		}
 	}, 25_000},
+	"all seed machines swapped, then all lost": {"each comes back empty at a new address; routers' seeds lead nowhere", func(w *World) {
+		for _, name := range w.names(wire.Controller)[:3] {
+			w.Kill(name)
+			w.Wipe(name)
+			w.Move(name)
+			w.Run(2000)
+			w.Start(name)
+			w.Run(8000)
+		}
+		for _, name := range w.names("") {
+			w.Kill(name)
+		}
+		for _, name := range w.names("") {
+			w.Start(name)
+		}
+		w.checkBack()
+	}, 1000},
+	"core machines wiped one after the other": {"the description outlives every disk it was first on", func(w *World) {
+		w.HandOver(w.Primary(), 1, w.Variant(1))
+		w.Run(1000)
+		for range 2 {
+			for _, name := range w.names(wire.Controller) {
+				w.Kill(name)
+				w.Wipe(name)
+				w.Run(500)
+				w.Start(name)
+				w.Run(8000)
+			}
+		}
+	}, 5000},
+	"descriptions large and many": {"close to the bound in size, one after the other", func(w *World) {
+		for i := range 4 {
+			w.HandOver(w.Primary(), uint64(1+i), w.Text+strings.Repeat(" ", 1_000_000+i))
+			w.Run(1000)
+		}
+	}, 5000},
 	"operators race": {"of two descriptions with one base one wins", func(w *World) {
 		p := w.Primary()
 		w.HandOver(p, 1, w.Variant(1))
--- a/sim/sim_test.go
+++ b/sim/sim_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"myrtlewinch/defect"
 )
 
 func example(t testing.TB, name string) string {
@@ -57,3 +59,21 @@
 	qt.Assert(t, second.World.Kinds(), qt.Equals, first.World.Kinds())
 	qt.Assert(t, second.World.Net, qt.Equals, first.World.Net)
 }
+
+// A rolling restart loses no request: each is answered, or dropped so that it
+// may be sent again, or found the door closed before it was sent.
+func TestRollingRestart(t *testing.T) {
+	for _, site := range []string{"zagreb", "alexandria"} {
+		r := Play(example(t, site), 1, Scenario{"", (*World).RollingRestart, 5000})
+		if len(r.Breaches) > 0 {
+			t.Fatal(r.Report())
+		}
+		for service, kinds := range r.World.senders.kinds {
+			for kind, count := range kinds {
+				lost := kind != "answered" && kind != "no stream" && !defect.Kind(kind).Reply().Drop
+				qt.Assert(t, lost, qt.IsFalse, qt.Commentf("%s: %d of %s", service, count, kind))
+			}
+			qt.Assert(t, kinds["answered"] > 0, qt.IsTrue)
+		}
+	}
+}
--- /dev/null
+++ b/sim/stop.go
@@ -0,0 +1,34 @@
+package sim
+
+import (
+	"myrtlewinch/control"
+	"myrtlewinch/traffic"
+	"myrtlewinch/wire"
+)
+
+// Stop stops a daemon as planned: a primary steps down, a router lets what it
+// has taken end.
+func (w *World) Stop(name string) {
+	n := w.nodes[name]
+	w.note("%s is stopped as planned", name)
+	if n.part == wire.Controller {
+		w.put(n, n.life, control.StepDown{})
+		w.Run(300)
+	} else {
+		w.put(n, n.life, traffic.Leave{})
+		for end := w.NowMs + 10_000; len(n.under) > 0 && w.NowMs < end; {
+			w.Run(20)
+		}
+	}
+	w.Kill(name)
+}
+
+// RollingRestart stops and starts every daemon, one after the other.
+func (w *World) RollingRestart() {
+	for _, name := range w.names("") {
+		w.Stop(name)
+		w.Run(1000)
+		w.Start(name)
+		w.Run(3000)
+	}
+}
--- a/sim/world.go
+++ b/sim/world.go
@@ -76,6 +76,7 @@
 	Net                 NetTally
 	busy                map[string]bool
 	variants, moves     int
+	careless            bool
 	// lieAboutRoom is what runners report as their room, for a broken variant.
 	lieAboutRoom int64
 	faults       []string
@@ -94,6 +95,8 @@
 	ResendLost bool
 	// GapMs replaces the gap between two holders.
 	GapMs int64
+	// NoGiven makes routers keep from the primary what they gave to fellows.
+	NoGiven bool
 	// DropThenRun tells senders of a drop and sends the request all the same.
 	DropThenRun bool
 	// TellWrong makes routers end a torn telling as if it were whole.
@@ -454,6 +457,10 @@
 		w.Net.Lost++
 		return
 	}
+	if ask, isAsk := send.Body.(wire.Ask); isAsk && w.Breaks.NoGiven {
+		ask.GivenMs = 0
+		send.Body = ask
+	}
 	envelope := wire.Envelope{Site: w.Site.Site, From: w.place(n), To: send.To, Body: send.Body}
 	times := 1
 	if w.twicePart > 0 && w.Random.Float64() < w.twicePart {
--- a/stand/runner.go
+++ b/stand/runner.go
@@ -19,6 +19,9 @@
 	Room              int64
 	LoadMs            int64
 	Book              *rules.Book
+	// Careless makes it run under any revision, for showing that the system
+	// does not lean on the runners' guard alone.
+	Careless bool
 
 	epoch     uint64
 	lastOrder uint64
@@ -122,7 +125,7 @@
 	if call.Incarnation != r.Incarnation {
 		return drop(defect.OtherRunner)
 	}
-	if call.Revision < r.revision {
+	if call.Revision < r.revision && !r.Careless {
 		return drop(defect.StaleRevision)
 	}
 	r.revision = call.Revision
--- a/traffic/cache.go
+++ b/traffic/cache.go
@@ -19,7 +19,13 @@
 // runner in it.
 func (m *Machine) entry(key choice.Key) *entry {
 	e := m.cache[key]
-	if e == nil || m.nowMs-e.atMs > entryMs || len(e.holders) == 0 {
+	oldestMs := int64(entryMs)
+	// While no controller answers, an old entry is better than none: a runner
+	// that no longer holds the item says so without running it.
+	if m.cutSinceMs > 0 && m.nowMs-m.cutSinceMs > cutMs {
+		oldestMs = cutEntryMs
+	}
+	if e == nil || m.nowMs-e.atMs > oldestMs || len(e.holders) == 0 {
 		return nil
 	}
 	return e
@@ -28,6 +34,7 @@
 // indexed takes an answer of the index, or its word of a change.
 func (m *Machine) indexed(said wire.Index) {
 	delete(m.silent, said.Id)
+	m.cutSinceMs = 0
 	parts := strings.SplitN(said.Key, "/", 3)
 	if len(parts) != 3 || said.Behind {
 		return
@@ -88,6 +95,9 @@
 	for id, sentMs := range m.silent {
 		if m.nowMs-sentMs >= silentMs {
 			m.target++
+			if m.cutSinceMs == 0 {
+				m.cutSinceMs = sentMs
+			}
 			clear(m.silent)
 			return
 		}
--- a/traffic/machine.go
+++ b/traffic/machine.go
@@ -32,7 +32,11 @@
 	// entryMs is how old a cached entry may be and still be a hit.
 	entryMs   = 10_000
 	cacheMost = 4096
-	takenMost = 65_536
+	// cutMs is how long all controllers are silent before old entries serve,
+	// and cutEntryMs how old those may be.
+	cutMs      = 1000
+	cutEntryMs = 600_000
+	takenMost  = 65_536
 	// suspectMs keeps a runner that just failed from being the first choice.
 	suspectMs = 1000
 	silentMs  = 300
@@ -58,23 +62,27 @@
 	// The revision in force as far as this router knows.
 	revision uint64
 	// inUse is the revision for those at the socket, on other threads.
-	inUse       atomic.Uint64
-	described   *description.Description
-	revUntilMs  int64
-	heldSum     string
-	held        *description.Description
-	heldEchoMs  int64
-	higher      uint64
-	epoch       uint64
-	primary     string
-	echoMs      int64
-	servedMs    int64
-	askedMs     int64
-	leaveWordMs int64
-	platformMs  int64
-	reading     bool
-	readMs      int64
-	marks       map[wire.Mark]bool
+	inUse      atomic.Uint64
+	described  *description.Description
+	revUntilMs int64
+	heldSum    string
+	held       *description.Description
+	heldEchoMs int64
+	higher     uint64
+	// givenUntilMs is until when renewals given to fellows may run.
+	givenUntilMs int64
+	prolongMs    int64
+	prolonged    map[string]int64
+	epoch        uint64
+	primary      string
+	echoMs       int64
+	servedMs     int64
+	askedMs      int64
+	leaveWordMs  int64
+	platformMs   int64
+	reading      bool
+	readMs       int64
+	marks        map[wire.Mark]bool
 	// leavers are the runners whose present incarnation is leaving by the
 	// latest word. A cached entry may still name the incarnation before, and
 	// a request to that would reach the leaver as well.
@@ -93,7 +101,9 @@
 	target  int
 	asks    uint64
 	silent  map[uint64]int64
-	Tally   Tally
+	// cutSinceMs is since when no look-up has been answered, or nought.
+	cutSinceMs int64
+	Tally      Tally
 }
 
 // Tally counts what a router did.
@@ -107,6 +117,7 @@
 	return &Machine{
 		set: set, nowMs: nowMs, roster: watch.New(set.Self, set.Seeds, nil),
 		askedMs: nowMs - askMs, leaveWordMs: nowMs - leaveMs - 1, echoMs: nowMs - 1, revUntilMs: nowMs,
+		givenUntilMs: nowMs + wordHoldMs, prolonged: map[string]int64{},
 		marks: map[wire.Mark]bool{}, cache: map[choice.Key]*entry{}, requests: map[uint64]*request{},
 		holding: map[string]int{}, budgets: map[string]*budget{}, taken: newTakenIds(),
 		busy: map[string]int64{}, suspect: map[string]int64{}, silent: map[uint64]int64{},
@@ -136,7 +147,7 @@
 			m.forget(r)
 		}
 	case wire.Listing:
-		m.listed(in)
+		m.listing(in)
 	case Leave:
 		m.leaving = true
 		m.wake()
@@ -160,6 +171,7 @@
 		m.platformMs, m.readMs, m.reading = m.nowMs, m.nowMs, true
 		m.out.Calls = append(m.out.Calls, wire.Call{Address: m.set.Platform, Body: wire.PlatformCall{}})
 	}
+	m.prolong()
 	m.turnTarget()
 	m.wake()
 }
@@ -167,7 +179,7 @@
 func (m *Machine) ask() {
 	m.askedMs = m.nowMs
 	if place, ok := m.roster.Place(m.primary); ok && m.primary != "" {
-		m.send(place, wire.Ask{EchoMs: m.nowMs, Revision: m.revision, Held: m.heldSum, Waiting: m.waitingKeys()})
+		m.send(place, wire.Ask{EchoMs: m.nowMs, Revision: m.revision, Held: m.heldSum, GivenMs: max(0, m.givenUntilMs-m.nowMs), Waiting: m.waitingKeys()})
 	}
 }
 
@@ -216,6 +228,10 @@
 		m.ask()
 	case wire.Word:
 		m.word(e.From, body)
+	case wire.Prolong:
+		m.giveProlong(e.From, body)
+	case wire.Prolonged:
+		m.takeProlonged(e.From, body)
 	case wire.Index:
 		m.indexed(body)
 	default:
@@ -262,6 +278,7 @@
 		m.inUse.Store(w.Revision)
 		m.heldSum, m.held = "", nil
 		m.revUntilMs = m.nowMs
+		m.prolonged = map[string]int64{}
 		m.note("revision %d is in use", m.revision)
 		m.adaptBudgets()
 	}
@@ -303,7 +320,7 @@
 	}
 }
 
-func (m *Machine) listed(in wire.Listing) {
+func (m *Machine) listing(in wire.Listing) {
 	m.reading = false
 	if !in.Ok {
 		return
--- /dev/null
+++ b/traffic/prolong_test.go
@@ -0,0 +1,105 @@
+package traffic
+
+import (
+	"fmt"
+	"os"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"myrtlewinch/wire"
+)
+
+func edge(n int) wire.Place {
+	name := fmt.Sprintf("edge-%d", n)
+	return wire.Place{Name: name, Address: name, Part: wire.Router, Incarnation: name}
+}
+
+// granted says whether the last step renewed a fellow's hold.
+func (b *bench) granted() bool {
+	for _, send := range b.out.Sends {
+		if _, ok := send.Body.(wire.Prolonged); ok {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *bench) from(place wire.Place, body any) {
+	b.step(wire.Envelope{Site: "zagreb", From: place, Body: body})
+}
+
+func TestProlongByMajority(t *testing.T) {
+	cases := []struct {
+		about    string
+		fellows  []int
+		said     wire.Prolonged
+		prolongs bool
+	}{
+		{"four of nine with itself are five", []int{2, 3, 4, 5}, wire.Prolonged{For: "i", Revision: 1}, true},
+		{"three are too few", []int{2, 3, 4}, wire.Prolonged{For: "i", Revision: 1}, false},
+		{"one that answers twice is one", []int{2, 3, 4, 4}, wire.Prolonged{For: "i", Revision: 1}, false},
+		{"one that is not listed does not count", []int{2, 3, 4, 77}, wire.Prolonged{For: "i", Revision: 1}, false},
+		{"for the process before", []int{2, 3, 4, 5}, wire.Prolonged{For: "old", Revision: 1}, false},
+		{"of another revision", []int{2, 3, 4, 5}, wire.Prolonged{For: "i", Revision: 2}, false},
+	}
+	for _, test := range cases {
+		t.Run(test.about, func(t *testing.T) {
+			c := qt.New(t)
+			b := newBench(c)
+			b.nowMs += 3000
+			b.step(wire.Tick{})
+			before := b.m.revUntilMs
+			for _, n := range test.fellows {
+				said := test.said
+				said.EchoMs = b.nowMs
+				b.from(edge(n), said)
+			}
+			c.Assert(b.m.revUntilMs > before, qt.Equals, test.prolongs)
+			if test.prolongs {
+				c.Assert(b.m.revUntilMs, qt.Equals, b.nowMs+wordHoldMs)
+			}
+		})
+	}
+}
+
+func TestGivingProlongs(t *testing.T) {
+	text, err := os.ReadFile("../examples/zagreb.json")
+	qt.Assert(t, err, qt.IsNil)
+	next := string(text) + " "
+	cases := []struct {
+		about string
+		do    func(b *bench)
+		from  int
+		of    uint64
+		gives bool
+	}{
+		{"steady", func(*bench) {}, 2, 1, true},
+		{"to one that is not listed", func(*bench) {}, 77, 1, false},
+		{"of an older revision", func(b *bench) { b.word(wire.Word{Revision: 2, Sum: "two", Text: next}) }, 2, 1, false},
+		{"after it acknowledged a next one", func(b *bench) {
+			b.word(wire.Word{Revision: 1, Sum: "one", Pending: "two", PendingText: next})
+		}, 2, 1, false},
+		{"after that was given up", func(b *bench) {
+			b.word(wire.Word{Revision: 1, Sum: "one", Pending: "two", PendingText: next})
+			b.word(wire.Word{Revision: 1, Sum: "one"})
+		}, 2, 1, true},
+		{"a runner told of a higher one", func(b *bench) { b.m.higher = 2 }, 2, 1, false},
+	}
+	for _, test := range cases {
+		t.Run(test.about, func(t *testing.T) {
+			c := qt.New(t)
+			b := newBench(c)
+			b.nowMs += wordHoldMs
+			test.do(b)
+			b.m.givenUntilMs = 0
+			b.from(edge(test.from), wire.Prolong{EchoMs: 1, Revision: test.of})
+			c.Assert(b.granted(), qt.Equals, test.gives)
+			c.Assert(b.m.givenUntilMs > 0, qt.Equals, test.gives)
+		})
+	}
+	// What the process before may have given is not known, so a new one says
+	// that it gave for as long as that may run.
+	b := newBench(qt.New(t))
+	qt.Assert(t, b.m.givenUntilMs, qt.Equals, int64(10_000+wordHoldMs))
+}
--- a/wire/bodies.go
+++ b/wire/bodies.go
@@ -157,12 +157,29 @@
 	// Held is the sum of the next revision's text that the router
 	// acknowledges, or empty.
 	Held string
+	// GivenMs is for how long renewals that this router gave to fellows may
+	// still run.
+	GivenMs int64
 	// Waiting lists keys that requests wait for here, so that a controller
 	// that died takes no one's wait with it. It is no look-up: it is sent at
 	// the same pace whatever the requests are.
 	Waiting []LookUp
 }
 
+// Prolong asks a fellow router to renew the hold on a revision, while the
+// primary is silent.
+type Prolong struct {
+	EchoMs   int64
+	Revision uint64
+}
+
+// Prolonged grants it.
+type Prolonged struct {
+	EchoMs   int64
+	For      string
+	Revision uint64
+}
+
 // Word answers an Ask.
 type Word struct {
 	EchoMs int64
@@ -172,7 +189,7 @@
 	Epoch    uint64
 	Revision uint64
 	Sum      string
-	// Pending is the sum of a revision that is being taken, or empty.
+	// Pending names the offer of a revision that is being taken, or empty.
 	Pending string
 	// Renew says that this word prolongs the router's hold on Revision.
 	Renew bool
@@ -228,7 +245,7 @@
 func init() {
 	for _, body := range []any{
 		Heartbeat{}, Hello{}, Known{}, Sightings{}, Promise{}, Promised{}, Keep{}, Kept{}, Renew{},
-		Release{}, Yield{}, Opinion{}, Opined{}, Follow{}, Image{}, Followed{}, Ask{}, Word{}, Nudge{},
+		Release{}, Yield{}, Opinion{}, Opined{}, Follow{}, Image{}, Followed{}, Ask{}, Word{}, Nudge{}, Prolong{}, Prolonged{},
 		LookUp{}, Index{}, Demand{},
 	} {
 		gob.Register(body)
