--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -26,7 +26,7 @@
 	seconds, port := 15, 7100
 	small, other := 30.0, 4.0
 	var loadMs, workMs int64 = 2000, 40
-	quiet := false
+	quiet, measure := false, false
 	flaggy.String(&file, "d", "description", "the description of the site")
 	flaggy.String(&write, "w", "write", "write settings and run.sh into this folder and stop")
 	flaggy.Int(&port, "", "port", "with --write: the ports begin after this one")
@@ -35,6 +35,7 @@
 	flaggy.Float64(&other, "", "other", "requests a second to each other service")
 	flaggy.Int64(&loadMs, "", "loadMs", "how long a load takes at a runner")
 	flaggy.Int64(&workMs, "", "workMs", "how long an answer takes, or a piece of a telling")
+	flaggy.Bool(&measure, "", "measure", "no traffic: measure the way through a router against a direct call, and a total loss")
 	flaggy.Bool(&quiet, "q", "quiet", "no log of the daemons")
 	program.Parse()
 	if seconds <= 0 || small <= 0 || other <= 0 || loadMs < 0 || workMs < 0 {
@@ -51,7 +52,17 @@
 		writeSite(text, write, port)
 		return
 	}
-	run(text, seconds, small, other, loadMs, workMs, quiet)
+	if measure {
+		workMs = 0
+	}
+	run(text, loadMs, workMs, quiet, func(fleet *site.Fleet) (int, error) {
+		if measure {
+			return 0, fleet.Measure(os.Stdout)
+		}
+		sender := stand.NewSender("s", fleet.RouterAddresses(), stand.MixOf(fleet.Description, small, other), fleet.Book, fleet.Clock.NowMs, 1)
+		sender.For(time.Duration(seconds) * time.Second)
+		return fleet.Report(os.Stdout, sender)
+	})
 }
 
 func writeSite(text []byte, folder string, port int) {
@@ -70,7 +81,7 @@
 	fmt.Println("wrote", folder)
 }
 
-func run(text []byte, seconds int, small, other float64, loadMs, workMs int64, quiet bool) {
+func run(text []byte, loadMs, workMs int64, quiet bool, work func(*site.Fleet) (int, error)) {
 	data, clean, err := site.TempData()
 	if err != nil {
 		program.Failed("data: %v", err)
@@ -84,7 +95,10 @@
 	if err != nil {
 		program.Misused("%v", err)
 	}
-	broken, err := drive(fleet, text, seconds, small, other)
+	broken, err := 0, begin(fleet, text)
+	if err == nil {
+		broken, err = work(fleet)
+	}
 	fleet.Stop()
 	if err != nil {
 		clean()
@@ -96,17 +110,13 @@
 	}
 }
 
-func drive(fleet *site.Fleet, text []byte, seconds int, small, other float64) (int, error) {
+// begin founds the site, hands the description over and waits for the routers.
+func begin(fleet *site.Fleet, text []byte) error {
 	if err := fleet.Found(patience); err != nil {
-		return 0, err
+		return err
 	}
 	if err := fleet.HandOver("0", text, patience); err != nil {
-		return 0, err
-	}
-	if err := fleet.Ready(patience); err != nil {
-		return 0, err
+		return err
 	}
-	sender := stand.NewSender("s", fleet.RouterAddresses(), stand.MixOf(fleet.Description, small, other), fleet.Book, fleet.Clock.NowMs, 1)
-	sender.For(time.Duration(seconds) * time.Second)
-	return fleet.Report(os.Stdout, sender)
+	return fleet.Ready(patience)
 }
--- a/site/fleet.go
+++ b/site/fleet.go
@@ -294,6 +294,8 @@
 	}
 }
 
+var caller = http.Client{Timeout: 20 * time.Second}
+
 // Ask asks a daemon's page.
 func Ask(method, address, path, base string, body []byte) (int, []byte, error) {
 	request, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader(body))
@@ -303,7 +305,6 @@
 	if base != "" {
 		request.Header.Set("If-Match", fmt.Sprintf("%q", base))
 	}
-	caller := http.Client{Timeout: 20 * time.Second}
 	answer, err := caller.Do(request)
 	if err != nil {
 		return 0, nil, err
