Correct the ledger when a runner dropped something by itself; refuse messages for another daemon

Cause: a runner that lost a model without a new incarnation stayed in the choice tables until each router had met its 'not held' (listed in limits). A report that can't have crossed an order now replaces the row.

--- a/control/duty.go
+++ b/control/duty.go
@@ -42,6 +42,10 @@
 	report  wire.Report
 	// since says from when each item has been held, for the minimum stay.
 	since map[string]int64
+	// orders counts what was intended for it; quiet says that none was open
+	// when the last report was asked for, and askedOrders how many had been.
+	orders, askedOrders int
+	quiet               bool
 }
 
 // want is the demand for an item: a count that halves with time.
@@ -160,6 +164,8 @@
 		}
 		if m.nowMs-s.askedMs >= reportMs {
 			s.askedMs = m.nowMs
+			row := m.state.Rows[name]
+			s.quiet, s.askedOrders = row != nil && row.Intent == nil, s.orders
 			m.out.Calls = append(m.out.Calls, wire.Call{Address: listed.Address, Body: wire.ReportCall{Runner: name}})
 		}
 	}
@@ -237,6 +243,12 @@
 			s.since[item] = m.nowMs
 		}
 	}
+	// Only a report that can't have crossed an order speaks of all it holds.
+	if s.quiet && s.orders == s.askedOrders && row.Intent == nil && in.Report.LastState != wire.OrderUnderWay && !row.Agrees(in.Report) {
+		m.note("%s holds other things than the ledger says; the ledger is corrected", in.Runner)
+		m.submit(func(bool) {}, ledger.Correct{Report: in.Report})
+		return
+	}
 	// An unknown order is settled only by a report that names it.
 	if row.Intent != nil && in.Report.LastOrder == row.Intent.Number && in.Report.LastState != wire.OrderUnderWay {
 		done := in.Report.LastState == wire.OrderDone
--- a/control/place.go
+++ b/control/place.go
@@ -310,6 +310,7 @@
 // order writes the intent to the pair, and only then sends it.
 func (m *Machine) order(row *ledger.Row, action string, item ledger.Item, size int64) {
 	name := row.Runner
+	m.duty.seen[name].orders++
 	m.note("%s: %s %s", name, action, item)
 	m.submit(func(ok bool) {
 		if ok {
--- a/defect/kind.go
+++ b/defect/kind.go
@@ -46,6 +46,7 @@
 	LowerEpoch    Kind = "lower epoch"
 	OtherSite     Kind = "other site"
 	Malformed     Kind = "malformed"
+	OtherDaemon   Kind = "other daemon"
 	NotHeld       Kind = "not held"
 	StaleRevision Kind = "stale revision"
 	OtherRunner   Kind = "other incarnation"
@@ -94,6 +95,7 @@
 
 	LowerEpoch:    {http.StatusConflict, 0, true},
 	OtherSite:     {http.StatusConflict, 0, true},
+	OtherDaemon:   {http.StatusConflict, 0, true},
 	Malformed:     {http.StatusBadRequest, 0, true},
 	NotHeld:       {http.StatusConflict, 0, true},
 	StaleRevision: {http.StatusConflict, 0, true},
--- a/ledger/command.go
+++ b/ledger/command.go
@@ -47,6 +47,23 @@
 	s.dirty["row/"+row.Runner] = true
 }
 
+// Correct takes what a runner says that it holds, while no order is open, as
+// what it holds: it may have dropped something by itself.
+type Correct struct{ Report wire.Report }
+
+// Apply replaces what the row holds.
+func (c Correct) Apply(s *State) {
+	row := s.Rows[c.Report.Runner]
+	if row == nil || row.Incarnation != c.Report.Incarnation || row.Intent != nil {
+		return
+	}
+	row.Held = map[string]Holding{}
+	for _, h := range c.Report.Held {
+		row.Held[Item{h.Model, h.Adapter}.String()] = Holding{Size: h.Size}
+	}
+	s.dirty["row/"+row.Runner] = true
+}
+
 // MarkLeaving notes that an incarnation is leaving, for good.
 type MarkLeaving struct{ Mark wire.Mark }
 
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -78,6 +78,16 @@
 		Item{r.Intent.Model, r.Intent.Adapter} != item
 }
 
+// Agrees says whether the row holds just what the report says.
+func (r *Row) Agrees(report wire.Report) bool {
+	for _, h := range report.Held {
+		if r.Held[Item{h.Model, h.Adapter}.String()].Size != h.Size {
+			return false
+		}
+	}
+	return len(report.Held) == len(r.Held)
+}
+
 // Loading says whether an order to load the item is on its way.
 func (r *Row) Loading(item Item) bool {
 	return r.Intent != nil && r.Intent.Action == wire.Load && Item{r.Intent.Model, r.Intent.Adapter} == item
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -33,6 +33,8 @@
 		{"unloading still takes room", []Command{arrive("1", wire.Held{Model: "a", Size: 60}), intend(wire.Unload, "a", 60)}, 60, 1, true},
 		{"unloaded", []Command{arrive("1", wire.Held{Model: "a", Size: 60}), intend(wire.Unload, "a", 60), Settle{"r", "1", 1, true}}, 0, 0, false},
 		{"a new incarnation begins empty", []Command{arrive("1"), intend(wire.Load, "m", 60), arrive("2")}, 0, 0, false},
+		{"a runner that dropped something by itself", []Command{arrive("1", wire.Held{Model: "a", Size: 60}), Correct{wire.Report{Runner: "r", Incarnation: "1"}}}, 0, 0, false},
+		{"no correction while an order is open", []Command{arrive("1", wire.Held{Model: "a", Size: 60}), intend(wire.Unload, "a", 60), Correct{wire.Report{Runner: "r", Incarnation: "1"}}}, 60, 1, true},
 		{"an order for the one before has no effect", []Command{arrive("2"), intend(wire.Load, "m", 60)}, 0, 0, false},
 	}
 	for _, test := range cases {
--- a/sim/scenario.go
+++ b/sim/scenario.go
@@ -253,6 +253,12 @@
 			w.Run(1000)
 		}
 	}, 5000},
+	"runners forget what they hold": {"the ledger follows what they report", func(w *World) {
+		for range 5 {
+			w.runners[w.someRunner()].stand.Forget()
+			w.Run(3000)
+		}
+	}, 10_000},
 	"operators race": {"of two descriptions with one base one wins", func(w *World) {
 		p := w.Primary()
 		w.HandOver(p, 1, w.Variant(1))
--- a/stand/runner.go
+++ b/stand/runner.go
@@ -148,5 +148,8 @@
 	return nil
 }
 
+// Forget drops everything that is held, without a new incarnation.
+func (r *Runner) Forget() { r.held = map[string]wire.Held{} }
+
 // Done ends a request that Run started.
 func (r *Runner) Done() { r.running-- }
--- a/traffic/machine.go
+++ b/traffic/machine.go
@@ -204,6 +204,11 @@
 		m.count(defect.OtherSite)
 		return
 	}
+	// An address may have passed to another daemon.
+	if e.To != "" && e.To != m.set.Self.Name {
+		m.count(defect.OtherDaemon)
+		return
+	}
 	m.roster.Heard(m.nowMs, e.From)
 	switch body := e.Body.(type) {
 	case wire.Heartbeat:
