--- a/sim/scenario.go
+++ b/sim/scenario.go
@@ -255,7 +255,9 @@
 	}, 5000},
 	"runners forget what they hold": {"the ledger follows what they report", func(w *World) {
 		for range 5 {
-			w.runners[w.someRunner()].stand.Forget()
+			name := w.someRunner()
+			w.note("%s forgets %d things", name, len(w.runners[name].stand.Report(w.NowMs).Held))
+			w.runners[name].stand.Forget()
 			w.Run(3000)
 		}
 	}, 10_000},
