Ask the next controller where a waiting request's look-up is left unanswered

Cause: a miss whose look-up went to a frozen or dead controller was dropped after 1.5 s, though others could answer. Ruled out: a longer wait.

--- a/sim/measure.go
+++ b/sim/measure.go
@@ -108,16 +108,20 @@
 	return sum
 }
 
-func messagesPerSec(busy bool) func(w *World) (float64, error) {
+func trafficPerSec(busy, bytes bool) func(w *World) (float64, error) {
 	return func(w *World) (float64, error) {
 		w.Begin()
+		w.weigh = bytes
 		if !busy {
 			w.StopSending()
 			w.Run(5000)
 		}
-		before := w.Net.Messages
+		before := w.Net
 		w.Run(10_000)
-		return float64(w.Net.Messages-before) / 10, nil
+		if bytes {
+			return float64(w.Net.Bytes-before.Bytes) / 10_000, nil
+		}
+		return float64(w.Net.Messages-before.Messages) / 10, nil
 	}
 }
 
@@ -160,8 +164,10 @@
 			w.Run(6000)
 			return w.lookUpsPerRequest(10_000)
 		}},
-		{"messages between daemons a second, idle", "count", messagesPerSec(false)},
-		{"messages between daemons a second, busy", "count", messagesPerSec(true)},
+		{"messages between daemons a second, idle", "count", trafficPerSec(false, false)},
+		{"messages between daemons a second, busy", "count", trafficPerSec(true, false)},
+		{"bytes between daemons a second, idle, each message sent alone", "thousands", trafficPerSec(false, true)},
+		{"bytes between daemons a second, busy, each message sent alone", "thousands", trafficPerSec(true, true)},
 		{"first answer for a cold rare model", "ms", coldModel},
 	}
 }
--- a/sim/world.go
+++ b/sim/world.go
@@ -4,7 +4,9 @@
 package sim
 
 import (
+	"bytes"
 	"container/heap"
+	"encoding/gob"
 	"fmt"
 	"math/rand"
 	"sort"
@@ -77,6 +79,8 @@
 	busy                map[string]bool
 	variants, moves     int
 	careless            bool
+	// weigh counts the bytes of messages, which costs time.
+	weigh bool
 	// lieAboutRoom is what runners report as their room, for a broken variant.
 	lieAboutRoom int64
 	faults       []string
@@ -106,7 +110,7 @@
 }
 
 // NetTally counts the control traffic.
-type NetTally struct{ Messages, Lost, LookUps uint64 }
+type NetTally struct{ Messages, Lost, LookUps, Bytes uint64 }
 
 // node is one daemon.
 type node struct {
@@ -462,6 +466,9 @@
 		send.Body = ask
 	}
 	envelope := wire.Envelope{Site: w.Site.Site, From: w.place(n), To: send.To, Body: send.Body}
+	if w.weigh {
+		w.Net.Bytes += weight(envelope)
+	}
 	times := 1
 	if w.twicePart > 0 && w.Random.Float64() < w.twicePart {
 		times = 2
@@ -475,6 +482,15 @@
 	}
 }
 
+// weight is the size of a message as it is sent alone between daemons.
+func weight(e wire.Envelope) uint64 {
+	var text bytes.Buffer
+	if gob.NewEncoder(&text).Encode([]wire.Envelope{e}) != nil {
+		return 0
+	}
+	return uint64(text.Len())
+}
+
 func (w *World) place(n *node) wire.Place {
 	incarnation := fmt.Sprintf("%s-life-%d", n.name, n.life)
 	if n.part == wire.Controller {
--- a/traffic/cache.go
+++ b/traffic/cache.go
@@ -89,6 +89,28 @@
 	}
 }
 
+// lookUpAgain sends the look-ups of waiting requests to the next controller,
+// since the one before left them unanswered. It is the only case in which a
+// request sends more than one, and not oftener than the target turns.
+func (m *Machine) lookUpAgain() {
+	for _, id := range m.order {
+		r := m.requests[id]
+		if r == nil || r.away || r.answered || r.lookUp == 0 || m.entry(r.key) != nil {
+			continue
+		}
+		m.Tally.LookUpsAgain++
+		m.sendLookUp(r)
+	}
+}
+
+func (m *Machine) sendLookUp(r *request) {
+	if controllers := m.roster.Part(wire.Controller); len(controllers) > 0 {
+		to := controllers[m.target%len(controllers)]
+		m.silent[r.lookUp] = m.nowMs
+		m.send(to, wire.LookUp{Id: r.lookUp, Service: r.Service, Model: r.Model, Adapter: r.Adapter})
+	}
+}
+
 // turnTarget sends look-ups to another controller once one leaves them
 // unanswered.
 func (m *Machine) turnTarget() {
@@ -99,6 +121,7 @@
 				m.cutSinceMs = sentMs
 			}
 			clear(m.silent)
+			m.lookUpAgain()
 			return
 		}
 		_ = id
--- a/traffic/machine.go
+++ b/traffic/machine.go
@@ -108,8 +108,8 @@
 
 // Tally counts what a router did.
 type Tally struct {
-	Requests, LookUps, Hits, Misses, MissesHeld, Goes, SecondGoes uint64
-	Drops                                                         map[defect.Kind]uint64
+	Requests, LookUps, LookUpsAgain, Hits, Misses, MissesHeld, Goes, SecondGoes uint64
+	Drops                                                                       map[defect.Kind]uint64
 }
 
 // New makes a router that knows nothing but its seeds.
--- a/traffic/machine_test.go
+++ b/traffic/machine_test.go
@@ -142,6 +142,16 @@
 	b.nowMs += silentMs
 	b.step(wire.Tick{})
 	c.Assert(b.m.target, qt.Equals, before+1)
+	// A request that waits for a look-up that died asks the next controller.
+	b.ask("narration", "narrator-1", "c")
+	c.Assert(b.lookUps(), qt.Equals, 1)
+	b.nowMs += silentMs
+	b.step(wire.Tick{})
+	c.Assert(b.lookUps(), qt.Equals, 1)
+	b.index("narration/narrator-1/", 1)
+	b.nowMs += silentMs
+	b.step(wire.Tick{})
+	c.Assert(b.lookUps(), qt.Equals, 0, qt.Commentf("an answered one does not"))
 }
 
 func TestOutcomes(t *testing.T) {
--- a/traffic/policy.go
+++ b/traffic/policy.go
@@ -97,11 +97,7 @@
 		r.missed = true
 		m.Tally.Misses++
 	}
-	if controllers := m.roster.Part(wire.Controller); len(controllers) > 0 {
-		to := controllers[m.target%len(controllers)]
-		m.silent[r.lookUp] = m.nowMs
-		m.send(to, wire.LookUp{Id: r.lookUp, Service: r.Service, Model: r.Model, Adapter: r.Adapter})
-	}
+	m.sendLookUp(r)
 	return next
 }
 
