Look for refused descriptions, late messages, repeats and lost pairs in campaigns

No checker saw a refused text take effect; only the small service had to be back after a loss; second goes were counted where they arrived, not where they were written; the network was never late; senders never came back, never sent twice, never went away.

Now each handed over text has a service of its own that every router is asked for all the time; what was refused must never serve, a number stands for one text for good, and what once served must stay in the history. New faults: the pair or any two core daemons killed, all killed in the middle of a change, messages up to 5 s late, all routers frozen, runners replaced in turn, a zone's runners taken away. A sender that goes away in a go no longer leaves its runner counted as busy.

Ruled out as faults of the system: an id sent by its sender through two routers at once runs twice (documented); a sender's own repeat counted as a second go.

--- a/rules/book.go
+++ b/rules/book.go
@@ -32,6 +32,9 @@
 	breaches []Breach
 	ran      map[string]*run
 	told     map[string]ending
+	sendings map[string]*sending
+	marks    map[string]*Mark
+	texts    map[uint64]string
 	learned  map[string]int64
 	accepted map[uint64]int64
 	revision map[string]uint64
@@ -45,6 +48,9 @@
 	LeaverWorstMs int64
 	OldWorstMs    int64
 	Ran           int
+	// written are the goes that routers wrote, arrived or not.
+	written map[string][]goSeen
+	wrote   map[string]bool
 }
 
 type run struct {
@@ -53,6 +59,23 @@
 	atMs       int64
 }
 
+// sending counts the times a sender sent one id; it was told that the id is
+// dropped only once it was told so of each.
+type sending struct {
+	open  int
+	other bool
+}
+
+// Mark is what a description that was handed over can be told by: a service
+// that no other description has.
+type Mark struct {
+	// Ended is what its operator was told: "accepted", "no effect" or nothing.
+	Ended string
+	// Revision is the number under which it was seen in effect, or nought.
+	Revision uint64
+	SeenMs   int64
+}
+
 type ending struct {
 	kind string
 	drop bool
@@ -76,6 +99,8 @@
 	return &Book{
 		ran: map[string]*run{}, told: map[string]ending{}, learned: map[string]int64{}, accepted: map[uint64]int64{},
 		revision: map[string]uint64{}, goes: map[string][]goSeen{}, pace: loadsPer10s, secondGoes: secondGoes,
+		sendings: map[string]*sending{}, marks: map[string]*Mark{}, texts: map[uint64]string{},
+		written: map[string][]goSeen{}, wrote: map[string]bool{},
 	}
 }
 
@@ -99,9 +124,12 @@
 }
 
 // Sent notes that a router wrote a request to a runner's stream.
-func (b *Book) Sent(atMs int64, router string, revision uint64) {
+func (b *Book) Sent(atMs int64, router, service, id string, revision uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	key := service + "/" + id
+	b.written[service] = append(b.written[service], goSeen{atMs, b.wrote[key]})
+	b.wrote[key] = true
 	if revision < b.revision[router] {
 		b.breach("slip back", atMs, "%s sent under revision %d after a runner saw %d from it", router, revision, b.revision[router])
 	}
@@ -126,6 +154,7 @@
 		b.breach("drop ran", atMs, "%s ran on %s after it was dropped as %q", key, runner, end.kind)
 	}
 	b.revision[router] = max(b.revision[router], revision)
+	b.markRan(atMs, service, router, revision)
 	for number, acceptedMs := range b.accepted {
 		if revision < number {
 			b.OldWorstMs = max(b.OldWorstMs, atMs-acceptedMs)
@@ -136,11 +165,34 @@
 	}
 }
 
+// Asked notes that a sender sent an id; it may send one several times.
+func (b *Book) Asked(service, id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	key := service + "/" + id
+	if b.sendings[key] == nil {
+		b.sendings[key] = &sending{}
+	}
+	// What follows from a sender's own repeat is a first go again.
+	delete(b.ran, "go/"+key)
+	delete(b.wrote, key)
+	b.sendings[key].open++
+	// Who asks again after a drop wants it to run.
+	delete(b.told, key)
+}
+
 // Told notes how a request ended for its sender.
 func (b *Book) Told(atMs int64, service, id, kind string, drop bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	key := service + "/" + id
+	if s := b.sendings[key]; s != nil {
+		s.open--
+		s.other = s.other || !drop
+		if drop && (s.open > 0 || s.other) {
+			return
+		}
+	}
 	b.told[key] = ending{kind, drop, atMs}
 	if r := b.ran[key]; drop && r != nil && r.count > 0 {
 		b.breach("drop ran", atMs, "%s was dropped as %q and had run", key, kind)
@@ -230,9 +282,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	out := append([]Breach{}, b.breaches...)
-	for service := range b.goes {
-		if at, seconds, firsts, broken := b.worstSeconds(service); broken {
-			out = append(out, Breach{"second goes", at, fmt.Sprintf("%s: %d second goes and %d first within 10 s", service, seconds, firsts)})
+	for _, seen := range []map[string][]goSeen{b.goes, b.written} {
+		for service := range seen {
+			if at, seconds, firsts, broken := b.worstSeconds(seen[service]); broken {
+				out = append(out, Breach{"second goes", at, fmt.Sprintf("%s: %d second goes and %d first within 10 s", service, seconds, firsts)})
+			}
 		}
 	}
 	sort.SliceStable(out, func(i, j int) bool { return out[i].AtMs < out[j].AtMs })
@@ -240,8 +294,7 @@
 }
 
 // worstSeconds slides ten seconds over the goes of a service.
-func (b *Book) worstSeconds(service string) (atMs int64, seconds, firsts int, broken bool) {
-	goes := b.goes[service]
+func (b *Book) worstSeconds(goes []goSeen) (atMs int64, seconds, firsts int, broken bool) {
 	sort.SliceStable(goes, func(i, j int) bool { return goes[i].atMs < goes[j].atMs })
 	from, s, f := 0, 0, 0
 	for _, g := range goes {
@@ -272,7 +325,7 @@
 func (b *Book) WorstSeconds(service string) (seconds, firsts int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	_, seconds, firsts, _ = b.worstSeconds(service)
+	_, seconds, firsts, _ = b.worstSeconds(b.goes[service])
 	return seconds, firsts
 }
 
--- a/rules/book_test.go
+++ b/rules/book_test.go
@@ -42,9 +42,56 @@
 		{"old revision too late", func(b *Book) { b.Accepted(0, 2); b.Started(2001, "s", "q", "r", false, "e", 1) }, "in force"},
 		{"slip back", func(b *Book) {
 			b.Started(1, "s", "p", "r", false, "e", 2)
-			b.Sent(2, "e", 1)
+			b.Sent(2, "e", "s", "p", 1)
 		}, "slip back"},
 		{"accepted twice", func(b *Book) { b.Accepted(0, 2); b.Accepted(1, 2) }, "two accepted"},
+		{"refused and never seen", func(b *Book) { b.Handed("m"); b.NoEffect(1, "m") }, ""},
+		{"refused and seen later", func(b *Book) {
+			b.Handed("m")
+			b.NoEffect(1, "m")
+			b.Started(2, "m", "q", "r", true, "e", 2)
+		}, "no effect"},
+		{"seen and refused later", func(b *Book) {
+			b.Handed("m")
+			b.Started(1, "m", "q", "r", true, "e", 2)
+			b.NoEffect(2, "m")
+		}, "no effect"},
+		{"accepted and seen", func(b *Book) {
+			b.Handed("m")
+			b.InForce(1, "m", 2)
+			b.Started(2, "m", "q", "r", true, "e", 2)
+		}, ""},
+		{"two texts of one number", func(b *Book) {
+			b.Handed("m")
+			b.Handed("n")
+			b.InForce(1, "m", 2)
+			b.Started(2, "n", "q", "r", true, "e", 2)
+		}, "no effect"},
+		{"dropped, asked again, and ran", func(b *Book) {
+			b.Asked("s", "q")
+			b.Told(1, "s", "q", "no runner", true)
+			b.Asked("s", "q")
+			b.Started(2, "s", "q", "r", false, "e", 1)
+			b.Told(3, "s", "q", "answered", false)
+		}, ""},
+		{"sent twice, one dropped and one ran", func(b *Book) {
+			b.Asked("s", "q")
+			b.Asked("s", "q")
+			b.Told(1, "s", "q", "no runner", true)
+			b.Started(2, "s", "q", "r", false, "e", 1)
+		}, ""},
+		{"sent twice, both dropped, and ran", func(b *Book) {
+			b.Asked("s", "q")
+			b.Asked("s", "q")
+			b.Told(1, "s", "q", "no runner", true)
+			b.Told(2, "s", "q", "no runner", true)
+			b.Started(3, "s", "q", "r", false, "e", 1)
+		}, "drop ran"},
+		{"second goes written beyond", func(b *Book) {
+			for range 4 {
+				b.Sent(1, "e", "s", "q", 1)
+			}
+		}, "second goes"},
 		{"lost", func(b *Book) { b.Lost(1, "revision 2") }, "description lost"},
 		{"not back", func(b *Book) { b.Unserved(1, "s") }, "not back"},
 		{"holders with a gap", func(b *Book) { b.Order(0, "r", "a", 1); b.Order(3000, "r", "b", 2) }, ""},
--- a/sim/broken_test.go
+++ b/sim/broken_test.go
@@ -1,7 +1,6 @@
 package sim
 
 import (
-	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -73,6 +72,9 @@
 			w.lieAboutRoom = 96
 		}, Scenarios["quiet"]},
 		{"no allowance of second goes", "second goes", func(w *World) { w.Book = rules.New(100, -40) }, Scenarios["quiet"]},
+		{"refusals of what is in force", "no effect", func(w *World) { w.Breaks.LieToOperator = true }, Scenarios["operators race"]},
+		{"losers that are told they won", "two accepted", func(w *World) { w.Breaks.LieToOperator = true }, Scenarios["operators race"]},
+		{"routers that go back", "slip back", func(w *World) { w.careless, w.Breaks.SlipBack = true, true }, Scenarios["operators race"]},
 		{"nobody starts again", "not back", func(*World) {}, Scenario{"", func(w *World) {
 			for _, name := range w.names("") {
 				w.Kill(name)
@@ -88,7 +90,7 @@
 				w := New(example(t, "zagreb"), seed)
 				test.spoil(w)
 				for _, r := range w.runners {
-					r.stand.Book = w.Book
+					r.stand.Book, r.stand.Careless = w.Book, w.careless
 				}
 				for _, breach := range w.Play(test.played).Breaches {
 					fired[breach.Rule] = true
@@ -115,7 +117,7 @@
 				for _, name := range frozen {
 					w.Freeze(name)
 				}
-				w.HandOver(w.Primary(), uint64(1+i), strings.Repeat(" ", i+1)+w.Text)
+				w.HandOver(w.Primary(), uint64(1+i), w.Variant(i+1))
 				w.Run(9000)
 				for _, name := range frozen {
 					w.Thaw(name)
--- a/sim/campaign.go
+++ b/sim/campaign.go
@@ -46,6 +46,16 @@
 	do(name)
 }
 
+// withTwo does something to two core daemons at once if all are well.
+func (w *World) withTwo(first, second string, do func(name string)) {
+	if first == "" || second == "" || w.coreDown() > 0 {
+		return
+	}
+	w.busy[first], w.busy[second] = true, true
+	do(first)
+	do(second)
+}
+
 // mend ends a core daemon's fault; it counts as well once it has caught up.
 func (w *World) mend(name string, do func()) {
 	w.after(w.soon(), func() {
@@ -151,6 +161,70 @@
 		w.Freeze(name)
 		w.after(w.soon(), func() { w.Thaw(name) })
 	}},
+	{"kill the pair", func(w *World) {
+		w.withTwo(w.Primary(), w.backup(), func(name string) {
+			w.Kill(name)
+			w.mend(name, func() { w.Start(name) })
+		})
+	}},
+	{"kill two core daemons", func(w *World) {
+		names := w.names(wire.Controller)
+		w.Random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+		w.withTwo(names[0], names[1], func(name string) {
+			w.Kill(name)
+			w.mend(name, func() { w.Start(name) })
+		})
+	}},
+	{"kill all in the middle of a change", func(w *World) {
+		switch w.Random.Intn(3) {
+		case 0:
+			w.handOverNext()
+		case 1:
+			w.withCore(w.Primary(), func(name string) { w.Kill(name); w.mend(name, func() { w.Start(name) }) })
+		case 2:
+			w.withCore(w.some(wire.Controller), func(name string) {
+				w.Kill(name)
+				w.Wipe(name)
+				w.Start(name)
+				w.mend(name, func() {})
+			})
+		}
+		w.after(w.Random.Int63n(4000), func() {
+			names := w.names("")
+			for _, name := range names {
+				w.Kill(name)
+			}
+			for _, name := range names {
+				w.after(w.Random.Int63n(1000), func() { w.Start(name) })
+			}
+		})
+	}},
+	{"delay and reorder messages", func(w *World) {
+		w.latePart, w.lateMs = 0.2*w.Random.Float64(), 5000
+		w.after(w.soon(), func() { w.latePart = 0 })
+	}},
+	{"freeze all routers", func(w *World) {
+		names := w.names(wire.Router)
+		for _, name := range names {
+			w.Freeze(name)
+			w.after(w.soon(), func() { w.Thaw(name) })
+		}
+	}},
+	{"replace runners one after another", func(w *World) {
+		for i, r := range w.Site.Runners[:4] {
+			w.after(int64(i)*1000, func() { w.MarkLeaving(r.Name) })
+			w.after(int64(i)*1000+3500, func() { w.CrashRunner(r.Name); w.StartRunner(r.Name) })
+		}
+	}},
+	{"take a zone's runners away", func(w *World) {
+		zone := w.Site.Runners[w.Random.Intn(len(w.Site.Runners))].Zone
+		for _, r := range w.Site.Runners {
+			if r.Zone == zone {
+				w.MarkLeaving(r.Name)
+				w.after(3500+w.Random.Int63n(3000), func() { w.CrashRunner(r.Name); w.StartRunner(r.Name) })
+			}
+		}
+	}},
 	{"kill all daemons", func(w *World) {
 		for _, name := range w.names("") {
 			w.Kill(name)
@@ -195,7 +269,8 @@
 	}},
 }
 
-// handOverNext hands a new text over, on the newest revision that is known.
+// handOverNext hands a new text over, on the newest revision that is known:
+// mostly a whole one, at times a part, or one with a fault.
 func (w *World) handOverNext() {
 	w.variants++
 	name := w.Primary()
@@ -206,7 +281,14 @@
 	if n := w.nodes[name]; n.up && !n.frozen {
 		base = w.status(n).Revision
 	}
-	w.HandOver(name, base, w.Variant(w.variants))
+	switch w.Random.Intn(8) {
+	case 0:
+		w.HandOver(name, base, w.Faulty(w.variants))
+	case 1, 2:
+		w.HandOverPart(name, base, w.Part(w.variants))
+	default:
+		w.HandOver(name, base, w.Variant(w.variants))
+	}
 }
 
 // Move gives a daemon a new address; it must be down.
@@ -289,18 +371,23 @@
 	f.do(w)
 }
 
-// checkBack gives the site its time and looks whether every service answers.
+// checkBack gives the site its time. By its end every service must have
+// answered, also those that need models, and the small one must go on to.
 func (w *World) checkBack() {
 	before := map[string]int{}
-	w.Run(BackMs)
 	for _, s := range w.Site.Services {
 		before[s.Name] = w.Answered(s.Name)
 	}
-	w.Run(2000)
+	w.Run(BackMs)
 	for _, s := range w.Site.Services {
-		if s.Repeatable && w.Answered(s.Name) == before[s.Name] {
+		if w.Answered(s.Name) == before[s.Name] {
 			w.Book.Unserved(w.NowMs, s.Name)
 		}
+		before[s.Name] = w.Answered(s.Name)
+	}
+	w.Run(2000)
+	if small := w.small(); w.Answered(small) == before[small] {
+		w.Book.Unserved(w.NowMs, small)
 	}
 }
 
--- a/sim/outside.go
+++ b/sim/outside.go
@@ -141,7 +141,15 @@
 	done    bool
 	pieces  int
 	telling bool
-	goLife  int
+	// probe is asked to see which description a router uses.
+	probe bool
+	// again is how often the sender has come back with this id.
+	again   int
+	adapter string
+	// gone is set once the sender went away; what it is told reaches no one.
+	gone bool
+	// going says that the shell is on its way to a runner and back.
+	going bool
 }
 
 // told is what the router's machine answers: a refusal, or a go.
@@ -151,15 +159,24 @@
 		a.w.pass(a.n.name, "senders", func() { a.end(string(said.Kind), said.Kind.Reply().Drop) }, func() { a.end("stream broke", false) })
 		delete(a.n.under, a.id)
 	case traffic.Go:
+		a.going = true
+		if a.w.Breaks.SlipBack && a.w.Random.Intn(10) == 0 {
+			said.Revision = 1
+		}
 		if a.w.Breaks.DropThenRun && a.w.Random.Intn(20) == 0 {
 			a.end("no runner", true)
 		}
 		machine := a.n.machine.(*traffic.Machine)
-		a.w.atSocket(a.n, a.life, func() bool { return machine.MaySend(a.n.clock(a.w.NowMs), said) }, func() { a.goTo(said) }, func() { a.ended(traffic.TooLate, 0) })
+		a.w.atSocket(a.n, a.life, func() bool { return a.w.Breaks.SlipBack || machine.MaySend(a.n.clock(a.w.NowMs), said) }, func() { a.goTo(said) }, func() { a.ended(traffic.TooLate, 0) })
 	}
 }
 
 func (a *asked) ended(outcome traffic.Outcome, revision uint64) {
+	a.going = false
+	if a.gone {
+		a.w.put(a.n, a.life, traffic.Gone{Id: a.id})
+		return
+	}
 	a.w.put(a.n, a.life, traffic.Ended{Id: a.id, Outcome: outcome, Revision: revision})
 }
 
@@ -182,7 +199,7 @@
 	}
 	deadline := func() { w.after(max(1, to.DeadlineMs-a.n.clock(w.NowMs)), lost) }
 	runnerLife := r.life
-	w.Book.Sent(w.NowMs, a.n.name, to.Revision)
+	w.Book.Sent(w.NowMs, a.n.name, to.Service, to.Name, to.Revision)
 	w.pass(a.n.name, to.Runner, func() {
 		if !r.up || r.life != runnerLife {
 			lost()
@@ -267,6 +284,20 @@
 	})
 }
 
+// leave is the sender going away: its stream closes, and a go that is under
+// way is broken off.
+func (a *asked) leave() {
+	if a.done || a.n.under[a.id] != a {
+		return
+	}
+	a.gone = true
+	a.end("sender gone", false)
+	delete(a.n.under, a.id)
+	if !a.going {
+		a.w.put(a.n, a.life, traffic.Gone{Id: a.id})
+	}
+}
+
 // broke is the sender's stream breaking.
 func (a *asked) broke() {
 	delete(a.n.under, a.id)
@@ -279,7 +310,11 @@
 	}
 	a.done = true
 	a.w.Book.Told(a.w.NowMs, a.service, a.name, kind, drop)
+	if a.probe {
+		return
+	}
 	a.w.senders.ended(a.w, a.service, kind)
+	a.comeBack(kind, drop)
 	if kind == "answered" && a.model != "" {
 		a.w.senders.servedOf[a.model]++
 	}
--- a/sim/people.go
+++ b/sim/people.go
@@ -13,7 +13,10 @@
 
 // senders ask the services, each at its own rate.
 type senders struct {
-	count uint64
+	// count names what is asked, ids each sending of it.
+	count, ids uint64
+	// marks are the services of their own that handed over descriptions have.
+	marks []string
 	rates map[string]float64
 	stop  bool
 	// Kinds tallies the ends by service and kind.
@@ -89,13 +92,35 @@
 			adapter = adapters[w.Random.Intn(len(adapters))]
 		}
 	}
-	routers := w.names(wire.Router)
-	n := w.nodes[routers[w.Random.Intn(len(routers))]]
 	w.senders.count++
-	a := &asked{id: w.senders.count, name: fmt.Sprintf("q-%d", w.senders.count), service: name, model: model, w: w, n: n}
 	if model != "" {
 		w.senders.askedFor[model]++
 	}
+	first := asked{name: fmt.Sprintf("q-%d", w.senders.count), service: name, model: model, adapter: adapter}
+	edge, odd := w.some(wire.Router), w.Random.Intn(50)
+	if odd == 0 {
+		// An impatient sender sends the same at once through the same router;
+		// then neither comes back, since the other may still wait.
+		first.again = comeBackMost
+	}
+	w.sendTo(edge, first)
+	switch odd {
+	case 0:
+		w.after(w.Random.Int63n(100), func() { w.sendTo(edge, first) })
+	case 1:
+		if service.Repeatable {
+			w.after(w.Random.Int63n(100), func() { w.sendTo(w.some(wire.Router), first) })
+		}
+	}
+}
+
+// sendTo brings one sending of a request to a router.
+func (w *World) sendTo(edge string, what asked) {
+	n := w.nodes[edge]
+	w.senders.ids++
+	a := &what
+	a.id, a.w, a.n = w.senders.ids, w, n
+	w.Book.Asked(a.service, a.name)
 	w.pass("senders", n.name, func() {
 		if !n.up {
 			a.end("no stream", false)
@@ -103,10 +128,53 @@
 		}
 		a.life = n.life
 		n.under[a.id] = a
-		w.put(n, n.life, traffic.Request{Id: a.id, Service: name, Model: model, Adapter: adapter, Name: a.name, Given: true, Bytes: 100})
+		w.put(n, n.life, traffic.Request{Id: a.id, Service: a.service, Model: a.model, Adapter: a.adapter, Name: a.name, Given: true, Bytes: 100})
+		if !a.probe && w.Random.Intn(50) == 0 {
+			w.after(w.Random.Int63n(3000), a.leave)
+		}
 	}, func() { a.end("no stream", false) })
 }
 
+// comeBackMost is how often a sender comes back with one id.
+const comeBackMost = 2
+
+// comeBack is a sender that sends a dropped request again, with its id, when
+// it was told to, through any router.
+func (a *asked) comeBack(kind string, drop bool) {
+	reply := defect.Kind(kind).Reply()
+	if !drop || reply.RetryAfterSec == 0 || a.again >= comeBackMost || a.w.senders.stop {
+		return
+	}
+	next := asked{name: a.name, service: a.service, model: a.model, adapter: a.adapter, again: a.again + 1}
+	a.w.after(int64(reply.RetryAfterSec)*1000, func() { a.w.sendTo(a.w.some(wire.Router), next) })
+}
+
+// Probe keeps asking every router for the services that only one handed over
+// description has, so that it shows which texts take effect.
+func (w *World) Probe() {
+	for _, name := range w.names(wire.Router) {
+		w.probeSoon(name)
+	}
+}
+
+const probeMs = 400
+
+func (w *World) probeSoon(edge string) {
+	w.after(probeMs/2+w.Random.Int63n(probeMs), func() {
+		if w.senders.stop {
+			return
+		}
+		if marks := w.senders.marks; len(marks) > 0 {
+			w.senders.count++
+			w.sendTo(edge, asked{
+				name: fmt.Sprintf("probe-%d", w.senders.count), probe: true,
+				service: marks[max(0, len(marks)-1-w.Random.Intn(4))],
+			})
+		}
+		w.probeSoon(edge)
+	})
+}
+
 func (s *senders) ended(w *World, service, kind string) {
 	if s.kinds[service] == nil {
 		s.kinds[service] = map[string]int{}
@@ -154,6 +222,8 @@
 	count    uint64
 	asked    map[uint64]*handing
 	accepted map[uint64]string
+	// texts are the whole ones that were handed over, by mark.
+	texts    map[string]string
 	outcomes map[string]int
 	// lastNumber is the newest revision that was told as accepted.
 	lastNumber uint64
@@ -169,7 +239,7 @@
 
 func (o *operator) init() {
 	o.count = operatorIds
-	o.asked, o.accepted, o.outcomes = map[uint64]*handing{}, map[uint64]string{}, map[string]int{}
+	o.asked, o.accepted, o.outcomes, o.texts = map[uint64]*handing{}, map[uint64]string{}, map[string]int{}, map[string]string{}
 }
 
 func (o *operator) answered(w *World, n *node, answer wire.Answer) {
@@ -205,24 +275,59 @@
 }
 
 // HandOver hands a text over to a controller. What comes of it is noted.
-func (w *World) HandOver(name string, base uint64, text string) {
+func (w *World) HandOver(name string, base uint64, text string) { w.handOver(name, base, text, false) }
+
+// HandOverPart hands a change of named parts over.
+func (w *World) HandOverPart(name string, base uint64, text string) {
+	w.handOver(name, base, text, true)
+}
+
+func (w *World) handOver(name string, base uint64, text string, part bool) {
+	mark := markOf(text)
+	if !part {
+		w.operator.texts[mark] = text
+	}
+	if mark != "" {
+		w.Book.Handed(mark)
+		w.senders.marks = append(w.senders.marks, mark)
+	}
 	w.tell(name, text, func(id uint64) any {
-		return control.HandOver{Id: id, Base: base, Text: text}
+		return control.HandOver{Id: id, Base: base, Text: text, Part: part}
 	}, func(body any) {
+		if w.Breaks.LieToOperator {
+			body = w.opposite(body)
+		}
 		switch said := body.(type) {
 		case control.Accepted:
-			w.note("operator: revision %d accepted", said.Revision)
+			w.note("operator: revision %d accepted, %s", said.Revision, mark)
 			w.operator.outcomes["accepted"]++
 			w.Book.Accepted(w.NowMs, said.Revision)
-			w.operator.accepted[said.Revision] = text
+			w.Book.InForce(w.NowMs, mark, said.Revision)
+			if !part {
+				w.operator.accepted[said.Revision] = text
+			}
 			w.operator.lastNumber = max(w.operator.lastNumber, said.Revision)
 		case wire.Refused:
-			w.note("operator: %s", said.Kind)
+			w.note("operator: %s, %s", said.Kind, mark)
 			w.operator.outcomes[string(said.Kind)]++
+			if said.Kind.Reply().Drop {
+				w.Book.NoEffect(w.NowMs, mark)
+			}
 		}
 	})
 }
 
+// opposite is the wrong answer to a handing over.
+func (w *World) opposite(body any) any {
+	switch body.(type) {
+	case control.Accepted:
+		return wire.Refused{Kind: defect.NotTaken}
+	case wire.Refused:
+		return control.Accepted{Revision: 2}
+	}
+	return body
+}
+
 // Primary names a controller that speaks for the site, if there is one.
 func (w *World) Primary() string {
 	for _, name := range w.names(wire.Controller) {
@@ -268,6 +373,7 @@
 		for _, past := range said.Past {
 			sums[past.Number] = past.Sum
 		}
+		w.checkMarks(said, sums)
 		for number, text := range w.operator.accepted {
 			if sums[number] != wire.Sum(text) {
 				w.Book.Lost(w.NowMs, fmt.Sprintf("revision %d was accepted and is %q now", number, sums[number]))
@@ -276,5 +382,25 @@
 	}
 }
 
+// checkMarks looks whether what was once in effect, or accepted, is still a
+// part of the history, and whether the newest is in force.
+func (w *World) checkMarks(said control.Described, sums map[uint64]string) {
+	for mark, seen := range w.Book.Marks() {
+		number := seen.Revision
+		if number == 0 || len(said.Past) == 0 || number < said.Past[0].Number {
+			continue
+		}
+		if text, whole := w.operator.texts[mark]; whole && sums[number] != wire.Sum(text) {
+			w.Book.Lost(w.NowMs, fmt.Sprintf("%s was in effect as revision %d, which is %q now", mark, number, sums[number]))
+		}
+		if number == said.Revision.Number && markOf(said.Revision.Text) != mark {
+			w.Book.Lost(w.NowMs, fmt.Sprintf("%s was in effect as revision %d, which is another text now", mark, number))
+		}
+	}
+	if last := w.operator.lastNumber; said.Revision.Number < last {
+		w.Book.Lost(w.NowMs, fmt.Sprintf("revision %d was accepted and %d is in force", last, said.Revision.Number))
+	}
+}
+
 // Refusal tallies what operators were told.
 func (w *World) Refusal(kind defect.Kind) int { return w.operator.outcomes[string(kind)] }
--- a/sim/scenario.go
+++ b/sim/scenario.go
@@ -34,6 +34,7 @@
 	w.HandOver(w.Primary(), 0, w.Text)
 	w.Run(2000)
 	w.SendAll()
+	w.Probe()
 	w.Run(settleMs)
 }
 
@@ -62,12 +63,6 @@
 	return fmt.Sprintf("seed %d\n%s\n%s", r.World.Seed, strings.Join(lines, "\n"), r.World.Trace())
 }
 
-// Variant is the site's description with another pace, so that its text is
-// another one.
-func (w *World) Variant(number int) string {
-	return strings.Replace(w.Text, `"secondGoes": 10`, fmt.Sprintf(`"secondGoes": %d`, 10-number%3), 1) + strings.Repeat(" ", number)
-}
-
 func (w *World) others(names ...string) []string {
 	var out []string
 	for _, name := range append(w.names(""), "platform", "operator", "senders") {
@@ -83,6 +78,9 @@
 }
 
 func (w *World) backup() string {
+	if w.Primary() == "" {
+		return ""
+	}
 	fellow, _ := w.status(w.nodes[w.Primary()]).Record.Fellow(w.Primary())
 	return fellow.Name
 }
--- a/sim/sim_test.go
+++ b/sim/sim_test.go
@@ -70,7 +70,9 @@
 		}
 		for service, kinds := range r.World.senders.kinds {
 			for kind, count := range kinds {
-				lost := kind != "answered" && kind != "no stream" && !defect.Kind(kind).Reply().Drop
+				// Some senders go away, or send an id twice at once, on their own.
+				own := kind == "sender gone" || kind == string(defect.AlreadyTaken)
+				lost := kind != "answered" && kind != "no stream" && !own && !defect.Kind(kind).Reply().Drop
 				qt.Assert(t, lost, qt.IsFalse, qt.Commentf("%s: %d of %s", service, count, kind))
 			}
 			qt.Assert(t, kinds["answered"] > 0, qt.IsTrue)
--- a/sim/world.go
+++ b/sim/world.go
@@ -71,14 +71,17 @@
 	cuts map[[2]string]bool
 	// lossPart of messages are lost and twicePart come twice.
 	lossPart, twicePart float64
-	seeds               []string
-	trace               []string
-	operator            operator
-	senders             senders
-	Net                 NetTally
-	busy                map[string]bool
-	variants, moves     int
-	careless            bool
+	// latePart of what passes the network comes up to lateMs late.
+	latePart        float64
+	lateMs          int64
+	seeds           []string
+	trace           []string
+	operator        operator
+	senders         senders
+	Net             NetTally
+	busy            map[string]bool
+	variants, moves int
+	careless        bool
 	// weigh counts the bytes of messages, which costs time.
 	weigh bool
 	// lieAboutRoom is what runners report as their room, for a broken variant.
@@ -105,6 +108,10 @@
 	DropThenRun bool
 	// TellWrong makes routers end a torn telling as if it were whole.
 	TellWrong bool
+	// LieToOperator tells operators of the opposite of what became of a text.
+	LieToOperator bool
+	// SlipBack makes routers send under the first revision at times.
+	SlipBack bool
 	// ForgetHold makes frozen daemons believe that no time passed.
 	ForgetHold bool
 }
@@ -367,7 +374,7 @@
 func (w *World) Heal() {
 	w.note("the network heals")
 	w.cuts = map[[2]string]bool{}
-	w.lossPart, w.twicePart = 0, 0
+	w.lossPart, w.twicePart, w.latePart = 0, 0, 0
 }
 
 func (w *World) latencyMs() int64 {
@@ -379,7 +386,11 @@
 
 // pass carries something from one name to another, unless the network is cut.
 func (w *World) pass(from, to string, arrive func(), lost func()) {
-	w.after(w.latencyMs(), func() {
+	tookMs := w.latencyMs()
+	if w.latePart > 0 && w.Random.Float64() < w.latePart {
+		tookMs += w.Random.Int63n(w.lateness(from, to))
+	}
+	w.after(tookMs, func() {
 		if w.cuts[[2]string{from, to}] {
 			if lost != nil {
 				lost()
@@ -390,6 +401,19 @@
 	})
 }
 
+// requestLateMs bounds how late a request or its answer comes: what a router
+// wrote can't be called back, and a leaver's time would be up meanwhile.
+const requestLateMs = 800
+
+func (w *World) lateness(from, to string) int64 {
+	for _, end := range []string{from, to} {
+		if n := w.nodes[end]; n != nil && n.part == wire.Router && (w.runners[from] != nil || w.runners[to] != nil) {
+			return requestLateMs
+		}
+	}
+	return w.lateMs
+}
+
 // perform carries a daemon's effects out.
 func (w *World) perform(n *node, effects wire.Effects) {
 	life := n.life
--- a/traffic/gate.go
+++ b/traffic/gate.go
@@ -175,6 +175,11 @@
 				return
 			case Go:
 				ended, abort := g.goTo(w, r, id, said, in.Input)
+				if r.Context().Err() != nil {
+					// For a sender that went away no further go is made.
+					g.shell.Put(Gone{Id: id})
+					return
+				}
 				g.shell.Put(ended)
 				// Closing the sender's stream is the one way to end a telling
 				// so that it can't look finished.
--- a/traffic/machine.go
+++ b/traffic/machine.go
@@ -143,7 +143,12 @@
 	case Ended:
 		m.ended(in)
 	case Gone:
-		if r := m.requests[in.Id]; r != nil && !r.away {
+		if r := m.requests[in.Id]; r != nil {
+			// It comes only while no go is under way, so one that was made
+			// and not begun yet never will be.
+			if r.away {
+				m.busy[r.runner]--
+			}
 			m.forget(r)
 		}
 	case wire.Listing:
