Fence runners before the first order, and take reports in order

Cause, two holders: an order of the holder before that is late on its way can reach a runner that knows nothing yet of the new epoch, while the new holder already orders others. Cause, room: questions to one runner overlapped, so a report could arrive after a later one.

Ruled out: the runner's own number check (it held), Intend's room check (it held, on a wrong row), the sim's missing time-out alone (real calls overlap too: asked every 400 ms, given up after 1 s).

Now the question for a report carries the epoch, and the runner heeds no lower one from then on. Orders wait until 3 s after each runner that answers said so; one that answers later holds up only itself. One question a runner is on its way at a time; an order's answer only makes the next question come at once.

--- a/control/duty.go
+++ b/control/duty.go
@@ -24,6 +24,12 @@
 // duty is what only the primary does: it reads the platform and the runners,
 // places, and gives orders.
 type duty struct {
+	// beganEpoch is the epoch with which this primacy began; calls numbers
+	// what is asked of runners.
+	beganEpoch   uint64
+	calls        uint64
+	allFenced    bool
+	reading      bool
 	platformMs   int64
 	platformOkMs int64
 	listing      map[string]wire.Listed
@@ -36,10 +42,17 @@
 // seenRunner is what the last reports of a runner said.
 type seenRunner struct {
 	askedMs int64
-	okMs    int64
-	orderMs int64
-	burden  int64
-	report  wire.Report
+	// asking is the call that is on its way, or nought: one at a time, so
+	// that reports come in the order in which they were made.
+	asking uint64
+	// fencedMs is when the runner first said that it heeds this primacy's
+	// epoch, and so none before; failed says that a call got no answer.
+	fencedMs int64
+	failed   bool
+	okMs     int64
+	orderMs  int64
+	burden   int64
+	report   wire.Report
 	// since says from when each item has been held, for the minimum stay.
 	since map[string]int64
 	// orders counts what was intended for it; quiet says that none was open
@@ -67,13 +80,21 @@
 	return w.score * math.Exp2(-float64(nowMs-w.atMs)/demandHalfMs)
 }
 
+// fenced says whether no order of an earlier holder can have reached the
+// runner within the gap, however late on its way.
+func (s *seenRunner) fenced(nowMs, gapMs int64) bool {
+	return s.fencedMs > 0 && nowMs >= s.fencedMs+gapMs
+}
+
 func newDuty() duty {
 	return duty{listing: map[string]wire.Listed{}, seen: map[string]*seenRunner{}, wants: map[ledger.Item]*want{}}
 }
 
 // begin forgets what an earlier primacy knew; the pace's bucket starts empty.
-func (d *duty) begin(nowMs int64) {
+func (d *duty) begin(nowMs int64, epoch uint64) {
+	calls := d.calls
 	*d = newDuty()
+	d.calls, d.beganEpoch = calls, epoch
 	d.platformMs = nowMs - platformMs
 	d.pace = pace{atMs: nowMs}
 }
@@ -151,8 +172,8 @@
 		return
 	}
 	d := &m.duty
-	if m.nowMs-d.platformMs >= platformMs {
-		d.platformMs = m.nowMs
+	if m.nowMs-d.platformMs >= platformMs && !d.reading {
+		d.platformMs, d.reading = m.nowMs, true
 		m.out.Calls = append(m.out.Calls, wire.Call{Address: m.set.Platform, Body: wire.PlatformCall{}})
 	}
 	for _, name := range d.names() {
@@ -162,11 +183,13 @@
 			s = &seenRunner{askedMs: m.nowMs - reportMs, okMs: m.nowMs, since: map[string]int64{}}
 			d.seen[name] = s
 		}
-		if m.nowMs-s.askedMs >= reportMs {
+		if m.nowMs-s.askedMs >= reportMs && s.asking == 0 {
 			s.askedMs = m.nowMs
+			d.calls++
+			s.asking = d.calls
 			row := m.state.Rows[name]
 			s.quiet, s.askedOrders = row != nil && row.Intent == nil, s.orders
-			m.out.Calls = append(m.out.Calls, wire.Call{Address: listed.Address, Body: wire.ReportCall{Runner: name}})
+			m.out.Calls = append(m.out.Calls, wire.Call{Address: listed.Address, Body: wire.ReportCall{Runner: name, Number: s.asking, Epoch: m.record.Epoch}})
 		}
 	}
 	if m.mayOrder() {
@@ -187,7 +210,27 @@
 
 // mayOrder says whether an order given now can't cross one of another holder.
 func (m *Machine) mayOrder() bool {
-	return m.active() && m.nowMs >= m.seat.ordersMs && m.described != nil
+	return m.active() && m.nowMs >= m.seat.ordersMs && m.described != nil && m.fencedAll()
+}
+
+// fencedAll says whether every listed runner that answers is fenced. One that
+// answers later, or comes later, holds up only itself.
+func (m *Machine) fencedAll() bool {
+	d := &m.duty
+	if d.allFenced {
+		return true
+	}
+	if d.platformOkMs == 0 {
+		return false
+	}
+	for name := range d.listing {
+		s := d.seen[name]
+		if s == nil || s.fencedMs == 0 && !s.failed || s.fencedMs > 0 && !s.fenced(m.nowMs, m.set.GapMs) {
+			return false
+		}
+	}
+	d.allFenced = true
+	return true
 }
 
 func (m *Machine) listed(in wire.Listing) {
@@ -195,6 +238,7 @@
 	if !m.isPrimary() {
 		return
 	}
+	d.reading = false
 	if !in.Ok {
 		// What the platform said last still counts; marks only grow.
 		m.out.Counts = append(m.out.Counts, "platform unread")
@@ -220,7 +264,21 @@
 
 func (m *Machine) reported(in wire.Reported) {
 	s := m.duty.seen[in.Runner]
-	if !m.isPrimary() || s == nil || !in.Ok {
+	if !m.isPrimary() || s == nil {
+		return
+	}
+	// The answer to an order may cross that to a question; the question is
+	// asked anew instead.
+	if in.Number == 0 {
+		s.askedMs = 0
+		return
+	}
+	if in.Number != s.asking {
+		return
+	}
+	s.asking = 0
+	s.failed = s.failed || !in.Ok
+	if !in.Ok {
 		return
 	}
 	if in.Report.Runner != in.Runner {
@@ -231,6 +289,9 @@
 		m.count(defect.LowerEpoch)
 		return
 	}
+	if s.fencedMs == 0 && in.Report.Epoch >= m.duty.beganEpoch {
+		s.fencedMs = m.nowMs
+	}
 	s.okMs, s.burden, s.report = m.nowMs, in.Report.Burden, in.Report
 	row := m.state.Rows[in.Runner]
 	if row == nil || row.Incarnation != in.Report.Incarnation || row.Address != in.Address || row.Room != in.Report.Room {
@@ -273,7 +334,7 @@
 			continue
 		}
 		named := s.report.Incarnation == row.Incarnation && s.report.LastOrder >= row.Intent.Number
-		if named || !m.settled() {
+		if named || !m.settled() || !s.fenced(m.nowMs, m.set.GapMs) {
 			continue
 		}
 		// A load that is sent again may begin only now, so it is paced anew:
@@ -291,7 +352,7 @@
 
 func (m *Machine) sendOrder(name string) {
 	row, s := m.state.Rows[name], m.duty.seen[name]
-	if row == nil || s == nil || row.Intent == nil || !m.mayOrder() {
+	if row == nil || s == nil || row.Intent == nil || !m.mayOrder() || !s.fenced(m.nowMs, m.set.GapMs) {
 		return
 	}
 	s.orderMs = m.nowMs
--- a/control/place.go
+++ b/control/place.go
@@ -159,7 +159,7 @@
 			continue
 		}
 		// An adapter goes only where its model is.
-		if !pools[runner.Pool] || row.Intent != nil || n.item.Adapter != "" && !row.Holds(ledger.Item{Model: n.item.Model}) {
+		if !pools[runner.Pool] || row.Intent != nil || !m.duty.seen[runner.Name].fenced(m.nowMs, m.set.GapMs) || n.item.Adapter != "" && !row.Holds(ledger.Item{Model: n.item.Model}) {
 			continue
 		}
 		room := min(runner.Room, row.Room)
--- a/control/seat.go
+++ b/control/seat.go
@@ -60,7 +60,6 @@
 	holdUntilMs int64
 	ordersMs    int64
 	takesMs     int64
-	servedEpoch uint64
 	established bool
 	founding    *Founding
 }
@@ -323,19 +322,16 @@
 
 func (m *Machine) becomePrimary(record wire.Record) {
 	s := &m.seat
-	again := m.record.Primary == m.set.Self.Name && s.servedEpoch == m.record.Epoch && m.record.Epoch > 0
 	m.adopt(record, s.ballot)
 	s.role = primary
 	s.established = false
 	s.holdUntilMs = 0
 	m.countHold()
 	s.renewMs = m.nowMs
-	// Another may have ordered until now; the same daemon has only itself to fear.
-	if !again {
-		s.ordersMs = m.nowMs + m.set.GapMs
-	}
+	// Another may have ordered until now.
+	s.ordersMs = m.nowMs + m.set.GapMs
 	s.takesMs = m.nowMs + RouterHoldMs
-	m.duty.begin(m.nowMs)
+	m.duty.begin(m.nowMs, record.Epoch)
 	m.beginCopies()
 	m.note("primary of epoch %d", record.Epoch)
 	m.submit(func(ok bool) {
@@ -360,7 +356,6 @@
 func (m *Machine) loseSeat(why string) {
 	m.note("no longer primary: %s", why)
 	m.seat.role = follower
-	m.seat.servedEpoch = m.record.Epoch
 	m.seat.established = false
 	m.seat.proposal = nil
 	m.seat.holdUntilMs = 0
--- a/daemon/shell.go
+++ b/daemon/shell.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"maps"
 	"net"
@@ -243,7 +244,7 @@
 	case wire.OrderCall:
 		return wire.Reported{Runner: body.Runner, Address: call.Address}
 	case wire.ReportCall:
-		return wire.Reported{Runner: body.Runner, Address: call.Address}
+		return wire.Reported{Runner: body.Runner, Address: call.Address, Number: body.Number}
 	}
 	return wire.Listing{}
 }
@@ -262,8 +263,8 @@
 		reported.Ok = s.fetch(ctx, http.MethodPost, call.Address, "/orders", text, inTime, &reported.Report)
 		return reported
 	case wire.ReportCall:
-		reported := wire.Reported{Runner: body.Runner, Address: call.Address}
-		reported.Ok = s.fetch(ctx, http.MethodGet, call.Address, "/report", nil, always, &reported.Report)
+		reported := wire.Reported{Runner: body.Runner, Address: call.Address, Number: body.Number}
+		reported.Ok = s.fetch(ctx, http.MethodGet, call.Address, fmt.Sprintf("/report?epoch=%d", body.Epoch), nil, always, &reported.Report)
 		return reported
 	case wire.PlatformCall:
 		var listing wire.Listing
--- a/sim/broken_test.go
+++ b/sim/broken_test.go
@@ -60,6 +60,7 @@
 				w.Run(8000)
 			}
 		}, 2000}},
+		{"runners that heed late orders", "two holders", func(w *World) { w.Breaks.NoFence = true }, Scenarios["orders on the way when holders change"]},
 		{"disks that forget", "description lost", func(w *World) { w.Breaks.UnsyncedDisk = true }, Scenarios["total loss"]},
 		{"lost goes are sent again", "twice", func(w *World) { w.Breaks.ResendLost = true }, crashes},
 		{"drops that run", "drop ran", func(w *World) { w.Breaks.DropThenRun = true }, Scenarios["quiet"]},
--- a/sim/outside.go
+++ b/sim/outside.go
@@ -60,12 +60,21 @@
 
 const outwardMs = 1000
 
-// call carries a call of a daemon outward.
+// call carries a call of a daemon outward. As in the shell, what has not come
+// back in time counts as lost, and its answer is not heard any more.
 func (w *World) call(n *node, life int, call wire.Call) {
-	back := func(input any) { w.put(n, life, input) }
-	lost := func(input any) { w.after(outwardMs, func() { back(input) }) }
+	ended := false
+	back := func(input any) {
+		if !ended {
+			ended = true
+			w.put(n, life, input)
+		}
+	}
+	giveUp := func(input any) { w.after(outwardMs, func() { back(input) }) }
+	nothing := func() {}
 	switch body := call.Body.(type) {
 	case wire.PlatformCall:
+		giveUp(wire.Listing{})
 		w.pass(n.name, "platform", func() {
 			list := w.platform.List()
 			for _, listed := range list {
@@ -73,29 +82,35 @@
 					w.Book.Learned(w.NowMs, listed.Name, listed.Incarnation)
 				}
 			}
-			w.pass("platform", n.name, func() { back(wire.Listing{Ok: true, Runners: list}) }, func() { lost(wire.Listing{}) })
-		}, func() { lost(wire.Listing{}) })
+			w.pass("platform", n.name, func() { back(wire.Listing{Ok: true, Runners: list}) }, nothing)
+		}, nothing)
 	case wire.ReportCall:
-		none := wire.Reported{Runner: body.Runner, Address: call.Address}
+		said := wire.Reported{Runner: body.Runner, Address: call.Address, Number: body.Number}
+		giveUp(said)
 		w.reach(n.name, body.Runner, func(r *runner) {
-			said := none
+			if !w.Breaks.NoFence {
+				r.stand.Heed(body.Epoch)
+			}
 			said.Ok, said.Report = true, r.stand.Report(w.NowMs)
+			if w.Breaks.NoFence {
+				said.Report.Epoch = body.Epoch
+			}
 			if w.lieAboutRoom > 0 {
 				said.Report.Room = w.lieAboutRoom
 			}
-			w.pass(body.Runner, n.name, func() { back(said) }, func() { lost(none) })
-		}, func() { lost(none) })
+			w.pass(body.Runner, n.name, func() { back(said) }, nothing)
+		}, nothing)
 	case wire.OrderCall:
-		none := wire.Reported{Runner: body.Runner, Address: call.Address}
+		said := wire.Reported{Runner: body.Runner, Address: call.Address}
 		// The shell checks the hold again right at the socket.
 		w.atSocket(n, life, func() bool { return n.clock(w.NowMs) < body.UntilMs }, func() {
+			giveUp(said)
 			w.reach(n.name, body.Runner, func(r *runner) {
-				said := none
 				report, kind := r.stand.Order(w.NowMs, body.Order)
 				said.Ok, said.Report = kind == "", report
-				w.pass(body.Runner, n.name, func() { back(said) }, func() { lost(none) })
-			}, func() { lost(none) })
-		}, func() { back(none) })
+				w.pass(body.Runner, n.name, func() { back(said) }, nothing)
+			}, nothing)
+		}, func() { back(said) })
 	}
 }
 
--- a/sim/scenario.go
+++ b/sim/scenario.go
@@ -144,6 +144,23 @@
 		w.Start(names[len(names)-1])
 		w.handOverNext()
 	}, 20_000},
+	"orders on the way when holders change": {"orders arrive seconds after their holder died", func(w *World) {
+		w.senders.rare = true
+		for range 4 {
+			w.latePart, w.lateMs = 0.5, 9000
+			w.Run(3000 + w.Random.Int63n(2000))
+			p := w.Primary()
+			w.latePart = 0
+			if p != "" {
+				w.Kill(p)
+			}
+			w.Run(9000)
+			if p != "" {
+				w.Start(p)
+			}
+			w.Run(6000)
+		}
+	}, 5000},
 	"core cut in two": {"at most one side goes on", func(w *World) {
 		p := w.Primary()
 		w.Cut([]string{p}, w.others(p, "operator", "senders"), false)
--- a/sim/world.go
+++ b/sim/world.go
@@ -110,6 +110,8 @@
 	TellWrong bool
 	// LieToOperator tells operators of the opposite of what became of a text.
 	LieToOperator bool
+	// NoFence makes runners heed late orders of holders before.
+	NoFence bool
 	// SlipBack makes routers send under the first revision at times.
 	SlipBack bool
 	// ForgetHold makes frozen daemons believe that no time passed.
--- a/stand/runner.go
+++ b/stand/runner.go
@@ -73,6 +73,9 @@
 	return report
 }
 
+// Heed takes the epoch of whoever reads the report as the least that is heeded.
+func (r *Runner) Heed(epoch uint64) { r.epoch = max(r.epoch, epoch) }
+
 // Order takes an order, or refuses one of a lower epoch, for another
 // incarnation, or while another is under way. A repeat changes nothing.
 func (r *Runner) Order(nowMs int64, o wire.Order) (wire.Report, defect.Kind) {
--- a/stand/runnerdoor.go
+++ b/stand/runnerdoor.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -34,7 +35,9 @@
 func (d *RunnerDoor) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch r.Method + " " + r.URL.Path {
 	case "GET /report":
+		epoch, _ := strconv.ParseUint(r.URL.Query().Get("epoch"), 10, 64)
 		d.mu.Lock()
+		d.runner.Heed(epoch)
 		report := d.runner.Report(d.nowMs())
 		d.mu.Unlock()
 		writeJson(w, http.StatusOK, report)
--- a/wire/outward.go
+++ b/wire/outward.go
@@ -27,8 +27,14 @@
 	UntilMs int64
 }
 
-// ReportCall reads a runner's report.
-type ReportCall struct{ Runner string }
+// ReportCall reads a runner's report. The runner heeds no order of a lower
+// epoch from then on. The number comes back, so that an answer is not taken
+// for that of another call.
+type ReportCall struct {
+	Runner string
+	Number uint64
+	Epoch  uint64
+}
 
 // PlatformCall reads the platform's list.
 type PlatformCall struct{}
@@ -59,10 +65,12 @@
 	Held        []Held `json:"held"`
 }
 
-// Reported brings a report, or that none came, back to the machine.
+// Reported brings a report, or that none came, back to the machine. The
+// number is that of the call; an order's answer has none.
 type Reported struct {
 	Runner  string
 	Address string
+	Number  uint64
 	Ok      bool
 	Report  Report
 }
