Replace a backup whose disk is full or stalls, though its daemon answers

Cause: a backup counted as live as long as its daemon answered. One whose disk was full (it takes no writes until a restart) or stalled answered on with its old place, so no write of the site ended any more: no description, no order, for as long as it lasted.

Ruled out: the witnesses (two of three are enough), the spare's catching up (it had every change).

--- a/control/copy.go
+++ b/control/copy.go
@@ -51,6 +51,8 @@
 	sent        uint64
 	sentMs      int64
 	needsImage  bool
+	// behindMs is since when it lacks changes without taking any, or nought.
+	behindMs int64
 }
 
 // live says whether the very disk answered lately.
@@ -59,6 +61,27 @@
 	return f != nil && f.incarnation == seat.Incarnation && nowMs-f.heardMs <= missMs
 }
 
+// keepsUp says whether the disk also takes writes: one that stalls lets its
+// daemon answer and would hold up every write of the site.
+func (c *copies) keepsUp(nowMs int64, seat wire.Seat) bool {
+	if !c.live(nowMs, seat) {
+		return false
+	}
+	f := c.fellows[seat.Name]
+	return f.behindMs == 0 || nowMs-f.behindMs <= stallMs
+}
+
+// counted notes how far the fellow is, and since when it lacks something.
+func (f *fellowCopy) counted(nowMs int64, acked, last uint64) {
+	if acked > f.acked || acked >= last {
+		f.behindMs = 0
+	}
+	f.acked = acked
+	if acked < last && f.behindMs == 0 {
+		f.behindMs = nowMs
+	}
+}
+
 func (m *Machine) beginCopies() {
 	c := &m.copies
 	c.fellows = map[string]*fellowCopy{}
@@ -240,7 +263,7 @@
 	}
 	f.heardMs = m.nowMs
 	if !c.onChain(said.At) {
-		f.acked = 0
+		f.counted(m.nowMs, 0, m.state.Position.Number)
 		if !f.needsImage {
 			f.needsImage = true
 			f.sentMs = m.nowMs - resendMs
@@ -248,7 +271,7 @@
 		return
 	}
 	f.needsImage = false
-	f.acked = said.At.Number
+	f.counted(m.nowMs, said.At.Number, m.state.Position.Number)
 	f.sent = max(f.sent, f.acked)
 	m.advance()
 }
@@ -320,7 +343,12 @@
 	return nil
 }
 
+// tellFollowed says how far this disk is. One that takes no writes any more
+// says nothing, so that another takes its part.
 func (m *Machine) tellFollowed(to wire.Place) {
+	if m.broken {
+		return
+	}
 	m.send(to, wire.Followed{Epoch: m.record.Epoch, At: m.copies.synced, WitnessBlank: m.witness.Blank()})
 }
 
--- a/control/seat.go
+++ b/control/seat.go
@@ -396,7 +396,7 @@
 	next := m.record
 	next.Epoch++
 	next.Before = m.record.Witnesses
-	if fellow, ok := m.record.Fellow(m.set.Self.Name); !ok || !m.copies.live(m.nowMs, fellow) {
+	if fellow, ok := m.record.Fellow(m.set.Self.Name); !ok || !m.copies.keepsUp(m.nowMs, fellow) {
 		if spare, found := m.recruit(fellow); found {
 			next.Pair = []wire.Seat{m.ownSeat(), spare}
 			m.note("recruiting %s as backup", spare.Name)
--- a/sim/scenario.go
+++ b/sim/scenario.go
@@ -85,6 +85,13 @@
 	return fellow.Name
 }
 
+// mustBeAccepted looks whether a revision that could be taken was.
+func (w *World) mustBeAccepted(number uint64) {
+	if w.operator.lastNumber < number {
+		w.Book.Lost(w.NowMs, fmt.Sprintf("revision %d could be taken and was not: %v", number, w.operator.outcomes))
+	}
+}
+
 // Scenarios are the first ones; each is played with many seeds.
 var Scenarios = map[string]Scenario{
 	"quiet": {"nothing fails", func(*World) {}, 10_000},
@@ -289,6 +296,24 @@
 		w.Run(6000)
 		w.HandOver(w.Primary(), 1, w.Variant(2))
 	}, 15_000},
+	"disk full at the backup for long": {"a spare, where there is one, takes its place", func(w *World) {
+		b := w.backup()
+		w.nodes[b].disk.full = true
+		w.HandOver(w.Primary(), 1, w.Variant(1))
+		w.Run(15_000)
+		w.mustBeAccepted(2)
+		w.nodes[b].disk.full = false
+		w.Kill(b)
+		w.Start(b)
+	}, 10_000},
+	"disk stalled at the backup for long": {"a spare, where there is one, takes its place", func(w *World) {
+		b := w.backup()
+		w.nodes[b].disk.stalled = true
+		w.HandOver(w.Primary(), 1, w.Variant(1))
+		w.Run(15_000)
+		w.mustBeAccepted(2)
+		w.nodes[b].disk.stalled = false
+	}, 10_000},
 	"disk stalled at the primary": {"it steps down, and the next goes on", func(w *World) {
 		p := w.Primary()
 		w.nodes[p].disk.stalled = true
