Count holds on a clock that goes on while the machine is suspended

Cause: Go's monotonic clock stands still while a machine sleeps, so a hold ran that much longer on the machine that woke than for all others.

Ruled out: the wall clock (it jumps), a check of the tick's length (a stopped process looks alike, and the check itself would read the same clock).

Now the process's clock reads the boot clock where the system has one. Before: a nap of 60 s moved the clock by 0; after: by 60 s, with a made source (TestClockGoesOnThroughANap). No machine could be suspended here.

--- a/daemon/clock.go
+++ b/daemon/clock.go
@@ -4,12 +4,20 @@
 
 import "time"
 
-// Clock counts monotonic milliseconds since the process began.
-type Clock struct{ start time.Time }
+// Clock counts milliseconds since the process began. It goes on while the
+// machine is suspended, so that a hold does not outlive its time by a nap.
+type Clock struct {
+	startMs int64
+	readMs  func() int64
+}
 
 // NewClock starts a clock. It begins above zero, so that "long ago" can be
 // told from "never".
-func NewClock() Clock { return Clock{time.Now().Add(-time.Hour)} }
+func NewClock() Clock { return newClock(bootMs) }
+
+func newClock(readMs func() int64) Clock {
+	return Clock{readMs() - time.Hour.Milliseconds(), readMs}
+}
 
 // NowMs reads the clock.
-func (c Clock) NowMs() int64 { return time.Since(c.start).Milliseconds() }
+func (c Clock) NowMs() int64 { return c.readMs() - c.startMs }
