Let a founding that was cut short be finished by repeating it

Cause: a founder that died between the first and the last witness's write left witnesses that held the first record. They counted as another site's, so the same act was refused for ever; and a half-taken daemon, which asked for promises by itself, ran ahead in ballots.

Ruled out: letting a majority decide (a later epoch could be missed), letting the half-taken daemon finish alone (two of three are blank and may not vote).

Now the act names the record that it would make. A witness that holds just that counts as agreeing; any other record ends the act at once. All three must agree, so that any later epoch would be seen. A ballot that is behind is raised within the go.

--- /dev/null
+++ b/control/founding.go
@@ -0,0 +1,91 @@
+package control
+
+import (
+	"slices"
+
+	"myrtlewinch/defect"
+	"myrtlewinch/wire"
+)
+
+// Founded answers a founding.
+type Founded struct {
+	Epoch   uint64 `json:"epoch"`
+	Primary string `json:"primary"`
+	Backup  string `json:"backup"`
+}
+
+// found begins a site: every witness must agree, and must be blank or hold
+// just what this very founding would give it, since an earlier go at it was
+// cut short. Nothing else ever takes a blank disk for a beginning.
+func (m *Machine) found(f Founding) {
+	refuse := func(kind defect.Kind, detail string) { m.answer(f.Id, wire.Refused{Kind: kind, Detail: detail}) }
+	if m.record.Epoch > 0 || m.state.Position.Number > 0 {
+		refuse(defect.AlreadyFounded, "this controller belongs to a founded site")
+		return
+	}
+	if m.seat.founding != nil || m.seat.role != follower && m.witness.Record.Epoch == 0 {
+		refuse(defect.NotTaken, "a founding is under way")
+		return
+	}
+	set := map[string]bool{}
+	var witnesses []wire.Seat
+	for _, name := range f.Witnesses {
+		set[name] = true
+		place, ok := m.roster.Place(name)
+		if !ok {
+			refuse(defect.BadRequest, "witnesses: no controller named "+name+" is known here")
+			return
+		}
+		witnesses = append(witnesses, wire.Seat{Name: name, Incarnation: place.Incarnation})
+	}
+	if len(f.Witnesses) != 3 || len(set) != 3 {
+		refuse(defect.BadRequest, "witnesses: must be three different controllers")
+		return
+	}
+	backup, ok := m.roster.Place(f.Backup)
+	if !ok || f.Backup == m.set.Self.Name {
+		refuse(defect.BadRequest, "backup: must be another controller that is known here")
+		return
+	}
+	m.seat.first = wire.Record{
+		Epoch: 1, Primary: m.set.Self.Name,
+		Pair:      []wire.Seat{m.ownSeat(), {Name: backup.Name, Incarnation: backup.Incarnation}},
+		Witnesses: witnesses, Before: witnesses,
+	}
+	if m.witness.Record.Epoch > 0 && !same(m.witness.Record, m.seat.first) {
+		refuse(defect.AlreadyFounded, "this controller's witness belongs to another founding")
+		return
+	}
+	m.seat.founding = &f
+	m.record.Witnesses, m.record.Before = witnesses, witnesses
+	m.askPromises(true)
+}
+
+// same says whether two records are of one act.
+func same(a, b wire.Record) bool {
+	return a.Epoch == b.Epoch && a.Primary == b.Primary && slices.Equal(a.Pair, b.Pair) && slices.Equal(a.Witnesses, b.Witnesses)
+}
+
+// otherFounding ends a founding once a witness is seen to hold another record.
+func (m *Machine) otherFounding(said wire.Promised) bool {
+	s := &m.seat
+	if said.Record.Epoch == 0 || same(said.Record, s.first) {
+		return false
+	}
+	id := s.founding.Id
+	s.founding = nil
+	m.retreat(0)
+	m.answer(id, wire.Refused{Kind: defect.AlreadyFounded, Detail: "a witness belongs to another founding"})
+	return true
+}
+
+// foundWith goes on with a founding once all witnesses have agreed. All of
+// them, not a majority: if any later epoch were recorded, one would know.
+func (m *Machine) foundWith() {
+	for _, seat := range m.seat.first.Witnesses {
+		if !m.seat.granted[seat] {
+			return
+		}
+	}
+	m.keep(m.seat.first, false)
+}
--- a/control/seat.go
+++ b/control/seat.go
@@ -62,6 +62,8 @@
 	takesMs     int64
 	established bool
 	founding    *Founding
+	// first is the record that the founding under way would make.
+	first wire.Record
 }
 
 func (m *Machine) isPrimary() bool { return m.seat.role == primary }
@@ -146,7 +148,7 @@
 	m.seat.proposal = nil
 	if f := m.seat.founding; f != nil {
 		m.seat.founding = nil
-		m.answer(f.Id, wire.Refused{Kind: defect.NotTaken, Detail: "not all witnesses agreed to the founding; they must be up and blank"})
+		m.answer(f.Id, wire.Refused{Kind: defect.NotTaken, Detail: "not all witnesses agreed to the founding; they must be up, and blank or left by this same act; repeat it"})
 	}
 }
 
@@ -224,12 +226,22 @@
 			m.askMore(false)
 		}
 	}
+	if s.founding != nil && m.otherFounding(said) {
+		return
+	}
 	if !said.Granted {
+		// A witness that this act left half taken may run ahead in ballots; it
+		// is overtaken at once, within the time of this go.
+		if s.founding != nil && s.ballot.Less(said.Highest) {
+			sinceMs := s.sinceMs
+			m.askPromises(true)
+			s.sinceMs = sinceMs
+		}
 		return
 	}
 	s.granted[wire.Seat{Name: from.Name, Incarnation: from.Incarnation}] = true
 	if s.founding != nil {
-		m.foundWith(from, said)
+		m.foundWith()
 		return
 	}
 	if s.top.Majority(func(v wire.Seat) bool { return s.granted[v] }) && s.top.Epoch > 0 {
@@ -439,69 +451,3 @@
 	}
 	return best, found
 }
-
-// Founded answers a founding.
-type Founded struct {
-	Epoch   uint64 `json:"epoch"`
-	Primary string `json:"primary"`
-	Backup  string `json:"backup"`
-}
-
-// found begins a site: every witness must be blank and agree. Nothing else
-// ever takes a blank disk for a beginning.
-func (m *Machine) found(f Founding) {
-	refuse := func(kind defect.Kind, detail string) { m.answer(f.Id, wire.Refused{Kind: kind, Detail: detail}) }
-	if m.record.Epoch > 0 || m.witness.Record.Epoch > 0 || m.state.Position.Number > 0 {
-		refuse(defect.AlreadyFounded, "this controller belongs to a founded site")
-		return
-	}
-	if m.seat.role != follower {
-		refuse(defect.NotTaken, "a founding is under way")
-		return
-	}
-	set := map[string]bool{}
-	for _, name := range f.Witnesses {
-		set[name] = true
-		if _, ok := m.roster.Place(name); !ok {
-			refuse(defect.BadRequest, "witnesses: no controller named "+name+" is known here")
-			return
-		}
-	}
-	if len(f.Witnesses) != 3 || len(set) != 3 {
-		refuse(defect.BadRequest, "witnesses: must be three different controllers")
-		return
-	}
-	if _, ok := m.roster.Place(f.Backup); !ok || f.Backup == m.set.Self.Name {
-		refuse(defect.BadRequest, "backup: must be another controller that is known here")
-		return
-	}
-	m.seat.founding = &f
-	m.record.Witnesses = nil
-	for _, name := range f.Witnesses {
-		place, _ := m.roster.Place(name)
-		m.record.Witnesses = append(m.record.Witnesses, wire.Seat{Name: name, Incarnation: place.Incarnation})
-	}
-	m.record.Before = m.record.Witnesses
-	m.askPromises(true)
-}
-
-// foundWith goes on with a founding once all witnesses have agreed.
-func (m *Machine) foundWith(_ wire.Place, said wire.Promised) {
-	s := &m.seat
-	if said.Record.Epoch > 0 {
-		id := s.founding.Id
-		s.founding = nil
-		m.retreat(0)
-		m.answer(id, wire.Refused{Kind: defect.AlreadyFounded, Detail: "a witness belongs to a founded site"})
-		return
-	}
-	if len(s.granted) < len(s.top.Witnesses) {
-		return
-	}
-	backup, _ := m.roster.Place(s.founding.Backup)
-	m.keep(wire.Record{
-		Epoch: 1, Primary: m.set.Self.Name,
-		Pair:      []wire.Seat{m.ownSeat(), {Name: backup.Name, Incarnation: backup.Incarnation}},
-		Witnesses: s.top.Witnesses, Before: s.top.Witnesses,
-	}, false)
-}
--- a/sim/people.go
+++ b/sim/people.go
@@ -225,6 +225,8 @@
 	// texts are the whole ones that were handed over, by mark.
 	texts    map[string]string
 	outcomes map[string]int
+	// founding is how the last founding ended.
+	founding any
 	// lastNumber is the newest revision that was told as accepted.
 	lastNumber uint64
 }
@@ -249,12 +251,16 @@
 }
 
 // Found founds the site with its first three controllers.
-func (w *World) Found() {
+func (w *World) Found() { w.foundWith(w.names(wire.Controller)[1]) }
+
+// foundWith founds it with a backup; told is how the last founding ended.
+func (w *World) foundWith(backup string) {
 	names := w.names(wire.Controller)
 	w.tell(names[0], "", func(id uint64) any {
-		return control.Founding{Id: id, Witnesses: names[:3], Backup: names[1]}
+		return control.Founding{Id: id, Witnesses: names[:3], Backup: backup}
 	}, func(body any) {
 		w.note("founding: %+v", body)
+		w.operator.founding = body
 	})
 }
 
