Let a fourth core machine take the seat of a witness that stays away

Cause: a witness's seat was taken over only under its own name. With one witness gone for good, Zagreb's fourth core machine stood by and the loss of a second stopped all control.

Ruled out: a longer wait (nothing changes by itself), five witnesses (Alexandria has three machines), any daemon but a primary with its hold doing it.

After 30 s of silence the primary records a set with a live fellow that holds every change, one seat at a time, by the same rule as any change of the set. Without such a fellow it says so once, and the status lists the witness.

--- a/control/copy.go
+++ b/control/copy.go
@@ -31,6 +31,9 @@
 	fellows       map[string]*fellowCopy
 	soft          wire.Soft
 	sentMs        int64
+	beganMs       int64
+	// away is the witness that was last said to stay away for good.
+	away string
 }
 
 type batch struct {
@@ -88,7 +91,7 @@
 	c.base, c.recent = m.state.Position, nil
 	c.writing = false
 	c.committed = 0
-	c.sentMs = m.nowMs - followMs
+	c.sentMs, c.beganMs = m.nowMs-followMs, m.nowMs
 	// A recorded fellow has the usual time to show itself.
 	for _, seat := range m.record.Pair {
 		c.fellows[seat.Name] = &fellowCopy{incarnation: seat.Incarnation, heardMs: m.nowMs}
--- a/control/seat.go
+++ b/control/seat.go
@@ -408,6 +408,7 @@
 	next := m.record
 	next.Epoch++
 	next.Before = m.record.Witnesses
+	// The other disk of the pair goes first: without it nothing is written.
 	if fellow, ok := m.record.Fellow(m.set.Self.Name); !ok || !m.copies.keepsUp(m.nowMs, fellow) {
 		if spare, found := m.recruit(fellow); found {
 			next.Pair = []wire.Seat{m.ownSeat(), spare}
@@ -421,16 +422,10 @@
 		m.keep(next, false)
 		return
 	}
-	for i, seat := range m.record.Witnesses {
-		c := m.copies.fellows[seat.Name]
-		if c == nil || c.incarnation == seat.Incarnation || m.nowMs-c.heardMs > missMs {
-			continue
-		}
+	if i, seat, ok := m.nextWitness(); ok {
 		next.Witnesses = slices.Clone(m.record.Witnesses)
-		next.Witnesses[i].Incarnation = c.incarnation
-		m.note("taking in the new witness disk of %s", seat.Name)
+		next.Witnesses[i] = seat
 		m.keep(next, false)
-		return
 	}
 }
 
--- a/control/status.go
+++ b/control/status.go
@@ -15,25 +15,27 @@
 
 // Status is what a controller believes.
 type Status struct {
-	Site         string         `json:"site"`
-	Name         string         `json:"name"`
-	Part         string         `json:"part"`
-	Incarnation  string         `json:"incarnation"`
-	Role         string         `json:"role"`
-	Active       bool           `json:"active"`
-	Orders       bool           `json:"orders"`
-	DiskBroken   bool           `json:"diskBroken"`
-	WitnessBlank bool           `json:"witnessBlank"`
-	Record       wire.Record    `json:"record"`
-	Position     wire.Position  `json:"position"`
-	Revision     uint64         `json:"revision"`
-	Pending      uint64         `json:"pending"`
-	LookUps      uint64         `json:"lookUps"`
-	Fellows      []FellowStatus `json:"fellows"`
-	Rows         []*ledger.Row  `json:"rows"`
-	Leaving      []wire.Mark    `json:"leaving"`
-	Platform     int64          `json:"platformAgeMs"`
-	Routers      []RouterStatus `json:"routers"`
+	Site         string      `json:"site"`
+	Name         string      `json:"name"`
+	Part         string      `json:"part"`
+	Incarnation  string      `json:"incarnation"`
+	Role         string      `json:"role"`
+	Active       bool        `json:"active"`
+	Orders       bool        `json:"orders"`
+	DiskBroken   bool        `json:"diskBroken"`
+	WitnessBlank bool        `json:"witnessBlank"`
+	Record       wire.Record `json:"record"`
+	// Away lists the witnesses that the primary misses for long.
+	Away     []string       `json:"witnessesAway"`
+	Position wire.Position  `json:"position"`
+	Revision uint64         `json:"revision"`
+	Pending  uint64         `json:"pending"`
+	LookUps  uint64         `json:"lookUps"`
+	Fellows  []FellowStatus `json:"fellows"`
+	Rows     []*ledger.Row  `json:"rows"`
+	Leaving  []wire.Mark    `json:"leaving"`
+	Platform int64          `json:"platformAgeMs"`
+	Routers  []RouterStatus `json:"routers"`
 }
 
 // FellowStatus is a fellow and when it was last heard of (-1: never).
@@ -72,6 +74,9 @@
 		WitnessBlank: m.witness.Blank(), Record: m.record, Position: m.state.Position, Revision: m.state.Revision.Number,
 		LookUps: m.index.looked, Platform: -1,
 	}
+	for _, seat := range m.away() {
+		s.Away = append(s.Away, seat.Name)
+	}
 	if m.offer.pending != nil {
 		s.Pending = m.offer.pending.number
 	}
--- /dev/null
+++ b/control/witnesses.go
@@ -0,0 +1,69 @@
+package control
+
+import (
+	"slices"
+
+	"myrtlewinch/wire"
+)
+
+// awayMs is how long a witness is silent before another daemon takes its seat.
+const awayMs = 30_000
+
+// silentMs is how long the fellow of a seat has not answered this primacy.
+func (m *Machine) silentMs(seat wire.Seat) int64 {
+	c := m.copies.fellows[seat.Name]
+	if seat == m.ownSeat() {
+		return 0
+	}
+	if c == nil {
+		return m.nowMs - m.copies.beganMs
+	}
+	return m.nowMs - max(c.heardMs, m.copies.beganMs)
+}
+
+// nextWitness gives the seat to change next, one at a time: a witness that
+// came back with a blank disk takes its own place, and for one that stays away
+// a live fellow that holds every change does. The old set's majority must
+// agree like the new one's, so each later candidate learns of the change from
+// some witness of whatever set it knows.
+func (m *Machine) nextWitness() (int, wire.Seat, bool) {
+	for i, seat := range m.record.Witnesses {
+		if c := m.copies.fellows[seat.Name]; c != nil && c.incarnation != seat.Incarnation && m.nowMs-c.heardMs <= missMs {
+			m.note("taking in the new witness disk of %s", seat.Name)
+			return i, wire.Seat{Name: seat.Name, Incarnation: c.incarnation}, true
+		}
+	}
+	away := m.away()
+	if len(away) == 0 {
+		m.copies.away = ""
+		return 0, wire.Seat{}, false
+	}
+	for _, place := range m.roster.Part(wire.Controller) {
+		seat := wire.Seat{Name: place.Name, Incarnation: place.Incarnation}
+		sits := slices.ContainsFunc(m.record.Witnesses, func(w wire.Seat) bool { return w.Name == seat.Name })
+		if sits || !m.copies.keepsUp(m.nowMs, seat) || m.copies.fellows[seat.Name].acked < m.state.Position.Number {
+			continue
+		}
+		m.note("%s takes the place of witness %s, which stays away", seat.Name, away[0].Name)
+		return slices.Index(m.record.Witnesses, away[0]), seat, true
+	}
+	if m.copies.away != away[0].Name {
+		m.copies.away = away[0].Name
+		m.note("witness %s stays away and no other core machine can take its place; the next loss stops control", away[0].Name)
+	}
+	return 0, wire.Seat{}, false
+}
+
+// away lists the witnesses that have been silent for long.
+func (m *Machine) away() []wire.Seat {
+	var away []wire.Seat
+	if !m.isPrimary() {
+		return nil
+	}
+	for _, seat := range m.record.Witnesses {
+		if m.silentMs(seat) > awayMs {
+			away = append(away, seat)
+		}
+	}
+	return away
+}
--- a/sim/scenario.go
+++ b/sim/scenario.go
@@ -168,6 +168,30 @@
 			w.Run(6000)
 		}
 	}, 5000},
+	"a core machine stays away, then another goes": {"where there is a fourth, the site outlives the second loss", func(w *World) {
+		names := w.names(wire.Controller)
+		gone := names[w.Random.Intn(3)]
+		w.Kill(gone)
+		w.Run(45_000)
+		if len(names) > 3 {
+			p := w.Primary()
+			w.Kill(p)
+			w.Run(6000)
+			w.HandOver(w.Primary(), 1, w.Variant(1))
+			w.Run(9000)
+			w.mustBeAccepted(2)
+			w.Run(30_000)
+			// The first comes back as it was, beside its successor.
+			w.Start(gone)
+			w.Run(3000)
+			w.Kill(w.Primary())
+			w.Run(6000)
+			w.Start(p)
+		} else {
+			w.Start(gone)
+		}
+		w.checkBack()
+	}, 1000},
 	"core cut in two": {"at most one side goes on", func(w *World) {
 		p := w.Primary()
 		w.Cut([]string{p}, w.others(p, "operator", "senders"), false)
