--- a/sim/world.go
+++ b/sim/world.go
@@ -305,7 +305,7 @@
 // Kill ends a daemon at once.
 func (w *World) Kill(name string) {
 	n := w.nodes[name]
-	if !n.up {
+	if n == nil || !n.up {
 		return
 	}
 	w.note("%s is killed", name)
