Let one of two daemons of a name win for good; holds are by process

Cause: a name's place was that of whoever spoke last, so an old machine that woke beside its replacement and the new one displaced each other in turn. Routers' holds were counted by name: an acknowledgement of one spoke for the other too.

Ruled out: first come wins (a frozen old one would), wall times (they jump), a single message as proof of life (it may be late).

Now a record lists the disks whose names passed to another; they are told, retire and keep that. Routers get a number from the primary and show it back; the highest has the name. Holds are by process, so acceptance waits for each.

--- a/control/machine.go
+++ b/control/machine.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -32,6 +33,7 @@
 // Keys of a controller's own rows on the disk.
 const (
 	recordKey  = "record"
+	retiredKey = "retired"
 	fellowsKey = "fellows"
 )
 
@@ -57,14 +59,16 @@
 	saved     uint64
 	broken    bool
 	leaving   bool
-	roster    *watch.Roster
-	fellows   string
-	seat      seat
-	copies    copies
-	offer     offer
-	index     index
-	duty      duty
-	table     choice.Table
+	// retired says that this disk's name has passed to another for good.
+	retired bool
+	roster  *watch.Roster
+	fellows string
+	seat    seat
+	copies  copies
+	offer   offer
+	index   index
+	duty    duty
+	table   choice.Table
 }
 
 // New makes a controller from what its disk holds.
@@ -84,6 +88,7 @@
 		}
 	}
 	m.record, m.ballot = known.Record, known.Ballot
+	m.retired = keys[retiredKey] != ""
 	// A witness's record may be half-recorded, so it is only a hint whom to ask.
 	if m.witness.Record.Epoch > 0 && m.record.Epoch == 0 {
 		m.record.Witnesses, m.record.Before = m.witness.Record.Witnesses, m.witness.Record.Before
@@ -103,7 +108,7 @@
 	m.roster = watch.New(set.Self, set.Seeds, places)
 	m.seat = seat{heardMs: nowMs}
 	m.copies = copies{synced: m.state.Position, taken: m.state.Position}
-	m.offer = offer{holds: map[string]*routerHold{}}
+	m.offer.forget()
 	m.index = index{waiting: map[choice.Key]map[string]int64{}, counts: map[string]int64{}}
 	m.duty = newDuty()
 	return m, nil
@@ -151,6 +156,10 @@
 func (m *Machine) Step(nowMs int64, input any) wire.Effects {
 	m.nowMs = nowMs
 	m.out = wire.Effects{}
+	if m.retired {
+		m.stepRetired(input)
+		return m.out
+	}
 	// A hold that ran out while nothing was done is noticed before anything else.
 	m.checkHold()
 	switch in := input.(type) {
@@ -225,6 +234,9 @@
 		m.count(defect.OtherDaemon)
 		return
 	}
+	if e.From.Part == wire.Controller && !m.heeds(e) {
+		return
+	}
 	m.roster.Heard(m.nowMs, e.From)
 	switch body := e.Body.(type) {
 	case wire.Heartbeat:
@@ -239,6 +251,8 @@
 		if body.Record.Epoch > m.record.Epoch && !m.isPrimary() {
 			m.adopt(body.Record, wire.Ballot{})
 		}
+	case wire.Retire:
+		m.heedRetire(body.Record)
 	case wire.Sightings:
 		for _, s := range body.Seen {
 			m.roster.Told(m.nowMs, s)
@@ -351,6 +365,10 @@
 	if record.Epoch > m.record.Epoch {
 		m.note("epoch %d: primary %s", record.Epoch, record.Primary)
 	}
+	if slices.Contains(record.Gone, m.ownSeat()) {
+		m.retire()
+		return
+	}
 	changed := record.Epoch != m.record.Epoch || m.ballot.Less(ballot)
 	m.record = record
 	if m.ballot.Less(ballot) {
--- a/control/offer.go
+++ b/control/offer.go
@@ -29,7 +29,12 @@
 	count   int
 	pending *candidate
 	line    []HandOver
-	holds   map[string]*routerHold
+	// holds are by process, not by name: two of one name may live for a while.
+	holds map[wire.Seat]*routerHold
+	// numbers registers the routers' processes in the order in which they first
+	// asked; latest is the one that holds each name.
+	numbers map[wire.Seat]uint64
+	latest  map[string]uint64
 }
 
 // candidate is a description that the routers are asked to hold.
@@ -189,7 +194,7 @@
 		return true
 	}
 	for _, member := range m.described.Routers {
-		if hold := o.holds[member.Name]; hold != nil && hold.acked == o.pending.token {
+		if o.acked(m.nowMs, member.Name) {
 			acked++
 		}
 	}
@@ -203,7 +208,8 @@
 func (m *Machine) endOffer() {
 	o := &m.offer
 	line, pending := o.line, o.pending
-	o.line, o.pending, o.holds = nil, nil, map[string]*routerHold{}
+	o.line, o.pending = nil, nil
+	o.forget()
 	for _, in := range line {
 		m.refuse(in.Id, defect.NotTaken, "this controller is not the primary any more", nil)
 	}
@@ -214,6 +220,43 @@
 	}
 }
 
+// forget begins the holds and the registration of routers anew.
+func (o *offer) forget() {
+	o.holds, o.numbers, o.latest = map[wire.Seat]*routerHold{}, map[wire.Seat]uint64{}, map[string]uint64{}
+}
+
+// register gives a router's process its number. One that shows that it got it
+// lives, and has the name unless a later one does. The rest are retired.
+// No two primacies give the same number.
+func (o *offer) register(epoch uint64, seat wire.Seat, shown uint64) (number uint64, retired bool) {
+	number = o.numbers[seat]
+	if number == 0 {
+		number = epoch<<24 + uint64(len(o.numbers)+1)
+		o.numbers[seat] = number
+	}
+	if shown == number {
+		o.latest[seat.Name] = max(o.latest[seat.Name], number)
+	}
+	return number, number < o.latest[seat.Name]
+}
+
+// acked says whether a router's process has acknowledged the offer and no
+// other of its name may still go on without.
+func (o *offer) acked(nowMs int64, name string) bool {
+	found := false
+	for seat, hold := range o.holds {
+		if seat.Name != name {
+			continue
+		}
+		if hold.acked == o.pending.token {
+			found = true
+		} else if nowMs < hold.untilMs {
+			return false
+		}
+	}
+	return found
+}
+
 // counts says whether a router is listed in the description in force, or in
 // none as long as there is none.
 func (m *Machine) counts(name string) bool {
@@ -234,19 +277,25 @@
 		return
 	}
 	o := &m.offer
+	seat := wire.Seat{Name: e.From.Name, Incarnation: e.From.Incarnation}
+	number, retired := o.register(m.record.Epoch, seat, ask.Number)
+	if retired {
+		m.reply(e, wire.Word{EchoMs: ask.EchoMs, For: e.From.Incarnation, Epoch: m.record.Epoch, Number: number, Retired: true})
+		return
+	}
 	word := wire.Word{
 		EchoMs: ask.EchoMs, For: e.From.Incarnation, Epoch: m.record.Epoch,
-		Revision: o.current.Number, Sum: o.token,
+		Revision: o.current.Number, Sum: o.token, Number: number,
 		Leaving: m.duty.marks(m.state), Fellows: m.roster.Places(),
 	}
 	if ask.Revision != o.current.Number && ask.Held != word.Sum {
 		word.Text = o.current.Text
 	}
-	hold := o.holds[e.From.Name]
+	hold := o.holds[seat]
 	if m.counts(e.From.Name) && o.current.Number > 0 {
 		if hold == nil {
 			hold = &routerHold{}
-			o.holds[e.From.Name] = hold
+			o.holds[seat] = hold
 		}
 		hold.acked = ask.Held
 		hold.givenMs = m.nowMs + ask.GivenMs
--- a/control/office.go
+++ b/control/office.go
@@ -189,7 +189,7 @@
 func (o *Office) soundness(w http.ResponseWriter, r *http.Request) {
 	answer, ok := o.ask(r, lookUpMs, func(id uint64) any { return Look{Id: id, Page: "status"} })
 	status, right := answer.(Status)
-	if !ok || !right || status.DiskBroken {
+	if !ok || !right || status.DiskBroken || status.Retired {
 		defect.Answer{Kind: defect.NotTaken, Detail: "unsound"}.Write(w)
 		return
 	}
--- /dev/null
+++ b/control/retired.go
@@ -0,0 +1,64 @@
+package control
+
+import (
+	"slices"
+
+	"myrtlewinch/defect"
+	"myrtlewinch/disk"
+	"myrtlewinch/wire"
+)
+
+// heeds says whether a message of a core daemon counts. A name has one disk:
+// the one that a recorded epoch names. One that was replaced is told so, and a
+// blank one waits until the recorded one is silent.
+func (m *Machine) heeds(e wire.Envelope) bool {
+	seat := wire.Seat{Name: e.From.Name, Incarnation: e.From.Incarnation}
+	if slices.Contains(m.record.Gone, seat) {
+		m.count(defect.OtherDaemon)
+		m.send(e.From, wire.Retire{Record: m.record})
+		return false
+	}
+	named, ok := m.record.Names(seat.Name)
+	if !ok || named == seat {
+		return true
+	}
+	if place, known := m.roster.Place(seat.Name); known && place.Incarnation == named.Incarnation && m.roster.Live(m.nowMs, seat.Name) {
+		m.count(defect.OtherDaemon)
+		return false
+	}
+	return true
+}
+
+// heedRetire takes the word only with a record that says so and is not older.
+func (m *Machine) heedRetire(record wire.Record) {
+	if record.Epoch >= m.record.Epoch && slices.Contains(record.Gone, m.ownSeat()) {
+		m.retire()
+	}
+}
+
+// retire ends this daemon's part in the site for good, also over restarts.
+func (m *Machine) retire() {
+	if m.retired {
+		return
+	}
+	m.note("retired: another disk has this daemon's name; stop this one")
+	if m.isPrimary() {
+		m.loseSeat("this disk was replaced")
+	}
+	m.retired = true
+	if !m.broken {
+		m.save(disk.Write{Sets: map[string]string{retiredKey: "for good"}}, nil)
+	}
+}
+
+// stepRetired answers who looks, and refuses all else.
+func (m *Machine) stepRetired(input any) {
+	switch in := input.(type) {
+	case Look:
+		m.look(in)
+	case HandOver:
+		m.refuse(in.Id, defect.NotPrimary, "this daemon is retired", nil)
+	case Founding:
+		m.answer(in.Id, wire.Refused{Kind: defect.AlreadyFounded, Detail: "this daemon is retired"})
+	}
+}
--- a/control/seat.go
+++ b/control/seat.go
@@ -308,7 +308,7 @@
 		}
 		m.keep(wire.Record{
 			Epoch: record.Epoch + 1, Primary: m.set.Self.Name, Pair: record.Pair,
-			Witnesses: record.Witnesses, Before: record.Witnesses,
+			Witnesses: record.Witnesses, Before: record.Witnesses, Gone: record.Gone,
 		}, false)
 		return
 	}
@@ -412,6 +412,10 @@
 	if fellow, ok := m.record.Fellow(m.set.Self.Name); !ok || !m.copies.keepsUp(m.nowMs, fellow) {
 		if spare, found := m.recruit(fellow); found {
 			next.Pair = []wire.Seat{m.ownSeat(), spare}
+			// A disk that came back blank under the name takes over the name.
+			if old, ok := m.record.Names(spare.Name); ok && old != spare {
+				next.Gone = m.record.Replaced(old)
+			}
 			m.note("recruiting %s as backup", spare.Name)
 			m.keep(next, false)
 			return
@@ -424,6 +428,9 @@
 	}
 	if i, seat, ok := m.nextWitness(); ok {
 		next.Witnesses = slices.Clone(m.record.Witnesses)
+		if old := next.Witnesses[i]; old.Name == seat.Name {
+			next.Gone = m.record.Replaced(old)
+		}
 		next.Witnesses[i] = seat
 		m.keep(next, false)
 	}
--- a/control/status.go
+++ b/control/status.go
@@ -23,6 +23,7 @@
 	Active       bool        `json:"active"`
 	Orders       bool        `json:"orders"`
 	DiskBroken   bool        `json:"diskBroken"`
+	Retired      bool        `json:"retired"`
 	WitnessBlank bool        `json:"witnessBlank"`
 	Record       wire.Record `json:"record"`
 	// Away lists the witnesses that the primary misses for long.
@@ -70,7 +71,7 @@
 	}
 	s := Status{
 		Site: m.set.Site, Name: m.set.Self.Name, Part: m.set.Self.Part, Incarnation: m.set.Self.Incarnation,
-		Role: roleNames[m.seat.role], Active: m.active(), Orders: m.mayOrder(), DiskBroken: m.broken,
+		Role: roleNames[m.seat.role], Active: m.active(), Orders: m.mayOrder(), DiskBroken: m.broken, Retired: m.retired,
 		WitnessBlank: m.witness.Blank(), Record: m.record, Position: m.state.Position, Revision: m.state.Revision.Number,
 		LookUps: m.index.looked, Platform: -1,
 	}
@@ -100,8 +101,8 @@
 	if m.isPrimary() && m.duty.platformOkMs > 0 {
 		s.Platform = m.nowMs - m.duty.platformOkMs
 	}
-	for name, hold := range m.offer.holds {
-		s.Routers = append(s.Routers, RouterStatus{name, hold.untilMs - m.nowMs, hold.acked})
+	for seat, hold := range m.offer.holds {
+		s.Routers = append(s.Routers, RouterStatus{seat.Name, hold.untilMs - m.nowMs, hold.acked})
 	}
 	sort.Slice(s.Routers, func(i, j int) bool { return s.Routers[i].Name < s.Routers[j].Name })
 	m.answer(in.Id, s)
--- a/sim/scenario.go
+++ b/sim/scenario.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"myrtlewinch/rules"
+	"myrtlewinch/traffic"
 	"myrtlewinch/wire"
 )
 
@@ -92,6 +93,26 @@
 	}
 }
 
+// mustBeRetired looks whether the old daemon retired and the new one did not.
+func (w *World) mustBeRetired(old, fresh string) {
+	if !w.retired(old) || w.retired(fresh) {
+		w.Book.Lost(w.NowMs, fmt.Sprintf("%s retired: %v, %s retired: %v", old, w.retired(old), fresh, w.retired(fresh)))
+	}
+}
+
+func (w *World) retired(name string) bool {
+	n := w.nodes[name]
+	if n.part == wire.Controller {
+		return w.status(n).Retired
+	}
+	for _, answer := range n.machine.Step(n.clock(w.NowMs), traffic.Look{Id: 1}).Answers {
+		if status, ok := answer.Body.(traffic.Status); ok {
+			return status.Retired
+		}
+	}
+	return false
+}
+
 // Scenarios are the first ones; each is played with many seeds.
 var Scenarios = map[string]Scenario{
 	"quiet": {"nothing fails", func(*World) {}, 10_000},
@@ -192,6 +213,35 @@
 		}
 		w.checkBack()
 	}, 1000},
+	"an old core machine wakes beside its replacement": {"the old one retires for good and disturbs nobody", func(w *World) {
+		name := w.names(wire.Controller)[w.Random.Intn(3)]
+		ghost := w.Double(name)
+		w.Run(3000 + w.Random.Int63n(8000))
+		w.Thaw(ghost)
+		w.Run(4000)
+		w.mustBeRetired(ghost, name)
+		w.HandOver(w.Primary(), 1, w.Variant(1))
+		w.Run(9000)
+		w.mustBeAccepted(2)
+		// It stays retired, also when it is started again.
+		w.Kill(ghost)
+		w.Start(ghost)
+		w.Run(3000)
+		w.mustBeRetired(ghost, name)
+	}, 3000},
+	"an old router wakes beside its replacement": {"one of the two goes on; no description slips", func(w *World) {
+		name := w.some(wire.Router)
+		ghost := w.Double(name)
+		w.Run(500 + w.Random.Int63n(4000))
+		w.HandOver(w.Primary(), 1, w.Variant(1))
+		w.Run(w.Random.Int63n(3000))
+		w.Thaw(ghost)
+		w.Run(6000)
+		w.mustBeRetired(ghost, name)
+		w.HandOver(w.Primary(), 2, w.Variant(2))
+		w.Run(9000)
+		w.mustBeAccepted(3)
+	}, 3000},
 	"core cut in two": {"at most one side goes on", func(w *World) {
 		p := w.Primary()
 		w.Cut([]string{p}, w.others(p, "operator", "senders"), false)
--- a/sim/world.go
+++ b/sim/world.go
@@ -124,10 +124,14 @@
 // node is one daemon.
 type node struct {
 	name, zone, part string
-	address          string
-	machine          daemon.Machine
-	up, frozen       bool
-	frozenMs         int64
+	// called is the name that the daemon itself goes by.
+	called string
+	// lived is the name that its incarnations are made of, if another.
+	lived      string
+	address    string
+	machine    daemon.Machine
+	up, frozen bool
+	frozenMs   int64
 	// life tells one run of the process from the next.
 	life    int
 	bootMs  int64
@@ -192,7 +196,7 @@
 }
 
 func (w *World) addNode(member description.Member, part string) *node {
-	n := &node{name: member.Name, zone: member.Zone, part: part, address: member.Name + ":1", under: map[uint64]*asked{}}
+	n := &node{name: member.Name, called: member.Name, zone: member.Zone, part: part, address: member.Name + ":1", under: map[uint64]*asked{}}
 	w.nodes[n.name] = n
 	w.address[n.address] = n.name
 	return n
@@ -267,7 +271,7 @@
 	n.bootMs = w.NowMs
 	n.offset = 3_600_000 + w.Random.Int63n(1_000_000)
 	n.under = map[uint64]*asked{}
-	self := wire.Place{Name: name, Address: n.address, Zone: n.zone, Part: n.part}
+	self := wire.Place{Name: n.called, Address: n.address, Zone: n.zone, Part: n.part}
 	if n.part == wire.Controller {
 		self.Incarnation = n.disk.incarnation
 		machine, err := control.New(control.Settings{Site: w.Site.Site, Self: self, Seeds: n.seeds, Platform: "platform", GapMs: w.Breaks.GapMs}, cloned(n.disk.keys), n.clock(w.NowMs))
@@ -276,7 +280,7 @@
 		}
 		n.machine = machine
 	} else {
-		self.Incarnation = fmt.Sprintf("%s-life-%d", name, n.life)
+		self.Incarnation = n.incarnation()
 		n.machine = traffic.New(traffic.Settings{Site: w.Site.Site, Self: self, Seeds: n.seeds, Platform: "platform"}, n.clock(w.NowMs))
 	}
 	w.note("%s starts", name)
@@ -518,9 +522,17 @@
 }
 
 func (w *World) place(n *node) wire.Place {
-	incarnation := fmt.Sprintf("%s-life-%d", n.name, n.life)
+	return wire.Place{Name: n.called, Address: n.address, Zone: n.zone, Part: n.part, Incarnation: n.incarnation()}
+}
+
+// incarnation is that of the disk, or of the process where there is none.
+func (n *node) incarnation() string {
 	if n.part == wire.Controller {
-		incarnation = n.disk.incarnation
+		return n.disk.incarnation
+	}
+	name := n.name
+	if n.lived != "" {
+		name = n.lived
 	}
-	return wire.Place{Name: n.name, Address: n.address, Zone: n.zone, Part: n.part, Incarnation: incarnation}
+	return fmt.Sprintf("%s-life-%d", name, n.life)
 }
--- a/traffic/machine.go
+++ b/traffic/machine.go
@@ -88,6 +88,10 @@
 	// a request to that would reach the leaver as well.
 	leavers map[string]bool
 	leaving bool
+	// number is what the primary registered this process under.
+	number uint64
+	// retired says that a later process has this router's name.
+	retired bool
 
 	cache    map[choice.Key]*entry
 	requests map[uint64]*request
@@ -137,7 +141,10 @@
 	m.out = wire.Effects{}
 	switch in := input.(type) {
 	case wire.Envelope:
-		m.receive(in)
+		// It disturbs no one any more, and nothing brings it back.
+		if !m.retired {
+			m.receive(in)
+		}
 	case Request:
 		m.take(in)
 	case Ended:
@@ -167,6 +174,10 @@
 }
 
 func (m *Machine) tick() {
+	if m.retired {
+		m.wake()
+		return
+	}
 	m.out.Sends = append(m.out.Sends, m.roster.Tick(m.nowMs, m.epoch, m.primary, false)...)
 	if m.nowMs-m.askedMs >= askMs {
 		m.ask()
@@ -184,7 +195,7 @@
 func (m *Machine) ask() {
 	m.askedMs = m.nowMs
 	if place, ok := m.roster.Place(m.primary); ok && m.primary != "" {
-		m.send(place, wire.Ask{EchoMs: m.nowMs, Revision: m.revision, Held: m.heldSum, GivenMs: max(0, m.givenUntilMs-m.nowMs), Waiting: m.waitingKeys()})
+		m.send(place, wire.Ask{EchoMs: m.nowMs, Revision: m.revision, Held: m.heldSum, GivenMs: max(0, m.givenUntilMs-m.nowMs), Waiting: m.waitingKeys(), Number: m.number})
 	}
 }
 
@@ -267,11 +278,19 @@
 	if w.For != m.set.Self.Incarnation || w.EchoMs <= m.echoMs || w.EchoMs > m.nowMs {
 		return
 	}
+	if w.Retired {
+		m.note("retired: another router has this one's name; stop this one")
+		m.retired, m.leaving = true, true
+		m.wake()
+		return
+	}
 	// A router never goes back to an older description.
 	if w.Revision < m.revision {
 		m.count(defect.StaleRevision)
 		return
 	}
+	// A number of an earlier primary says nothing to the next.
+	m.number = w.Number
 	m.epoch, m.primary, m.echoMs = w.Epoch, from.Name, w.EchoMs
 	m.roster.Learn(m.nowMs, w.Fellows)
 	m.mark(w.Leaving)
@@ -350,7 +369,7 @@
 // long as its hold runs, it need not fear that a next one is in force, and
 // its word on leaving runners is fresh.
 func (m *Machine) usableUntil() int64 {
-	if m.described == nil || m.higher > m.revision {
+	if m.described == nil || m.higher > m.revision || m.retired {
 		return m.nowMs
 	}
 	until := min(m.revUntilMs, m.leaveWordMs+leaveMs)
--- a/traffic/status.go
+++ b/traffic/status.go
@@ -22,6 +22,7 @@
 	Held     string        `json:"held,omitempty"`
 	Usable   bool          `json:"usable"`
 	Stopping bool          `json:"stopping"`
+	Retired  bool          `json:"retired"`
 	UsableMs int64         `json:"usableMs"`
 	WordMs   int64         `json:"wordAgeMs"`
 	Waiting  int           `json:"waiting"`
@@ -41,7 +42,7 @@
 func (m *Machine) look(in Look) {
 	s := Status{
 		Site: m.set.Site, Name: m.set.Self.Name, Part: m.set.Self.Part, Epoch: m.epoch, Primary: m.primary,
-		Revision: m.revision, Held: m.heldSum, Usable: m.usable(), Stopping: m.leaving,
+		Revision: m.revision, Held: m.heldSum, Usable: m.usable(), Stopping: m.leaving, Retired: m.retired,
 		UsableMs: m.usableUntil() - m.nowMs, WordMs: m.nowMs - m.leaveWordMs, Waiting: len(m.requests), Tally: m.Tally,
 	}
 	s.Tally.Drops = map[defect.Kind]uint64{}
--- a/wire/bodies.go
+++ b/wire/bodies.go
@@ -164,6 +164,9 @@
 	// that died takes no one's wait with it. It is no look-up: it is sent at
 	// the same pace whatever the requests are.
 	Waiting []LookUp
+	// Number is what this epoch's primary gave this very process, or nought. A
+	// late question of a process that is gone can't know one.
+	Number uint64
 }
 
 // Prolong asks a fellow router to renew the hold on a revision, while the
@@ -189,6 +192,10 @@
 	Epoch    uint64
 	Revision uint64
 	Sum      string
+	// Number registers the router that asked; Retired says that a later one
+	// of its name is registered.
+	Number  uint64
+	Retired bool
 	// Pending names the offer of a revision that is being taken, or empty.
 	Pending string
 	// Renew says that this word prolongs the router's hold on Revision.
@@ -207,6 +214,9 @@
 	Incarnation string `json:"incarnation"`
 }
 
+// Retire tells a daemon that its name has passed to another for good.
+type Retire struct{ Record Record }
+
 // Nudge tells a router to ask now.
 type Nudge struct{ Epoch uint64 }
 
@@ -246,7 +256,7 @@
 	for _, body := range []any{
 		Heartbeat{}, Hello{}, Known{}, Sightings{}, Promise{}, Promised{}, Keep{}, Kept{}, Renew{},
 		Release{}, Yield{}, Opinion{}, Opined{}, Follow{}, Image{}, Followed{}, Ask{}, Word{}, Nudge{}, Prolong{}, Prolonged{},
-		LookUp{}, Index{}, Demand{},
+		LookUp{}, Index{}, Demand{}, Retire{},
 	} {
 		gob.Register(body)
 	}
--- a/wire/record.go
+++ b/wire/record.go
@@ -31,6 +31,27 @@
 	Witnesses []Seat `json:"witnesses"`
 	// Before is the witness set that had to agree to this record.
 	Before []Seat `json:"before"`
+	// Gone are the disks whose names passed to another disk, the latest last.
+	// They never come back.
+	Gone []Seat `json:"gone,omitempty"`
+}
+
+const goneMost = 16
+
+// Replaced gives the list of the gone with one more.
+func (r Record) Replaced(seat Seat) []Seat {
+	gone := append(slices.Clone(r.Gone), seat)
+	return gone[max(0, len(gone)-goneMost):]
+}
+
+// Names gives the disk that the record names for a daemon, if it does.
+func (r Record) Names(name string) (Seat, bool) {
+	for _, seat := range append(slices.Clone(r.Pair), r.Witnesses...) {
+		if seat.Name == name {
+			return seat, true
+		}
+	}
+	return Seat{}, false
 }
 
 // Pairs says whether the disk is one of the pair.
