Count a leaver as learned once the platform's answer has come

The platform had been read, and its answer was lost on the way, so that nobody knew of the mark; the checker counted from the reading.

Ruled out: a router sending on an old word (its word was fresh; the primary could not read the platform, and said so). The broken variant without the check at the socket still fires. Conclusion: the checker was wrong, not the system.

--- a/sim/outside.go
+++ b/sim/outside.go
@@ -77,12 +77,15 @@
 		giveUp(wire.Listing{})
 		w.pass(n.name, "platform", func() {
 			list := w.platform.List()
-			for _, listed := range list {
-				if listed.Leaving {
-					w.Book.Learned(w.NowMs, listed.Name, listed.Incarnation)
+			w.pass("platform", n.name, func() {
+				// It is learned once it has come to a daemon that takes it.
+				for _, listed := range list {
+					if listed.Leaving && !ended && n.up && n.life == life && !n.frozen {
+						w.Book.Learned(w.NowMs, listed.Name, listed.Incarnation)
+					}
 				}
-			}
-			w.pass("platform", n.name, func() { back(wire.Listing{Ok: true, Runners: list}) }, nothing)
+				back(wire.Listing{Ok: true, Runners: list})
+			}, nothing)
 		}, nothing)
 	case wire.ReportCall:
 		said := wire.Reported{Runner: body.Runner, Address: call.Address, Number: body.Number}
