Let an operator go on from a surviving copy once both disks of the pair are lost

Cause: with both disks of the pair lost nothing went on, and no act could make it. Found on the way: a controller took a router's word on the epoch for a whole record, without pair and witnesses, and could then not stand in its own place any more.

Ruled out: a spare taking over by itself (it may lack an answered write), asking the routers (they have no ledger), the usual majority (blank disks have no vote).

Now operator recover shows, and on naming just that does it: three live controllers agree, none has a later copy, no disk of the pair is there. A runner that holds or does what the ledger does not know gets no load. A record without a pair is not taken over.

--- a/cmd/operator/main.go
+++ b/cmd/operator/main.go
@@ -32,6 +32,8 @@
 	base        string
 	witnesses   string
 	backup      string
+	change      uint64
+	revision    uint64
 )
 
 func main() {
@@ -42,6 +44,12 @@
 			s.String(&witnesses, "", "witnesses", "names of three controllers, with commas")
 			s.String(&backup, "", "backup", "name of the controller that is the first backup")
 		}),
+		add("recover", "go on from the copy of the first controller named, after both disks of the pair were lost; without change and revision it only shows what that would be", recovered, func(s *flaggy.Subcommand) {
+			s.String(&witnesses, "", "witnesses", "names of three live controllers, with commas")
+			s.String(&backup, "", "backup", "name of the live controller that is the next backup")
+			s.UInt64(&change, "", "change", "the change that the copy goes up to, as shown")
+			s.UInt64(&revision, "", "revision", "the revision that the copy has, as shown")
+		}),
 		add("put", "hand a whole description over", func() { hand(http.MethodPut) }, handing),
 		add("patch", "hand changes of named parts over", func() { hand(http.MethodPatch) }, handing),
 		add("get", "print the description in force and, on standard error, its revision", get, nil),
@@ -62,7 +70,7 @@
 			return
 		}
 	}
-	program.Misused("a command must be given: found, put, patch, get, history, topology or status")
+	program.Misused("a command must be given: found, recover, put, patch, get, history, topology or status")
 }
 
 func add(name, about string, work func(), flags func(*flaggy.Subcommand)) command {
@@ -122,6 +130,12 @@
 	primary(http.MethodPost, "/found", body)
 }
 
+func recovered() {
+	body, _ := json.Marshal(map[string]any{"witnesses": program.List(witnesses), "backup": backup, "change": change, "revision": revision})
+	controllers = program.List(controllers)[0]
+	primary(http.MethodPost, "/recover", body)
+}
+
 func hand(method string) {
 	text, err := os.ReadFile(file)
 	if err != nil {
--- a/control/founding.go
+++ b/control/founding.go
@@ -27,38 +27,44 @@
 		refuse(defect.NotTaken, "a founding is under way")
 		return
 	}
+	first, fault := m.firstRecord(f)
+	if fault != "" {
+		refuse(defect.BadRequest, fault)
+		return
+	}
+	m.seat.first = first
+	if m.witness.Record.Epoch > 0 && !same(m.witness.Record, m.seat.first) {
+		refuse(defect.AlreadyFounded, "this controller's witness belongs to another founding")
+		return
+	}
+	m.seat.founding = &f
+	m.askPromises(true)
+}
+
+// firstRecord is the record that an operator's act would make, or why it can't.
+func (m *Machine) firstRecord(f Founding) (wire.Record, string) {
 	set := map[string]bool{}
 	var witnesses []wire.Seat
 	for _, name := range f.Witnesses {
 		set[name] = true
 		place, ok := m.roster.Place(name)
-		if !ok {
-			refuse(defect.BadRequest, "witnesses: no controller named "+name+" is known here")
-			return
+		if !ok || place.Part != wire.Controller {
+			return wire.Record{}, "witnesses: no controller named " + name + " is known here"
 		}
 		witnesses = append(witnesses, wire.Seat{Name: name, Incarnation: place.Incarnation})
 	}
 	if len(f.Witnesses) != 3 || len(set) != 3 {
-		refuse(defect.BadRequest, "witnesses: must be three different controllers")
-		return
+		return wire.Record{}, "witnesses: must be three different controllers"
 	}
 	backup, ok := m.roster.Place(f.Backup)
-	if !ok || f.Backup == m.set.Self.Name {
-		refuse(defect.BadRequest, "backup: must be another controller that is known here")
-		return
+	if !ok || backup.Part != wire.Controller || f.Backup == m.set.Self.Name {
+		return wire.Record{}, "backup: must be another controller that is known here"
 	}
-	m.seat.first = wire.Record{
+	return wire.Record{
 		Epoch: 1, Primary: m.set.Self.Name,
 		Pair:      []wire.Seat{m.ownSeat(), {Name: backup.Name, Incarnation: backup.Incarnation}},
 		Witnesses: witnesses, Before: witnesses,
-	}
-	if m.witness.Record.Epoch > 0 && !same(m.witness.Record, m.seat.first) {
-		refuse(defect.AlreadyFounded, "this controller's witness belongs to another founding")
-		return
-	}
-	m.seat.founding = &f
-	m.record.Witnesses, m.record.Before = witnesses, witnesses
-	m.askPromises(true)
+	}, ""
 }
 
 // same says whether two records are of one act.
@@ -67,8 +73,11 @@
 }
 
 // otherFounding ends a founding once a witness is seen to hold another record.
-func (m *Machine) otherFounding(said wire.Promised) bool {
+func (m *Machine) otherFounding(from wire.Place, said wire.Promised) bool {
 	s := &m.seat
+	if s.founding.Recover {
+		return m.otherRecovery(from, said)
+	}
 	if said.Record.Epoch == 0 || same(said.Record, s.first) {
 		return false
 	}
--- a/control/machine.go
+++ b/control/machine.go
@@ -147,6 +147,10 @@
 		Id        uint64
 		Witnesses []string
 		Backup    string
+		// Recover goes on from this daemon's copy instead, which must be at
+		// the change and revision that are named.
+		Recover          bool
+		Change, Revision uint64
 	}
 	// StepDown begins a planned stop.
 	StepDown struct{}
@@ -181,7 +185,11 @@
 	case HandOver:
 		m.handOver(in)
 	case Founding:
-		m.found(in)
+		if in.Recover {
+			m.recoverFrom(in)
+		} else {
+			m.found(in)
+		}
 	case StepDown:
 		m.leaving = true
 		m.stepDown("planned stop")
@@ -247,8 +255,9 @@
 		m.reply(e, wire.Known{Fellows: m.roster.Places(), Record: m.record})
 	case wire.Known:
 		m.roster.Learn(m.nowMs, body.Fellows)
-		// What a fellow holds as its record is complete, so it may be taken.
-		if body.Record.Epoch > m.record.Epoch && !m.isPrimary() {
+		// What a core fellow holds as its record is complete, so it may be
+		// taken; a router knows only the epoch and who is primary.
+		if len(body.Record.Pair) > 0 && body.Record.Epoch > m.record.Epoch && !m.isPrimary() {
 			m.adopt(body.Record, wire.Ballot{})
 		}
 	case wire.Retire:
@@ -259,6 +268,7 @@
 		}
 	case wire.Promise:
 		answer, changed := m.witness.Promise(m.nowMs, e.From.Name, body)
+		answer.At = m.copies.synced
 		m.saveWitness(changed, func() { m.reply(e, answer) })
 	case wire.Keep:
 		answer, changed := m.witness.Keep(m.nowMs, body)
--- a/control/office.go
+++ b/control/office.go
@@ -74,6 +74,7 @@
 		"/soundness":   {http.MethodGet: o.soundness},
 		"/counters":    {http.MethodGet: o.counters},
 		"/found":       {http.MethodPost: o.foundSite},
+		"/recover":     {http.MethodPost: o.foundSite},
 	}
 	page, ok := pages[r.URL.Path]
 	if !ok {
@@ -202,6 +203,8 @@
 	var asked struct {
 		Witnesses []string `json:"witnesses"`
 		Backup    string   `json:"backup"`
+		Change    uint64   `json:"change"`
+		Revision  uint64   `json:"revision"`
 	}
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, 4096))
 	decoder.DisallowUnknownFields()
@@ -210,7 +213,10 @@
 		return
 	}
 	answer, ok := o.ask(r, answerMs, func(id uint64) any {
-		return Founding{Id: id, Witnesses: asked.Witnesses, Backup: asked.Backup}
+		return Founding{
+			Id: id, Witnesses: asked.Witnesses, Backup: asked.Backup,
+			Recover: r.URL.Path == "/recover", Change: asked.Change, Revision: asked.Revision,
+		}
 	})
 	if !ok {
 		defect.Answer{Kind: defect.AcceptanceUnknown, Detail: "no outcome in time; ask for the status"}.Write(w)
--- a/control/place.go
+++ b/control/place.go
@@ -225,6 +225,11 @@
 			zones[runner.Zone]++
 			continue
 		}
+		// What a runner has that the ledger does not know takes room too: an
+		// order of a lost primary may have been under way.
+		if said := m.duty.seen[runner.Name].report; row.Intent == nil && (said.LastState == wire.OrderUnderWay || !row.Agrees(said)) {
+			continue
+		}
 		// An adapter goes only where its model is.
 		if !pools[runner.Pool] || row.Intent != nil || !m.duty.seen[runner.Name].fenced(m.nowMs, m.set.GapMs) || n.item.Adapter != "" && !row.Holds(ledger.Item{Model: n.item.Model}) {
 			continue
--- /dev/null
+++ b/control/recovery.go
@@ -0,0 +1,88 @@
+package control
+
+import (
+	"fmt"
+
+	"myrtlewinch/defect"
+	"myrtlewinch/ledger"
+	"myrtlewinch/wire"
+)
+
+// epochStep puts a recovery's epoch far above any that may have been recorded
+// where this daemon could not see it.
+const epochStep = 1000
+
+// recoverFrom goes on from this daemon's copy after both disks of the pair
+// were lost: an operator's explicit act, which must name what it goes on from.
+// Three live controllers must agree, blank or not; none may have a later copy.
+func (m *Machine) recoverFrom(f Founding) {
+	refuse := func(kind defect.Kind, detail string) { m.answer(f.Id, wire.Refused{Kind: kind, Detail: detail}) }
+	at := m.state.Position
+	switch {
+	case at.Number == 0:
+		refuse(defect.NotFounded, "this controller has no copy to go on from")
+		return
+	case m.broken:
+		refuse(defect.NotTaken, "this controller's disk failed")
+		return
+	case m.seat.founding != nil:
+		refuse(defect.NotTaken, "a recovery is under way")
+		return
+	case m.isPrimary() || m.entitled(m.record) || m.mayStand():
+		refuse(defect.NotTaken, "this disk is one of the pair: it takes over by itself")
+		return
+	}
+	for _, seat := range m.record.Pair {
+		if place, known := m.roster.Place(seat.Name); known && place.Incarnation == seat.Incarnation && m.roster.Live(m.nowMs, seat.Name) {
+			refuse(defect.NotTaken, "a disk of the pair is there: "+seat.Name+" takes over by itself")
+			return
+		}
+	}
+	shown := fmt.Sprintf("this would go on from change %d of epoch %d, with revision %d", at.Number, at.Epoch, m.state.Revision.Number)
+	if f.Change != at.Number || f.Revision != m.state.Revision.Number {
+		refuse(defect.StaleBase, shown+"; give change and revision to do it")
+		return
+	}
+	first, fault := m.firstRecord(f)
+	if fault != "" {
+		refuse(defect.BadRequest, fault)
+		return
+	}
+	first.Epoch = max(m.record.Epoch, m.witness.Record.Epoch, at.Epoch) + epochStep
+	// A disk of the lost pair that returns has another chain; it may not come
+	// back, and a blank one under its name is none of it.
+	first.Gone = m.record.Gone
+	for _, seat := range m.record.Pair {
+		lost := wire.Record{Gone: first.Gone}
+		first.Gone = lost.Replaced(seat)
+	}
+	m.note("recovering: %s", shown)
+	m.seat.first, m.seat.founding = first, &f
+	m.askPromises(true)
+}
+
+// otherRecovery ends a recovery where a witness has a later copy, and goes
+// above any epoch that one knows.
+func (m *Machine) otherRecovery(from wire.Place, said wire.Promised) bool {
+	s := &m.seat
+	if said.Record.Epoch >= s.first.Epoch {
+		s.first.Epoch = said.Record.Epoch + epochStep
+	}
+	at := m.state.Position
+	if said.At.Epoch < at.Epoch || said.At.Epoch == at.Epoch && said.At.Number <= at.Number {
+		return false
+	}
+	id := s.founding.Id
+	s.founding = nil
+	m.retreat(0)
+	m.answer(id, wire.Refused{Kind: defect.NotTaken, Detail: fmt.Sprintf("%s has a later copy, up to change %d of epoch %d: recover from it", from.Name, said.At.Number, said.At.Epoch)})
+	return true
+}
+
+// beginWith is what a new primary writes first.
+func (m *Machine) beginWith() []ledger.Command {
+	if f := m.seat.founding; f != nil && f.Recover {
+		return []ledger.Command{beginCommand, ledger.Restart{Epoch: m.record.Epoch}}
+	}
+	return []ledger.Command{beginCommand}
+}
--- a/control/seat.go
+++ b/control/seat.go
@@ -61,7 +61,9 @@
 	ordersMs    int64
 	takesMs     int64
 	established bool
-	founding    *Founding
+	// quietMs is until when a recovered site says nothing.
+	quietMs  int64
+	founding *Founding
 	// first is the record that the founding under way would make.
 	first wire.Record
 }
@@ -71,7 +73,7 @@
 // active says whether this daemon may speak for the site: the hold runs and
 // the other disk of the pair has all that this one has.
 func (m *Machine) active() bool {
-	return m.isPrimary() && m.nowMs < m.seat.holdUntilMs && m.seat.established
+	return m.isPrimary() && m.nowMs < m.seat.holdUntilMs && m.seat.established && m.nowMs >= m.seat.quietMs
 }
 
 // entitled says whether this disk may become primary under the record.
@@ -121,7 +123,7 @@
 			s.askedMs = m.nowMs
 			for _, voter := range s.top.Voters() {
 				if s.asked[voter] && !s.granted[voter] {
-					m.sendName(voter.Name, wire.Promise{Ballot: s.ballot, Found: s.founding != nil})
+					m.sendName(voter.Name, m.promise())
 				}
 			}
 		}
@@ -148,7 +150,7 @@
 	m.seat.proposal = nil
 	if f := m.seat.founding; f != nil {
 		m.seat.founding = nil
-		m.answer(f.Id, wire.Refused{Kind: defect.NotTaken, Detail: "not all witnesses agreed to the founding; they must be up, and blank or left by this same act; repeat it"})
+		m.answer(f.Id, wire.Refused{Kind: defect.NotTaken, Detail: "not all witnesses agreed; they must be up (for a founding: blank, or left by this same act); repeat it"})
 	}
 }
 
@@ -201,14 +203,23 @@
 	s.ballot = wire.Ballot{Round: s.round, Name: m.set.Self.Name}
 	s.asked, s.granted = map[wire.Seat]bool{}, map[wire.Seat]bool{}
 	s.top, s.topKept = m.record, m.ballot
-	m.askMore(found)
+	if found {
+		s.top, s.topKept = s.first, wire.Ballot{}
+	}
+	m.askMore()
+}
+
+// promise is what a candidate asks of each witness.
+func (m *Machine) promise() wire.Promise {
+	f := m.seat.founding
+	return wire.Promise{Ballot: m.seat.ballot, Found: f != nil && !f.Recover, Recover: f != nil && f.Recover}
 }
 
-func (m *Machine) askMore(found bool) {
+func (m *Machine) askMore() {
 	for _, voter := range m.seat.top.Voters() {
 		if !m.seat.asked[voter] {
 			m.seat.asked[voter] = true
-			m.sendName(voter.Name, wire.Promise{Ballot: m.seat.ballot, Found: found})
+			m.sendName(voter.Name, m.promise())
 		}
 	}
 }
@@ -223,10 +234,10 @@
 		// A newer record may be half-recorded; it is completed before any other.
 		if said.Record.Epoch > 0 && s.founding == nil {
 			s.top, s.topKept = said.Record, said.Kept
-			m.askMore(false)
+			m.askMore()
 		}
 	}
-	if s.founding != nil && m.otherFounding(said) {
+	if s.founding != nil && m.otherFounding(from, said) {
 		return
 	}
 	if !said.Granted {
@@ -346,11 +357,17 @@
 	m.duty.begin(m.nowMs, record.Epoch)
 	m.beginCopies()
 	m.note("primary of epoch %d", record.Epoch)
+	recovers := s.founding != nil && s.founding.Recover
 	m.submit(func(ok bool) {
 		if !ok {
 			return
 		}
 		m.seat.established = true
+		// What the lost pair gave must have run out before anyone hears of
+		// what may be older than it.
+		if m.seat.quietMs = 0; recovers {
+			m.seat.quietMs = m.nowMs + RouterHoldMs
+		}
 		m.offer.current = m.state.Revision
 		m.offer.token = fmt.Sprintf("%s-%d", wire.Sum(m.state.Revision.Text), m.record.Epoch)
 		m.nudge()
@@ -358,10 +375,12 @@
 		if f := m.seat.founding; f != nil {
 			m.seat.founding = nil
 			// No router has ever been given a hold.
-			m.seat.takesMs = m.nowMs
+			if !recovers {
+				m.seat.takesMs = m.nowMs
+			}
 			m.answer(f.Id, Founded{Epoch: m.record.Epoch, Primary: m.record.Primary, Backup: f.Backup})
 		}
-	}, beginCommand)
+	}, m.beginWith()...)
 }
 
 // loseSeat ends this daemon's primacy without a word to anyone.
--- a/ledger/command.go
+++ b/ledger/command.go
@@ -8,6 +8,26 @@
 // Apply changes nothing but the position.
 func (Begin) Apply(*State) {}
 
+// Restart goes on from a copy that may lack the last changes: what is numbered
+// from here on lies far above any number that may have been given after it.
+type Restart struct{ Epoch uint64 }
+
+// restartStep is more than any site gives between two copies of its state.
+const restartStep = 1_000
+
+// Apply names the text in force anew and leaves the order numbers behind.
+func (c Restart) Apply(s *State) {
+	s.Orders += 1000 * restartStep
+	s.dirty["orders"] = true
+	if s.Revision.Number == 0 {
+		return
+	}
+	s.Revision.Number += restartStep
+	s.Past = append(s.Past, Past{s.Revision.Number, len(s.Revision.Text), wire.Sum(s.Revision.Text), c.Epoch})
+	s.Past = s.Past[max(0, len(s.Past)-pastMost):]
+	s.dirty["revision"], s.dirty["past"] = true, true
+}
+
 // Accept puts a description in force.
 type Accept struct {
 	Text  string
--- a/sim/people.go
+++ b/sim/people.go
@@ -271,6 +271,22 @@
 	})
 }
 
+// Recover goes on from a daemon's copy with live controllers, as an operator
+// does after having been shown what that would be.
+func (w *World) Recover(name string, witnesses []string, backup string) {
+	said := w.status(w.nodes[name])
+	w.operator.founding = nil
+	w.tell(name, "", func(id uint64) any {
+		return control.Founding{
+			Id: id, Witnesses: witnesses, Backup: backup, Recover: true,
+			Change: said.Position.Number, Revision: said.Revision,
+		}
+	}, func(body any) {
+		w.note("recovery: %+v", body)
+		w.operator.founding = body
+	})
+}
+
 func (w *World) tell(name, text string, input func(id uint64) any, then func(body any)) {
 	n := w.nodes[name]
 	if n == nil {
--- a/wire/bodies.go
+++ b/wire/bodies.go
@@ -43,8 +43,9 @@
 // Promise asks a witness to take part in no lower ballot.
 type Promise struct {
 	Ballot Ballot
-	// Found is set only by an operator's explicit founding.
-	Found bool
+	// Found is set only by an operator's explicit founding, Recover only by
+	// the explicit act that goes on from a surviving copy.
+	Found, Recover bool
 }
 
 // Promised answers a Promise.
@@ -56,6 +57,8 @@
 	Record  Record
 	Kept    Ballot
 	WaitMs  int64
+	// At is what this daemon's own copy of the state goes up to.
+	At Position
 }
 
 // Keep asks a witness to store a record.
--- a/witness/witness.go
+++ b/witness/witness.go
@@ -63,8 +63,8 @@
 // Promise answers a candidate. Changed says that the memory must be saved.
 func (w *Witness) Promise(nowMs int64, from string, ask wire.Promise) (answer wire.Promised, changed bool) {
 	answer = wire.Promised{Ballot: ask.Ballot, Highest: w.Promised, Record: w.Record, Kept: w.Kept, Blank: w.Blank()}
-	// A blank disk votes only in an explicit founding.
-	if w.Blank() && !(ask.Found && w.Record.Epoch == 0) {
+	// A blank disk votes only in an explicit act of the operator's.
+	if w.Blank() && !(ask.Found && w.Record.Epoch == 0) && !ask.Recover {
 		return answer, false
 	}
 	// The hold that was given keeps every other out while it runs.
