Prove the shells on real streams and disks: cuts, halts, full and stalling disks

Cause: only kills were tried on real streams and disks. Streams cut in the middle, daemons that stand still past their holds, and disks that fill up, fail to sync or stall had been seen in virtual time, or by hand, alone.

Now a cutter on the way to the runners cuts streams at eight lengths in both ways; a daemon's machine, disk and calls can be halted and let go; a disk can be spoilt while it is used.

--- a/control/office.go
+++ b/control/office.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -33,6 +34,7 @@
 // that operators use.
 type Office struct {
 	shell *daemon.Shell
+	disk  *disk.Disk
 }
 
 // NewOffice opens the data folder and makes the controller; nothing runs yet.
@@ -51,7 +53,7 @@
 		d.Close()
 		return nil, err
 	}
-	o := &Office{}
+	o := &Office{disk: d}
 	o.shell = daemon.New(daemon.Settings{Site: set.Site, Self: self, Clock: clock, Log: logger, TickMs: tickMs}, machine, d, fellows, web, o)
 	return o, nil
 }
@@ -59,6 +61,12 @@
 // Join adds the controller's duties to a crew.
 func (o *Office) Join(c *crew.Crew) { o.shell.Join(c) }
 
+// Halt makes the controller stand still until it is released.
+func (o *Office) Halt() (release func()) { return o.shell.Halt() }
+
+// Spoil makes its disk behave as a full, failing or stalling one.
+func (o *Office) Spoil(sync func(*os.File) error) { o.disk.Spoil(sync) }
+
 // Leave steps down before a planned stop, so that the next need not wait.
 func (o *Office) Leave() {
 	o.shell.Put(StepDown{})
--- a/daemon/shell.go
+++ b/daemon/shell.go
@@ -61,6 +61,7 @@
 	web     *http.Server
 	webAt   net.Listener
 	ended   chan struct{}
+	halt    halt
 }
 
 // New makes a shell; nothing runs yet. The disk may be nil.
@@ -95,6 +96,18 @@
 	return true
 }
 
+// Halt makes the daemon stand still until it is released: its machine, its
+// disk, and its calls outward right before they are written.
+func (s *Shell) Halt() (release func()) { return s.halt.begin() }
+
+// MaySend is the moment before a byte is written: after any standing still.
+func (s *Shell) MaySend(may func(nowMs int64) bool) func() bool {
+	return func() bool {
+		s.halt.wait()
+		return may(s.set.Clock.NowMs())
+	}
+}
+
 // CloseStreams lets no caller's stream be used twice from now on, so that a
 // planned stop finds none in use.
 func (s *Shell) CloseStreams() { s.web.SetKeepAlivesEnabled(false) }
@@ -184,6 +197,7 @@
 		if !ok {
 			return nil
 		}
+		s.halt.wait()
 		s.perform(s.machine.Step(s.set.Clock.NowMs(), input))
 	}
 }
@@ -235,6 +249,7 @@
 		if !ok {
 			return nil
 		}
+		s.halt.wait()
 		err := s.disk.Save(save.Write)
 		if err != nil {
 			s.set.Log.Error("the disk failed", "cause", err)
@@ -257,12 +272,12 @@
 func (s *Shell) exchange(call wire.Call) any {
 	ctx, cancel := context.WithTimeout(context.Background(), outwardMs*time.Millisecond)
 	defer cancel()
-	always := func() bool { return true }
+	always := s.MaySend(func(int64) bool { return true })
 	switch body := call.Body.(type) {
 	case wire.OrderCall:
 		text, _ := json.Marshal(body.Order)
 		// The hold is checked again right before the order is written.
-		inTime := func() bool { return s.set.Clock.NowMs() < body.UntilMs }
+		inTime := s.MaySend(func(nowMs int64) bool { return nowMs < body.UntilMs })
 		reported := wire.Reported{Runner: body.Runner, Address: call.Address}
 		reported.Ok = s.fetch(ctx, http.MethodPost, call.Address, "/orders", text, inTime, &reported.Report)
 		return reported
--- a/disk/disk.go
+++ b/disk/disk.go
@@ -18,6 +18,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -96,10 +97,16 @@
 	keys   map[string]string
 	count  int
 	defect error
-	// sync is how a file is brought to the platter; tests make it fail.
+	// sync is how a file is brought to the platter; Spoil makes it fail.
 	sync func(*os.File) error
+	// spoil replaces sync from the next save on.
+	spoil atomic.Pointer[func(*os.File) error]
 }
 
+// Spoil makes the disk behave as a full, failing or stalling one does, for
+// trying how the daemon takes it.
+func (d *Disk) Spoil(sync func(*os.File) error) { d.spoil.Store(&sync) }
+
 // Open takes the folder for this process. An empty folder gets a new random
 // incarnation; one of another site or one that can't be read is refused and
 // left as it was.
@@ -221,6 +228,9 @@
 			d.defect = err
 		}
 	}()
+	if spoilt := d.spoil.Load(); spoilt != nil {
+		d.sync = *spoilt
+	}
 	if d.count >= rewriteMost {
 		if err := d.rewrite(); err != nil {
 			return err
--- /dev/null
+++ b/site/cuts_test.go
@@ -0,0 +1,95 @@
+package site
+
+import (
+	"net"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	qt "github.com/frankban/quicktest"
+
+	"myrtlewinch/crew"
+	"myrtlewinch/defect"
+	"myrtlewinch/stand"
+)
+
+// TestStreamsCut cuts streams to runners off in the middle of a request, of an
+// answer and of a telling, at many lengths. Nobody gets a part for a whole,
+// nothing runs twice, and what can't be known is said so.
+func TestStreamsCut(t *testing.T) {
+	c := qt.New(t)
+	f := up(c, "alexandria.json")
+	// Every way to a runner leads over a cutter.
+	var cutters []*stand.Cutter
+	for _, listed := range f.Platform.List() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		c.Assert(err, qt.IsNil)
+		c.Cleanup(func() { _ = listener.Close() })
+		cutter := stand.NewCutter(listener, listed.Address)
+		crew.Side(cutter.Serve)
+		cutters = append(cutters, cutter)
+		listed.Address = listener.Addr().String()
+		f.Platform.Put(listed)
+	}
+	sender := stand.NewSender("s", f.RouterAddresses(), stand.MixOf(f.Description, 1, 1), f.Book, f.Clock.NowMs, 1)
+	for i := range sender.Mix {
+		mix := &sender.Mix[i]
+		mix.Models, mix.Adapters = mix.Models[:min(1, len(mix.Models))], nil
+	}
+	// answers waits until each service is answered over the cutters.
+	answers := func() {
+		for _, mix := range sender.Mix {
+			c.Assert(f.until(patience, func() error {
+				if kind := sender.One(mix); kind != "answered" {
+					return errors.New(kind)
+				}
+				return nil
+			}), qt.IsNil, qt.Commentf("%s", mix.Service))
+		}
+	}
+	answers()
+	cases := []struct {
+		about         string
+		towards, back int64
+	}{
+		{"at the first byte of a request", 0, -1},
+		{"in the head of a request", 40, -1},
+		{"in the body of a request", 260, -1},
+		{"before an answer", -1, 0},
+		{"in the head of an answer", -1, 60},
+		{"in the body of an answer", -1, 180},
+		{"after the first piece of a telling", -1, 300},
+		{"before the end of a telling", -1, 520},
+	}
+	for _, test := range cases {
+		t.Run(test.about, func(t *testing.T) {
+			before := int64(0)
+			for _, cutter := range cutters {
+				before += cutter.Cuts.Load()
+				cutter.Towards.Store(test.towards)
+				cutter.Back.Store(test.back)
+			}
+			for range 4 {
+				for _, mix := range sender.Mix {
+					sender.One(mix)
+				}
+			}
+			cuts := -before
+			for _, cutter := range cutters {
+				cuts += cutter.Cuts.Load()
+				cutter.Mend()
+			}
+			qt.Assert(t, cuts > 0, qt.IsTrue)
+			answers()
+		})
+	}
+	c.Assert(f.Book.Breaches(), qt.HasLen, 0)
+	ended := map[string]int{}
+	for _, kinds := range sender.Kinds() {
+		for kind, count := range kinds {
+			ended[kind] += count
+		}
+	}
+	t.Log(ended)
+	c.Assert(ended[string(defect.OutcomeUnknown)] > 0 && ended["telling broke off"] > 0, qt.IsTrue, qt.Commentf("%v", ended))
+	c.Assert(ended["wrong"]+ended["nonsense"], qt.Equals, 0, qt.Commentf("%v", ended))
+}
--- a/site/fleet.go
+++ b/site/fleet.go
@@ -40,7 +40,7 @@
 // Part is one process's worth of the fleet.
 type Part struct {
 	Settings settings.Settings
-	leave    func()
+	made     joiner
 	done     chan struct{}
 	ended    chan error
 }
@@ -118,6 +118,7 @@
 type joiner interface {
 	Join(*crew.Crew)
 	Leave()
+	Halt() (release func())
 }
 
 func (f *Fleet) startDaemons() error {
@@ -174,7 +175,7 @@
 	if err != nil {
 		return nil, err
 	}
-	part := &Part{Settings: set, leave: made.Leave, done: make(chan struct{}), ended: make(chan error, 1)}
+	part := &Part{Settings: set, made: made, done: make(chan struct{}), ended: make(chan error, 1)}
 	var c crew.Crew
 	made.Join(&c)
 	c.Until(part.done)
@@ -190,10 +191,16 @@
 
 // Leave stops a daemon as planned.
 func (p *Part) Leave() {
-	p.leave()
+	p.made.Leave()
 	p.Kill()
 }
 
+// Halt makes a daemon stand still until it is released.
+func (p *Part) Halt() (release func()) { return p.made.Halt() }
+
+// Spoil makes a controller's disk behave as a full, failing or stalling one.
+func (p *Part) Spoil(sync func(*os.File) error) { p.made.(*control.Office).Spoil(sync) }
+
 // Restart starts a daemon again at its addresses, after Kill.
 func (f *Fleet) Restart(p *Part) error {
 	fellows, err := net.Listen("tcp", p.Settings.Address)
--- /dev/null
+++ b/stand/cutter.go
@@ -0,0 +1,72 @@
+package stand
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"myrtlewinch/crew"
+)
+
+// Cutter stands on the way to a back end and cuts streams off in the middle:
+// after so many bytes towards it, or so many back.
+type Cutter struct {
+	listener net.Listener
+	target   string
+	// Towards and Back are how many bytes of each stream pass, or below nought
+	// for all.
+	Towards, Back atomic.Int64
+	// Cuts counts the streams that were cut off.
+	Cuts atomic.Int64
+}
+
+// NewCutter listens before a back end; nothing is cut yet.
+func NewCutter(listener net.Listener, target string) *Cutter {
+	c := &Cutter{listener: listener, target: target}
+	c.Mend()
+	return c
+}
+
+// Mend lets all pass again.
+func (c *Cutter) Mend() {
+	c.Towards.Store(-1)
+	c.Back.Store(-1)
+}
+
+// Serve carries streams until the listener is closed.
+func (c *Cutter) Serve() {
+	for {
+		near, err := c.listener.Accept()
+		if err != nil {
+			return
+		}
+		far, err := net.Dial("tcp", c.target)
+		if err != nil {
+			_ = near.Close()
+			continue
+		}
+		var once sync.Once
+		end := func() { once.Do(func() { _, _ = near.Close(), far.Close() }) }
+		crew.Side(func() { c.carry(far, near, &c.Towards, end) })
+		crew.Side(func() { c.carry(near, far, &c.Back, end) })
+	}
+}
+
+// carry passes bytes on until one side ends or the bound is reached.
+func (c *Cutter) carry(to, from net.Conn, bound *atomic.Int64, end func()) {
+	defer end()
+	passed, buffer := int64(0), make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		most := bound.Load()
+		if most >= 0 && passed+int64(n) > most {
+			_, _ = to.Write(buffer[:max(0, most-passed)])
+			c.Cuts.Add(1)
+			return
+		}
+		passed += int64(n)
+		if _, failed := to.Write(buffer[:n]); failed != nil || err != nil {
+			return
+		}
+	}
+}
--- a/traffic/gate.go
+++ b/traffic/gate.go
@@ -70,6 +70,9 @@
 // Join adds the router's duties to a crew.
 func (g *Gate) Join(c *crew.Crew) { g.shell.Join(c) }
 
+// Halt makes the router stand still until it is released.
+func (g *Gate) Halt() (release func()) { return g.shell.Halt() }
+
 // Leave takes nothing new and waits for what is under way to end, and for
 // senders to have gone elsewhere.
 func (g *Gate) Leave() {
@@ -218,9 +221,9 @@
 	// Each piece of a telling has the time that a whole plain answer has.
 	slow := time.AfterFunc(time.Duration(leftMs)*time.Millisecond, cancel)
 	defer slow.Stop()
-	answer, wrote, err := g.shell.Outward().Go(ctx, http.MethodPost, "http://"+to.Address+"/run", body, func() bool {
-		return g.machine.MaySend(g.shell.Clock().NowMs(), to)
-	})
+	answer, wrote, err := g.shell.Outward().Go(ctx, http.MethodPost, "http://"+to.Address+"/run", body, g.shell.MaySend(func(nowMs int64) bool {
+		return g.machine.MaySend(nowMs, to)
+	}))
 	switch {
 	case errors.Is(err, outward.ErrTooLate) && !wrote:
 		ended.Outcome = TooLate
