Test offers, copies and membership by tables; share the senders of the real trials

Cause: routersReady, the registration of routers, a fellow's keeping up and the roster had no tests of their own; only whole runs passed through them.

--- /dev/null
+++ b/control/offer_test.go
@@ -0,0 +1,75 @@
+package control
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"myrtlewinch/description"
+	"myrtlewinch/wire"
+)
+
+func diskOf(name, incarnation string) wire.Seat {
+	return wire.Seat{Name: name, Incarnation: incarnation}
+}
+
+// A description waits for every process that may still use the one in force,
+// and for a majority of the listed routers.
+func TestRoutersReady(t *testing.T) {
+	const nowMs = 10_000
+	holds := func(seats map[wire.Seat]routerHold) map[wire.Seat]*routerHold {
+		out := map[wire.Seat]*routerHold{}
+		for s, hold := range seats {
+			out[s] = &hold
+		}
+		return out
+	}
+	cases := []struct {
+		about string
+		holds map[wire.Seat]routerHold
+		ready bool
+	}{
+		{"nobody was heard", nil, false},
+		{"all acknowledged", map[wire.Seat]routerHold{diskOf("a", "1"): {acked: "t"}, diskOf("b", "1"): {acked: "t"}, diskOf("c", "1"): {acked: "t"}}, true},
+		{"one may still use the old", map[wire.Seat]routerHold{diskOf("a", "1"): {acked: "t"}, diskOf("b", "1"): {acked: "t"}, diskOf("c", "1"): {untilMs: nowMs + 1}}, false},
+		{"its hold has run out", map[wire.Seat]routerHold{diskOf("a", "1"): {acked: "t"}, diskOf("b", "1"): {acked: "t"}, diskOf("c", "1"): {untilMs: nowMs}}, true},
+		{"no majority", map[wire.Seat]routerHold{diskOf("a", "1"): {acked: "t"}, diskOf("b", "1"): {untilMs: nowMs}, diskOf("c", "1"): {untilMs: nowMs}}, false},
+		{"what was given to fellows may run", map[wire.Seat]routerHold{diskOf("a", "1"): {acked: "t", givenMs: nowMs + 1}, diskOf("b", "1"): {acked: "t"}}, false},
+		{"that was waited out", map[wire.Seat]routerHold{diskOf("a", "1"): {acked: "t", givenMs: nowMs}, diskOf("b", "1"): {acked: "t"}}, true},
+		{"acknowledged was another offer", map[wire.Seat]routerHold{diskOf("a", "1"): {acked: "u"}, diskOf("b", "1"): {acked: "t"}}, false},
+		{"an old process of a name may still use the old", map[wire.Seat]routerHold{diskOf("a", "1"): {untilMs: nowMs + 1}, diskOf("a", "2"): {acked: "t"}, diskOf("b", "1"): {acked: "t"}}, false},
+		{"one who is not listed is no part of the majority", map[wire.Seat]routerHold{diskOf("a", "1"): {acked: "t"}, diskOf("x", "1"): {acked: "t"}}, false},
+	}
+	for _, test := range cases {
+		t.Run(test.about, func(t *testing.T) {
+			m := &Machine{nowMs: nowMs, described: &description.Description{Routers: []description.Member{{Name: "a"}, {Name: "b"}, {Name: "c"}}}}
+			m.offer.pending = &candidate{token: "t"}
+			m.offer.holds = holds(test.holds)
+			qt.Assert(t, m.routersReady(), qt.Equals, test.ready)
+		})
+	}
+}
+
+// Of two processes of a name the one that registered last stays. A question
+// that shows no number proves nothing: its sender may be long gone.
+func TestRegister(t *testing.T) {
+	var o offer
+	o.forget()
+	old, fresh := diskOf("e", "old"), diskOf("e", "fresh")
+	first, retired := o.register(7, old, 0)
+	qt.Assert(t, retired, qt.IsFalse)
+	second, retired := o.register(7, fresh, 0)
+	qt.Assert(t, retired, qt.IsFalse)
+	qt.Assert(t, second > first, qt.IsTrue)
+	_, retired = o.register(7, old, first)
+	qt.Assert(t, retired, qt.IsFalse, qt.Commentf("the fresh one has not shown that it lives"))
+	_, retired = o.register(7, fresh, second)
+	qt.Assert(t, retired, qt.IsFalse)
+	_, retired = o.register(7, old, first)
+	qt.Assert(t, retired, qt.IsTrue)
+	// The next primacy gives other numbers, so an old one shows nothing there.
+	o.forget()
+	number, _ := o.register(8, old, first)
+	qt.Assert(t, number, qt.Not(qt.Equals), first)
+	qt.Assert(t, o.latest["e"], qt.Equals, uint64(0))
+}
--- a/site/rolling_test.go
+++ b/site/rolling_test.go
@@ -10,13 +10,9 @@
 	"myrtlewinch/stand"
 )
 
-// TestRollingRestartForReal stops and starts every daemon as planned, one
-// after the other, under traffic on real streams. Each request is answered, or
-// dropped so that it may be sent again; none is lost or has an unknown end.
-func TestRollingRestartForReal(t *testing.T) {
-	c := qt.New(t)
-	f := up(c, "alexandria.json")
-	sender := stand.NewSender("s", f.RouterAddresses(), stand.MixOf(f.Description, 20, 3), f.Book, f.Clock.NowMs, 1)
+// asking asks a site's commonest models all the time until it is stopped.
+func asking(c *qt.C, f *Fleet) (sender *stand.Sender, stop func()) {
+	sender = stand.NewSender("s", f.RouterAddresses(), stand.MixOf(f.Description, 20, 3), f.Book, f.Clock.NowMs, 1)
 	for i := range sender.Mix {
 		mix := &sender.Mix[i]
 		mix.Models, mix.Adapters = mix.Models[:min(2, len(mix.Models))], nil
@@ -26,14 +22,26 @@
 	done, ended := make(chan struct{}), make(chan error, 1)
 	asking.Until(done)
 	crew.Side(func() { ended <- asking.Run() })
+	return sender, func() {
+		close(done)
+		c.Assert(<-ended, qt.IsNil)
+		sender.Wait()
+	}
+}
+
+// TestRollingRestartForReal stops and starts every daemon as planned, one
+// after the other, under traffic on real streams. Each request is answered, or
+// dropped so that it may be sent again; none is lost or has an unknown end.
+func TestRollingRestartForReal(t *testing.T) {
+	c := qt.New(t)
+	f := up(c, "alexandria.json")
+	sender, stop := asking(c, f)
 	for _, part := range append(append([]*Part{}, f.Controllers...), f.Routers...) {
 		part.Leave()
 		c.Assert(f.Restart(part), qt.IsNil)
 		c.Assert(f.Ready(patience), qt.IsNil)
 	}
-	close(done)
-	c.Assert(<-ended, qt.IsNil)
-	sender.Wait()
+	stop()
 	c.Assert(f.Book.Breaches(), qt.HasLen, 0)
 	for service, kinds := range sender.Kinds() {
 		for kind, count := range kinds {
--- a/site/shells_test.go
+++ b/site/shells_test.go
@@ -16,7 +16,6 @@
 
 	"myrtlewinch/control"
 	"myrtlewinch/crew"
-	"myrtlewinch/stand"
 	"myrtlewinch/traffic"
 )
 
@@ -95,16 +94,7 @@
 	c := qt.New(t)
 	f := up(c, "alexandria.json")
 	s := &trial{c: c, Fleet: f, revision: 1, text: string(f.options.Text)}
-	sender := stand.NewSender("s", f.RouterAddresses(), stand.MixOf(f.Description, 20, 2), f.Book, f.Clock.NowMs, 1)
-	for i := range sender.Mix {
-		mix := &sender.Mix[i]
-		mix.Models, mix.Adapters = mix.Models[:min(2, len(mix.Models))], nil
-	}
-	var asking crew.Crew
-	sender.Join(&asking)
-	done, ended := make(chan struct{}), make(chan error, 1)
-	asking.Until(done)
-	crew.Side(func() { ended <- asking.Run() })
+	sender, stop := asking(c, f)
 	steps := []struct {
 		about string
 		do    func(c *qt.C)
@@ -212,9 +202,7 @@
 			s.whole()
 		})
 	}
-	close(done)
-	c.Assert(<-ended, qt.IsNil)
-	sender.Wait()
+	stop()
 	c.Assert(f.Book.Breaches(), qt.HasLen, 0)
 	c.Assert(sender.Kinds()["page"]["answered"] > 0, qt.IsTrue)
 }
--- /dev/null
+++ b/watch/roster_test.go
@@ -0,0 +1,102 @@
+package watch
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"myrtlewinch/wire"
+)
+
+func place(name, address string) wire.Place {
+	return wire.Place{Name: name, Address: address, Part: wire.Router, Incarnation: address}
+}
+
+// A place heard of lately is believed over one that is only told.
+func TestLearn(t *testing.T) {
+	cases := []struct {
+		about string
+		do    func(r *Roster)
+		at    string
+	}{
+		{"told", func(r *Roster) { r.Learn(1000, []wire.Place{place("b", "old")}) }, "old"},
+		{"told anew", func(r *Roster) {
+			r.Learn(1000, []wire.Place{place("b", "old")})
+			r.Learn(1001, []wire.Place{place("b", "new")})
+		}, "new"},
+		{"heard, then told otherwise", func(r *Roster) {
+			r.Heard(1000, place("b", "heard"))
+			r.Learn(1000+MissMs, []wire.Place{place("b", "told")})
+		}, "heard"},
+		{"heard, silent, then told otherwise", func(r *Roster) {
+			r.Heard(1000, place("b", "heard"))
+			r.Learn(1001+MissMs, []wire.Place{place("b", "told")})
+		}, "told"},
+		{"moved", func(r *Roster) { r.Heard(1000, place("b", "heard")); r.Heard(1001, place("b", "moved")) }, "moved"},
+		{"a sighting older than what was heard", func(r *Roster) {
+			r.Heard(1000, place("b", "heard"))
+			r.Told(1100, wire.Sighting{Place: place("b", "seen"), AgoMs: 200})
+		}, "heard"},
+		{"a later sighting", func(r *Roster) {
+			r.Heard(1000, place("b", "heard"))
+			r.Told(1100, wire.Sighting{Place: place("b", "seen"), AgoMs: 50})
+		}, "seen"},
+	}
+	for _, test := range cases {
+		t.Run(test.about, func(t *testing.T) {
+			r := New(place("a", "here"), nil, nil)
+			test.do(r)
+			known, ok := r.Place("b")
+			qt.Assert(t, ok, qt.IsTrue)
+			qt.Assert(t, known.Address, qt.Equals, test.at)
+		})
+	}
+}
+
+// Each daemon has a few watchers, none of them itself, and all agree on them.
+func TestWatchers(t *testing.T) {
+	var all []wire.Place
+	for i := range 9 {
+		all = append(all, place(fmt.Sprintf("d-%d", i), fmt.Sprint(i)))
+	}
+	watched := map[string]int{}
+	for _, self := range all {
+		r := New(self, nil, nil)
+		r.Learn(0, all)
+		watchers := r.Watchers(self.Name)
+		qt.Assert(t, watchers, qt.HasLen, Watchers)
+		other := New(all[0], nil, nil)
+		other.Learn(0, all)
+		qt.Assert(t, other.Watchers(self.Name), qt.DeepEquals, watchers)
+		for _, w := range watchers {
+			qt.Assert(t, w.Name, qt.Not(qt.Equals), self.Name)
+			watched[w.Name]++
+		}
+	}
+	for _, self := range all {
+		qt.Assert(t, watched[self.Name], qt.Equals, Watchers, qt.Commentf("the burden is alike"))
+	}
+}
+
+// A daemon that hears the primary asks nobody; one that does not asks its
+// seeds and one remembered fellow after the other.
+func TestHellos(t *testing.T) {
+	r := New(place("a", "here"), []string{"seed", "here"}, []wire.Place{place("b", "b"), place("c", "c")})
+	asked := map[string]bool{}
+	for nowMs := int64(10_000); nowMs < 14_000; nowMs += 50 {
+		for _, send := range r.Tick(nowMs, 1, "p", false) {
+			if _, ok := send.Body.(wire.Hello); ok {
+				asked[send.Address] = true
+			}
+		}
+	}
+	qt.Assert(t, asked, qt.DeepEquals, map[string]bool{"seed": true, "b": true, "c": true})
+	for nowMs := int64(14_000); nowMs < 18_000; nowMs += 50 {
+		r.Heard(nowMs, place("p", "p"))
+		for _, send := range r.Tick(nowMs, 1, "p", false) {
+			_, ok := send.Body.(wire.Hello)
+			qt.Assert(t, ok, qt.IsFalse)
+		}
+	}
+}
