Break the stream of a sender that closed its half; never give it an empty answer

Cause: a sender that closes its own half of a stream after its request counts as gone for the library. The handler then returned, and what the sender could still read was 200 with nothing in it: not the runner's answer, and no kind of ours. A telling that had begun would have been ended as if it were whole.

Ruled out: the relay (nothing was relayed), the machine (it forgot the request). Now the handler breaks the stream off whenever the sender is gone and its answer is not out whole.

--- /dev/null
+++ b/site/half_test.go
@@ -0,0 +1,36 @@
+package site
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// A sender that closes its own half of a stream counts as gone. What it may
+// still read must not look like an answer: it is the runner's whole one, or
+// the stream breaks.
+func TestHalfClosedSender(t *testing.T) {
+	c := qt.New(t)
+	f := up(c, "alexandria.json")
+	for i, service := range []string{"page", "desk"} {
+		body := fmt.Sprintf(`{"id":"half-%d"}`, i)
+		if service == "desk" {
+			body = fmt.Sprintf(`{"id":"half-%d","model":"label-1"}`, i)
+		}
+		for range 5 {
+			stream, err := net.Dial("tcp", f.Routers[0].Settings.Http)
+			c.Assert(err, qt.IsNil)
+			_, err = fmt.Fprintf(stream, "POST /services/%s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", service, len(body), body)
+			c.Assert(err, qt.IsNil)
+			c.Assert(stream.(*net.TCPConn).CloseWrite(), qt.IsNil)
+			text, _ := io.ReadAll(stream)
+			_ = stream.Close()
+			whole := bytes.Contains(text, []byte(`"answer"`)) || bytes.Contains(text, []byte(`"end"`)) || bytes.Contains(text, []byte(`"kind"`))
+			c.Assert(len(text) == 0 || whole || !bytes.HasSuffix(text, []byte("0\r\n\r\n")) && !bytes.Contains(text, []byte("Content-Length: 0")), qt.IsTrue, qt.Commentf("%s: %q", service, text))
+		}
+	}
+}
--- a/traffic/gate.go
+++ b/traffic/gate.go
@@ -178,9 +178,10 @@
 	for {
 		select {
 		case <-r.Context().Done():
-			// A sender that goes away frees its place.
+			// A sender that goes away frees its place. It may have closed only
+			// its own half, so returning would give it an empty answer.
 			g.shell.Put(Gone{Id: id})
-			return
+			panic(http.ErrAbortHandler)
 		case answer := <-answers:
 			switch said := answer.(type) {
 			case wire.Refused:
@@ -188,10 +189,10 @@
 				return
 			case Go:
 				ended, abort := g.goTo(w, r, id, said, in.Input)
-				if r.Context().Err() != nil {
+				if r.Context().Err() != nil && (abort || ended.Outcome != Answered) {
 					// For a sender that went away no further go is made.
 					g.shell.Put(Gone{Id: id})
-					return
+					panic(http.ErrAbortHandler)
 				}
 				g.shell.Put(ended)
 				// Closing the sender's stream is the one way to end a telling
