Let a sender that only waited and went away come back with its id

Cause: an id stayed taken although its request was forgotten while it waited, so its sender got "already taken", outcome unknown, for what had never run. Ruled out: freeing it after a go was made (it may have left for a runner). TestGoneLeavesNothing.

--- a/traffic/machine.go
+++ b/traffic/machine.go
@@ -155,6 +155,9 @@
 			// and not begun yet never will be.
 			if r.away {
 				m.busy[r.runner]--
+			} else if r.taken && !r.mayHaveRun {
+				// It only waited, so its sender may come back with its id.
+				m.taken.forget(r.Service + "/" + r.Name)
 			}
 			m.forget(r)
 		}
--- a/traffic/machine_test.go
+++ b/traffic/machine_test.go
@@ -422,6 +422,9 @@
 		b.c.Assert(b.m.requests, qt.HasLen, 0)
 		b.c.Assert(b.m.busy["language-1"], qt.Equals, int64(0))
 		b.c.Assert(b.m.holding["narration"], qt.Equals, 0)
+		// One that only waited may come back with its id; of one that had left
+		// for a runner that can't be known here.
+		b.c.Assert(b.m.taken.has("narration/q"), qt.Equals, away)
 	}
 }
 
