--- a/control/place.go
+++ b/control/place.go
@@ -17,6 +17,9 @@
 	// turnMs is how long a thing that is asked for may lack before it gets its
 	// turn, whoever asks more for what is held.
 	turnMs = 3_000
+	// keptScore is the demand at which a leaver's thing is moved: someone asked
+	// within the last half a minute or so.
+	keptScore = 0.1
 	// busyScore is the demand that earns a further copy.
 	busyScore = 200
 )
@@ -74,6 +77,11 @@
 			}
 		}
 		n.copies = m.copiesOf(item)
+		// What is about to go with its runner is moved ahead, also if nobody
+		// asked for it in the last moment.
+		if n.wanted == 0 && n.copies == 0 && n.score >= keptScore && m.leaverHolds(item) {
+			n.wanted = 1
+		}
 		if w := m.duty.wants[item]; w != nil {
 			switch {
 			case n.copies > 0 || n.wanted == 0:
@@ -169,15 +177,32 @@
 // usable says whether a runner may be counted on to hold things.
 func (m *Machine) usable(runner *description.Runner) (*ledger.Row, bool) {
 	row, s := m.state.Rows[runner.Name], m.duty.seen[runner.Name]
-	if row == nil || s == nil || m.nowMs-s.okMs > darkMs || m.state.Leaving(row) {
-		return nil, false
-	}
-	if listed := m.duty.listing[runner.Name]; listed.Leaving && listed.Incarnation == row.Incarnation {
+	if row == nil || s == nil || m.nowMs-s.okMs > darkMs || m.leaves(row) {
 		return nil, false
 	}
 	return row, true
 }
 
+// leaverHolds says whether a runner that is leaving, and no other, would take
+// the item with it.
+func (m *Machine) leaverHolds(item ledger.Item) bool {
+	for i := range m.described.Runners {
+		row := m.state.Rows[m.described.Runners[i].Name]
+		if row != nil && row.Holds(item) && item.Model != "" {
+			if _, usable := m.usable(&m.described.Runners[i]); !usable && m.leaves(row) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// leaves says whether the runner's present incarnation is marked.
+func (m *Machine) leaves(row *ledger.Row) bool {
+	listed := m.duty.listing[row.Runner]
+	return m.state.Leaving(row) || listed.Leaving && listed.Incarnation == row.Incarnation
+}
+
 func (m *Machine) copiesOf(item ledger.Item) int {
 	copies := 0
 	for i := range m.described.Runners {
