Check rooms and pace against a description that shrinks them

Now they take what an accepted text allows: the smaller pace ten seconds later, the smaller room two seconds later.

--- a/rules/book.go
+++ b/rules/book.go
@@ -48,6 +48,10 @@
 	LeaverWorstMs int64
 	OldWorstMs    int64
 	Ran           int
+	// allowed is what the newest description allows, before is the pace of
+	// the one it followed.
+	allowed *allowance
+	before  int64
 	// written are the goes that routers wrote, arrived or not.
 	written map[string][]goSeen
 	wrote   map[string]bool
@@ -257,13 +261,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.loads = append(b.loads, atMs)
-	within := 0
+	within, pace := 0, b.paceWithin(atMs)
 	for _, at := range b.loads {
 		if at > atMs-10_000 {
 			within++
 		}
 	}
-	if int64(within) > b.pace {
+	if int64(within) > pace {
 		b.breach("store pace", atMs, "%d loads within 10 s, %s of %s the last", within, item, runner)
 	}
 }
@@ -272,6 +276,9 @@
 func (b *Book) Room(atMs int64, runner string, taken, room int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if told := b.allowed; told != nil && atMs > told.atMs+InForceMs && told.rooms[runner] > 0 {
+		room = min(room, told.rooms[runner])
+	}
 	if taken > room {
 		b.breach("room", atMs, "%s was told to hold %d of %d", runner, taken, room)
 	}
--- a/rules/book_test.go
+++ b/rules/book_test.go
@@ -102,6 +102,20 @@
 				b.Load(ms, "r", "m")
 			}
 		}, "store pace"},
+		{"a smaller pace, ten seconds later", func(b *Book) {
+			b.Allow(0, 1, nil)
+			b.Load(10_000, "r", "m")
+			b.Load(10_001, "r", "m")
+		}, "store pace"},
+		{"a smaller pace, at once", func(b *Book) {
+			b.Allow(0, 1, nil)
+			b.Load(1, "r", "m")
+			b.Load(2, "r", "m")
+		}, ""},
+		{"a smaller room", func(b *Book) {
+			b.Allow(0, 2, map[string]int64{"r": 50})
+			b.Room(2001, "r", 51, 100)
+		}, "room"},
 		{"room kept", func(b *Book) { b.Room(0, "r", 100, 100) }, ""},
 		{"room exceeded", func(b *Book) { b.Room(0, "r", 101, 100) }, "room"},
 		{"second goes within", func(b *Book) {
--- a/sim/people.go
+++ b/sim/people.go
@@ -7,6 +7,7 @@
 
 	"myrtlewinch/control"
 	"myrtlewinch/defect"
+	"myrtlewinch/description"
 	"myrtlewinch/traffic"
 	"myrtlewinch/wire"
 )
@@ -332,6 +333,7 @@
 			w.operator.outcomes["accepted"]++
 			w.Book.Accepted(w.NowMs, said.Revision)
 			w.Book.InForce(w.NowMs, mark, said.Revision)
+			w.allow(text, part)
 			if !part {
 				w.operator.accepted[said.Revision] = text
 			}
@@ -346,6 +348,20 @@
 	})
 }
 
+// allow tells the rules what an accepted text allows.
+func (w *World) allow(text string, part bool) {
+	if part {
+		return
+	}
+	if d, faults := description.Read([]byte(text), w.Site.Site); len(faults) == 0 && d.Store.LoadsPer10s != w.Site.Store.LoadsPer10s {
+		rooms := map[string]int64{}
+		for _, r := range d.Runners {
+			rooms[r.Name] = r.Room
+		}
+		w.Book.Allow(w.NowMs, d.Store.LoadsPer10s, rooms)
+	}
+}
+
 // opposite is the wrong answer to a handing over.
 func (w *World) opposite(body any) any {
 	switch body.(type) {
--- a/sim/scenario.go
+++ b/sim/scenario.go
@@ -242,6 +242,19 @@
 		w.Run(9000)
 		w.mustBeAccepted(3)
 	}, 3000},
+	"a description shrinks rooms and pace": {"less than is in use, while all models are asked for", func(w *World) {
+		w.senders.rare = true
+		w.Run(8000)
+		small := strings.ReplaceAll(w.Variant(1), `"room": 96`, `"room": 70`)
+		pace := fmt.Sprintf(`"loadsPer10s": %d`, w.Site.Store.LoadsPer10s)
+		w.HandOver(w.Primary(), 1, strings.Replace(small, pace, `"loadsPer10s": 4`, 1))
+		w.Run(30_000)
+		w.mustBeAccepted(2)
+		p := w.Primary()
+		w.Kill(p)
+		w.Run(12_000)
+		w.Start(p)
+	}, 10_000},
 	"core cut in two": {"at most one side goes on", func(w *World) {
 		p := w.Primary()
 		w.Cut([]string{p}, w.others(p, "operator", "senders"), false)
