Use the house words for drops and one errors library throughout

Refused and refuse become Dropped and drop, the simulator's queue is what lies ahead, and the standard errors and fmt.Errorf give way to the errors library used elsewhere. No behaviour changes.

--- a/cmd/operator/main.go
+++ b/cmd/operator/main.go
@@ -5,12 +5,12 @@
 import (
 	"bytes"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
 
+	"github.com/cockroachdb/errors"
 	"github.com/integrii/flaggy"
 
 	"myrtlewinch/defect"
--- a/comparison/comparison.go
+++ b/comparison/comparison.go
@@ -7,6 +7,8 @@
 	"sort"
 	"strings"
 
+	"github.com/cockroachdb/errors"
+
 	"myrtlewinch/control"
 	"myrtlewinch/traffic"
 	"myrtlewinch/wire"
@@ -54,7 +56,7 @@
 		}
 		b.router(s)
 	default:
-		return b, fmt.Errorf("not a daemon's status: part is %q", part.Part)
+		return b, errors.Newf("not a daemon's status: part is %q", part.Part)
 	}
 	return b, nil
 }
--- a/control/founding.go
+++ b/control/founding.go
@@ -18,23 +18,23 @@
 // just what this very founding would give it, since an earlier go at it was
 // cut short. Nothing else ever takes a blank disk for a beginning.
 func (m *Machine) found(f Founding) {
-	refuse := func(kind defect.Kind, detail string) { m.answer(f.Id, wire.Refused{Kind: kind, Detail: detail}) }
+	drop := func(kind defect.Kind, detail string) { m.answer(f.Id, wire.Dropped{Kind: kind, Detail: detail}) }
 	if m.record.Epoch > 0 || m.state.Position.Number > 0 {
-		refuse(defect.AlreadyFounded, "this controller belongs to a founded site")
+		drop(defect.AlreadyFounded, "this controller belongs to a founded site")
 		return
 	}
 	if m.seat.founding != nil || m.seat.role != follower && m.witness.Record.Epoch == 0 {
-		refuse(defect.NotTaken, "a founding is under way")
+		drop(defect.NotTaken, "a founding is under way")
 		return
 	}
 	first, fault := m.firstRecord(f)
 	if fault != "" {
-		refuse(defect.BadRequest, fault)
+		drop(defect.BadRequest, fault)
 		return
 	}
 	m.seat.first = first
 	if m.witness.Record.Epoch > 0 && !same(m.witness.Record, m.seat.first) {
-		refuse(defect.AlreadyFounded, "this controller's witness belongs to another founding")
+		drop(defect.AlreadyFounded, "this controller's witness belongs to another founding")
 		return
 	}
 	m.seat.founding = &f
@@ -84,7 +84,7 @@
 	id := s.founding.Id
 	s.founding = nil
 	m.retreat(0)
-	m.answer(id, wire.Refused{Kind: defect.AlreadyFounded, Detail: "a witness belongs to another founding"})
+	m.answer(id, wire.Dropped{Kind: defect.AlreadyFounded, Detail: "a witness belongs to another founding"})
 	return true
 }
 
--- a/control/offer.go
+++ b/control/offer.go
@@ -62,22 +62,22 @@
 	Revision uint64 `json:"revision"`
 }
 
-func (m *Machine) refuse(id uint64, kind defect.Kind, detail string, faults []string) {
-	m.answer(id, wire.Refused{Kind: kind, Detail: detail, Faults: faults, Revision: m.offer.current.Number, Primary: m.record.Primary})
+func (m *Machine) drop(id uint64, kind defect.Kind, detail string, faults []string) {
+	m.answer(id, wire.Dropped{Kind: kind, Detail: detail, Faults: faults, Revision: m.offer.current.Number, Primary: m.record.Primary})
 }
 
 func (m *Machine) handOver(in HandOver) {
 	switch {
 	case len(in.Text) > description.Most:
-		m.refuse(in.Id, defect.TooLarge, "a description may have at most 1 MiB", nil)
+		m.drop(in.Id, defect.TooLarge, "a description may have at most 1 MiB", nil)
 	case m.record.Epoch == 0:
-		m.refuse(in.Id, defect.NotFounded, "this site is not founded", nil)
+		m.drop(in.Id, defect.NotFounded, "this site is not founded", nil)
 	case !m.isPrimary():
-		m.refuse(in.Id, defect.NotPrimary, "the primary takes descriptions", nil)
+		m.drop(in.Id, defect.NotPrimary, "the primary takes descriptions", nil)
 	case !m.active():
-		m.refuse(in.Id, defect.NotTaken, "the pair is not whole yet", nil)
+		m.drop(in.Id, defect.NotTaken, "the pair is not whole yet", nil)
 	case len(m.offer.line) >= lineMost:
-		m.refuse(in.Id, defect.NotTaken, "too many descriptions wait", nil)
+		m.drop(in.Id, defect.NotTaken, "too many descriptions wait", nil)
 	default:
 		m.offer.line = append(m.offer.line, in)
 		m.nextOffer()
@@ -94,7 +94,7 @@
 		// the primary before may have given.
 		if in.Base != o.current.Number {
 			o.line = o.line[1:]
-			m.refuse(in.Id, defect.StaleBase, "the description in force is another by now", nil)
+			m.drop(in.Id, defect.StaleBase, "the description in force is another by now", nil)
 			continue
 		}
 		text := []byte(in.Text)
@@ -111,7 +111,7 @@
 			if len(faults) == 0 {
 				kind = defect.TooLarge
 			}
-			m.refuse(in.Id, kind, "the description has no effect", faults)
+			m.drop(in.Id, kind, "the description has no effect", faults)
 			continue
 		}
 		if m.nowMs < m.seat.takesMs {
@@ -151,7 +151,7 @@
 		if m.nowMs-o.pending.sinceMs >= giveUpMs {
 			id := o.pending.from.Id
 			o.pending = nil
-			m.refuse(id, defect.NotTaken, "too few routers acknowledged it", nil)
+			m.drop(id, defect.NotTaken, "too few routers acknowledged it", nil)
 			m.nudge()
 			m.nextOffer()
 		}
@@ -161,7 +161,7 @@
 	pending := o.pending
 	m.submit(func(ok bool) {
 		if !ok {
-			m.refuse(pending.from.Id, defect.AcceptanceUnknown, "it may be in force; read the description to find out", nil)
+			m.drop(pending.from.Id, defect.AcceptanceUnknown, "it may be in force; read the description to find out", nil)
 			return
 		}
 		m.offer.current = ledger.Revision{Number: pending.number, Text: pending.text}
@@ -211,12 +211,12 @@
 	o.line, o.pending = nil, nil
 	o.forget()
 	for _, in := range line {
-		m.refuse(in.Id, defect.NotTaken, "this controller is not the primary any more", nil)
+		m.drop(in.Id, defect.NotTaken, "this controller is not the primary any more", nil)
 	}
 	// One that was never written can't come into force; one that was has been
 	// answered by its write's end.
 	if pending != nil && !pending.given {
-		m.refuse(pending.from.Id, defect.NotTaken, "this controller is not the primary any more", nil)
+		m.drop(pending.from.Id, defect.NotTaken, "this controller is not the primary any more", nil)
 	}
 }
 
--- a/control/office.go
+++ b/control/office.go
@@ -111,7 +111,7 @@
 	_ = json.NewEncoder(w).Encode(value)
 }
 
-func refused(w http.ResponseWriter, said wire.Refused) {
+func dropped(w http.ResponseWriter, said wire.Dropped) {
 	defect.Answer{
 		Kind: said.Kind, Detail: said.Detail, Faults: said.Faults, Revision: said.Revision, Primary: said.Primary,
 	}.Write(w)
@@ -144,8 +144,8 @@
 	case Accepted:
 		w.Header().Set("ETag", fmt.Sprintf("%q", strconv.FormatUint(said.Revision, 10)))
 		writeJson(w, said)
-	case wire.Refused:
-		refused(w, said)
+	case wire.Dropped:
+		dropped(w, said)
 	}
 }
 
@@ -233,7 +233,7 @@
 	switch said := answer.(type) {
 	case Founded:
 		writeJson(w, said)
-	case wire.Refused:
-		refused(w, said)
+	case wire.Dropped:
+		dropped(w, said)
 	}
 }
--- a/control/recovery.go
+++ b/control/recovery.go
@@ -16,36 +16,36 @@
 // were lost: an operator's explicit act, which must name what it goes on from.
 // Three live controllers must agree, blank or not; none may have a later copy.
 func (m *Machine) recoverFrom(f Founding) {
-	refuse := func(kind defect.Kind, detail string) { m.answer(f.Id, wire.Refused{Kind: kind, Detail: detail}) }
+	drop := func(kind defect.Kind, detail string) { m.answer(f.Id, wire.Dropped{Kind: kind, Detail: detail}) }
 	at := m.state.Position
 	switch {
 	case at.Number == 0:
-		refuse(defect.NotFounded, "this controller has no copy to go on from")
+		drop(defect.NotFounded, "this controller has no copy to go on from")
 		return
 	case m.broken:
-		refuse(defect.NotTaken, "this controller's disk failed")
+		drop(defect.NotTaken, "this controller's disk failed")
 		return
 	case m.seat.founding != nil:
-		refuse(defect.NotTaken, "a recovery is under way")
+		drop(defect.NotTaken, "a recovery is under way")
 		return
 	case m.isPrimary() || m.entitled(m.record) || m.mayStand():
-		refuse(defect.NotTaken, "this disk is one of the pair: it takes over by itself")
+		drop(defect.NotTaken, "this disk is one of the pair: it takes over by itself")
 		return
 	}
 	for _, seat := range m.record.Pair {
 		if place, known := m.roster.Place(seat.Name); known && place.Incarnation == seat.Incarnation && m.roster.Live(m.nowMs, seat.Name) {
-			refuse(defect.NotTaken, "a disk of the pair is there: "+seat.Name+" takes over by itself")
+			drop(defect.NotTaken, "a disk of the pair is there: "+seat.Name+" takes over by itself")
 			return
 		}
 	}
 	shown := fmt.Sprintf("this would go on from change %d of epoch %d, with revision %d", at.Number, at.Epoch, m.state.Revision.Number)
 	if f.Change != at.Number || f.Revision != m.state.Revision.Number {
-		refuse(defect.StaleBase, shown+"; give change and revision to do it")
+		drop(defect.StaleBase, shown+"; give change and revision to do it")
 		return
 	}
 	first, fault := m.firstRecord(f)
 	if fault != "" {
-		refuse(defect.BadRequest, fault)
+		drop(defect.BadRequest, fault)
 		return
 	}
 	first.Epoch = max(m.record.Epoch, m.witness.Record.Epoch, at.Epoch) + epochStep
@@ -75,7 +75,7 @@
 	id := s.founding.Id
 	s.founding = nil
 	m.retreat(0)
-	m.answer(id, wire.Refused{Kind: defect.NotTaken, Detail: fmt.Sprintf("%s has a later copy, up to change %d of epoch %d: recover from it", from.Name, said.At.Number, said.At.Epoch)})
+	m.answer(id, wire.Dropped{Kind: defect.NotTaken, Detail: fmt.Sprintf("%s has a later copy, up to change %d of epoch %d: recover from it", from.Name, said.At.Number, said.At.Epoch)})
 	return true
 }
 
--- a/control/seat.go
+++ b/control/seat.go
@@ -150,7 +150,7 @@
 	m.seat.proposal = nil
 	if f := m.seat.founding; f != nil {
 		m.seat.founding = nil
-		m.answer(f.Id, wire.Refused{Kind: defect.NotTaken, Detail: "not all witnesses agreed; they must be up (for a founding: blank, or left by this same act); repeat it"})
+		m.answer(f.Id, wire.Dropped{Kind: defect.NotTaken, Detail: "not all witnesses agreed; they must be up (for a founding: blank, or left by this same act); repeat it"})
 	}
 }
 
@@ -396,7 +396,7 @@
 	m.endOffer()
 	if f := m.seat.founding; f != nil {
 		m.seat.founding = nil
-		m.answer(f.Id, wire.Refused{Kind: defect.AcceptanceUnknown, Detail: "the founding may have been recorded; ask for the status"})
+		m.answer(f.Id, wire.Dropped{Kind: defect.AcceptanceUnknown, Detail: "the founding may have been recorded; ask for the status"})
 	}
 }
 
--- a/daemon/shell.go
+++ b/daemon/shell.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -14,6 +13,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
 
 	"myrtlewinch/crew"
 	"myrtlewinch/disk"
--- a/description/node.go
+++ b/description/node.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"strings"
+
+	"github.com/cockroachdb/errors"
 )
 
 // node is one value of a JSON text with its path, kept in order so that
@@ -41,7 +43,7 @@
 	root, err := r.next("")
 	if err == nil {
 		if _, trailing := r.tokens.Token(); trailing != io.EOF {
-			err = fmt.Errorf("text after the end")
+			err = errors.Newf("text after the end")
 		}
 	}
 	if err != nil {
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -6,10 +6,11 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"strconv"
 	"strings"
 
+	"github.com/cockroachdb/errors"
+
 	"myrtlewinch/wire"
 )
 
@@ -189,7 +190,7 @@
 			continue
 		}
 		if err := s.take(name, text); err != nil {
-			return fmt.Errorf("%s: %w", key, err)
+			return errors.Wrap(err, key)
 		}
 	}
 	return nil
@@ -216,7 +217,7 @@
 		s.Marks[wire.Mark{Runner: runner, Incarnation: incarnation}] = true
 		return nil
 	}
-	return fmt.Errorf("unknown row")
+	return errors.Newf("unknown row")
 }
 
 // Leaving says whether the runner's present incarnation is marked.
--- a/sim/measure.go
+++ b/sim/measure.go
@@ -5,6 +5,8 @@
 	"sort"
 	"strings"
 
+	"github.com/cockroachdb/errors"
+
 	"myrtlewinch/control"
 	"myrtlewinch/traffic"
 	"myrtlewinch/wire"
@@ -53,7 +55,7 @@
 		for w.Primary() == "" {
 			w.Run(10)
 			if w.NowMs-from > 60_000 {
-				return 0, fmt.Errorf("no controller spoke for the site within 60 s")
+				return 0, errors.Newf("no controller spoke for the site within 60 s")
 			}
 		}
 		return float64(w.NowMs - from), nil
@@ -80,7 +82,7 @@
 				return float64(w.NowMs - from), nil
 			}
 			if w.NowMs-from > 60_000 {
-				return 0, fmt.Errorf("not every service answered within 60 s")
+				return 0, errors.Newf("not every service answered within 60 s")
 			}
 		}
 	}
@@ -118,7 +120,7 @@
 	after := w.tallies()
 	requests := after.Requests - before.Requests
 	if requests == 0 {
-		return 0, fmt.Errorf("no request was made")
+		return 0, errors.Newf("no request was made")
 	}
 	return float64(w.Net.LookUps-sent) / float64(requests), nil
 }
@@ -213,7 +215,7 @@
 	w.HandOver(w.Primary(), 1, w.Variant(1))
 	w.Run(15_000)
 	if w.operator.outcomes["accepted"] < 2 {
-		return 0, fmt.Errorf("the description was not accepted: %v", w.operator.outcomes)
+		return 0, errors.Newf("the description was not accepted: %v", w.operator.outcomes)
 	}
 	return float64(w.Book.OldWorstMs), nil
 }
@@ -241,7 +243,7 @@
 	}
 	seconds, firsts := w.Book.WorstSeconds(w.small())
 	if firsts == 0 {
-		return 0, fmt.Errorf("no go was made")
+		return 0, errors.Newf("no go was made")
 	}
 	return float64(seconds) / float64(firsts), nil
 }
@@ -260,7 +262,7 @@
 		}
 		w.Run(5)
 		if w.NowMs-from > 60_000 {
-			return 0, fmt.Errorf("no answer within 60 s")
+			return 0, errors.Newf("no answer within 60 s")
 		}
 	}
 	return float64(w.NowMs - from), nil
@@ -276,7 +278,7 @@
 		for seed := int64(1); seed <= seeds; seed++ {
 			value, err := m.Of(New(text, seed))
 			if err != nil {
-				failed = fmt.Errorf("seed %d: %w", seed, err)
+				failed = errors.Wrapf(err, "seed %d", seed)
 				break
 			}
 			values = append(values, value)
--- a/sim/people.go
+++ b/sim/people.go
@@ -338,7 +338,7 @@
 				w.operator.accepted[said.Revision] = text
 			}
 			w.operator.lastNumber = max(w.operator.lastNumber, said.Revision)
-		case wire.Refused:
+		case wire.Dropped:
 			w.note("operator: %s, %s", said.Kind, mark)
 			w.operator.outcomes[string(said.Kind)]++
 			if said.Kind.Reply().Drop {
@@ -366,8 +366,8 @@
 func (w *World) opposite(body any) any {
 	switch body.(type) {
 	case control.Accepted:
-		return wire.Refused{Kind: defect.NotTaken}
-	case wire.Refused:
+		return wire.Dropped{Kind: defect.NotTaken}
+	case wire.Dropped:
 		return control.Accepted{Revision: 2}
 	}
 	return body
@@ -447,5 +447,5 @@
 	}
 }
 
-// Refusal tallies what operators were told.
-func (w *World) Refusal(kind defect.Kind) int { return w.operator.outcomes[string(kind)] }
+// Drops tallies what operators were told.
+func (w *World) Drops(kind defect.Kind) int { return w.operator.outcomes[string(kind)] }
--- a/sim/world.go
+++ b/sim/world.go
@@ -61,7 +61,7 @@
 	Site   *description.Description
 	Random *rand.Rand
 
-	queue    events
+	ahead    events
 	seq      uint64
 	nodes    map[string]*node
 	address  map[string]string
@@ -216,7 +216,7 @@
 
 func (w *World) at(atMs int64, do func()) {
 	w.seq++
-	heap.Push(&w.queue, event{max(atMs, w.NowMs), w.seq, do})
+	heap.Push(&w.ahead, event{max(atMs, w.NowMs), w.seq, do})
 }
 
 func (w *World) after(ms int64, do func()) { w.at(w.NowMs+ms, do) }
@@ -234,8 +234,8 @@
 // Run lets virtual time pass.
 func (w *World) Run(ms int64) {
 	end := w.NowMs + ms
-	for len(w.queue) > 0 && w.queue[0].atMs <= end {
-		e := heap.Pop(&w.queue).(event)
+	for len(w.ahead) > 0 && w.ahead[0].atMs <= end {
+		e := heap.Pop(&w.ahead).(event)
 		w.NowMs = e.atMs
 		e.do()
 	}
--- a/site/bad_test.go
+++ b/site/bad_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 
+	"github.com/cockroachdb/errors"
+
 	qt "github.com/frankban/quicktest"
 
 	"myrtlewinch/crew"
@@ -86,7 +88,7 @@
 		var counts map[string]uint64
 		_, text, err := Ask(http.MethodGet, core, "/counters", "", nil)
 		if err == nil && json.Unmarshal(text, &counts) == nil && counts["malformed"] < 3 {
-			err = fmt.Errorf("malformed: %d", counts["malformed"])
+			err = errors.Newf("malformed: %d", counts["malformed"])
 		}
 		return err
 	}), qt.IsNil)
@@ -139,7 +141,7 @@
 	c.Assert(f.until(patience, func() error {
 		status, text, err := ask()
 		if err == nil && status != 502 {
-			err = fmt.Errorf("%d %s", status, text)
+			err = errors.Newf("%d %s", status, text)
 		}
 		return err
 	}), qt.IsNil)
--- a/traffic/gate.go
+++ b/traffic/gate.go
@@ -7,7 +7,6 @@
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -17,6 +16,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
 
 	"myrtlewinch/crew"
 	"myrtlewinch/daemon"
@@ -184,7 +184,7 @@
 			panic(http.ErrAbortHandler)
 		case answer := <-answers:
 			switch said := answer.(type) {
-			case wire.Refused:
+			case wire.Dropped:
 				defect.Answer{Kind: said.Kind, Detail: said.Detail, Request: name, RetryMs: said.RetryMs}.Write(w)
 				return
 			case Go:
--- a/traffic/machine_test.go
+++ b/traffic/machine_test.go
@@ -89,7 +89,7 @@
 
 func (b *bench) kind() defect.Kind {
 	for _, answer := range b.out.Answers {
-		if said, ok := answer.Body.(wire.Refused); ok {
+		if said, ok := answer.Body.(wire.Dropped); ok {
 			return said.Kind
 		}
 	}
@@ -450,7 +450,7 @@
 				b.take(wire.Index{Key: "narration/narrator-7/", At: wire.Position{Epoch: 1, Number: 1}, TurnMs: 90_000})
 			}
 			b.c.Assert(b.kind(), qt.Equals, defect.NoTurn)
-			said := b.out.Answers[0].Body.(wire.Refused)
+			said := b.out.Answers[0].Body.(wire.Dropped)
 			b.c.Assert(said.RetryMs > 50_000, qt.IsTrue)
 			// It has not run, so the same id may come back at its turn.
 			b.index("narration/narrator-7/", 2, "language-1")
--- a/traffic/request.go
+++ b/traffic/request.go
@@ -143,7 +143,7 @@
 			continue
 		}
 		if v.kind != "" {
-			m.refuse(r, v.kind, v.detail)
+			m.drop(r, v.kind, v.detail)
 		}
 		return false
 	}
@@ -162,14 +162,14 @@
 		return
 	}
 	if m.holding[r.Service] >= int(r.service.Holding) {
-		m.refuse(r, defect.HoldingFull, "too many requests of this service wait here")
+		m.drop(r, defect.HoldingFull, "too many requests of this service wait here")
 		return
 	}
 	r.holds = true
 	m.holding[r.Service]++
 }
 
-func (m *Machine) refuse(r *request, kind defect.Kind, detail string) {
+func (m *Machine) drop(r *request, kind defect.Kind, detail string) {
 	if r.mayHaveRun && kind.Reply().Drop {
 		kind, detail = defect.OutcomeUnknown, "an earlier go may have run; then: "+detail
 	}
@@ -177,7 +177,7 @@
 		m.taken.forget(r.Service + "/" + r.Name)
 	}
 	m.Tally.Drops[kind]++
-	said := wire.Refused{Kind: kind, Detail: detail}
+	said := wire.Dropped{Kind: kind, Detail: detail}
 	if r.turnMs > m.nowMs && kind.Reply().RetryAfterSec > 0 {
 		said.RetryMs = r.turnMs - m.nowMs
 	}
@@ -245,7 +245,7 @@
 	case Busy:
 		r.last = defect.RunnerDropped
 	case Repeated:
-		m.refuse(r, defect.AlreadyTaken, "the runner has seen this id; the first sending may have run")
+		m.drop(r, defect.AlreadyTaken, "the runner has seen this id; the first sending may have run")
 		return
 	case Lost, Nonsense:
 		m.suspect[r.runner] = m.nowMs + suspectMs
@@ -256,7 +256,7 @@
 		}
 		// What may have run goes on only if it may run twice.
 		if !r.service.Repeatable {
-			m.refuse(r, kind, detail)
+			m.drop(r, kind, detail)
 			return
 		}
 		r.last = kind
--- a/wire/effects.go
+++ b/wire/effects.go
@@ -31,8 +31,8 @@
 	Body any
 }
 
-// Refused answers with a kind of defect.
-type Refused struct {
+// Dropped answers with a kind of defect.
+type Dropped struct {
 	Kind     defect.Kind
 	Detail   string
 	Faults   []string
