Test the index and the seat by tables

Cause: look-ups, the pushes to waiting routers, the counting of a hold and the asking for opinions had no tests of their own.

--- /dev/null
+++ b/control/index_test.go
@@ -0,0 +1,99 @@
+package control
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"myrtlewinch/ledger"
+	"myrtlewinch/wire"
+)
+
+// asks brings a router's look-up and gives the answers that leave.
+func asks(m *Machine, nowMs int64, service, model string) []wire.Index {
+	return indexed(m.Step(nowMs, wire.Envelope{
+		Site: "s", To: "a", From: wire.Place{Name: "e", Address: "e:1", Part: wire.Router, Incarnation: "1"},
+		Body: wire.LookUp{Id: 7, Service: service, Model: model},
+	}))
+}
+
+func indexed(effects wire.Effects) []wire.Index {
+	var out []wire.Index
+	for _, send := range effects.Sends {
+		if index, ok := send.Body.(wire.Index); ok {
+			out = append(out, index)
+		}
+	}
+	return out
+}
+
+// A look-up gets one answer: who holds the thing, or when it may be held.
+func TestLookUp(t *testing.T) {
+	item := ledger.Holding{Size: 6}
+	cases := []struct {
+		about          string
+		do             func(m *Machine)
+		service, model string
+		holders        int
+		loading        bool
+		turnMs         int64
+		counted        bool
+	}{
+		{"held by one", func(m *Machine) { m.state.Rows["r"].Held["m"] = item }, "v", "m", 1, false, 0, true},
+		{"held by two", func(m *Machine) { m.state.Rows["r"].Held["m"], m.state.Rows["q"].Held["m"] = item, item }, "v", "m", 2, false, 0, true},
+		{"held by a leaver", func(m *Machine) {
+			m.state.Rows["r"].Held["m"] = item
+			m.state.Marks[wire.Mark{Runner: "r", Incarnation: "1"}] = true
+		}, "v", "m", 0, false, 0, true},
+		{"held by a dark one", func(m *Machine) {
+			m.state.Rows["r"].Held["m"] = item
+			m.duty.seen["r"].okMs = m.nowMs - darkMs - 100
+		}, "v", "m", 0, false, 0, true},
+		{"being loaded", func(m *Machine) { m.state.Rows["r"].Intent = &ledger.Intent{Action: wire.Load, Model: "m", Size: 6} }, "v", "m", 0, true, 0, true},
+		{"being unloaded", func(m *Machine) {
+			m.state.Rows["r"].Held["m"] = item
+			m.state.Rows["r"].Intent = &ledger.Intent{Action: wire.Unload, Model: "m"}
+		}, "v", "m", 0, false, 0, true},
+		{"its turn is known", func(m *Machine) { m.duty.turns = map[string]int64{"m": 900} }, "v", "m", 0, false, 900, true},
+		{"no such service", func(*Machine) {}, "x", "m", 0, false, 0, false},
+		{"not a model of the service", func(*Machine) {}, "v", "x", 0, false, 0, false},
+	}
+	for _, test := range cases {
+		t.Run(test.about, func(t *testing.T) {
+			m := placing(t)
+			test.do(m)
+			m.table.Forget()
+			answers := asks(m, m.nowMs+1, test.service, test.model)
+			qt.Assert(t, answers, qt.HasLen, 1)
+			got := answers[0]
+			qt.Assert(t, got.Id, qt.Equals, uint64(7))
+			qt.Assert(t, got.Holders, qt.HasLen, test.holders)
+			qt.Assert(t, got.Loading, qt.Equals, test.loading)
+			qt.Assert(t, got.TurnMs, qt.Equals, test.turnMs)
+			qt.Assert(t, m.index.counts[test.service+"/"+test.model+"/"] == 1, qt.Equals, test.counted)
+		})
+	}
+}
+
+// A router that asked in vain is told once the thing is loaded, and once only.
+func TestWaitingRoutersAreTold(t *testing.T) {
+	m := placing(t)
+	nowMs := m.nowMs + 1
+	qt.Assert(t, asks(m, nowMs, "v", "m")[0].Holders, qt.HasLen, 0)
+	m.state.Rows["r"].Held["m"] = ledger.Holding{Size: 6}
+	m.table.Forget()
+	told := 0
+	for range 40 {
+		nowMs += 50
+		m.seat.holdUntilMs = nowMs + 1000
+		for _, s := range m.duty.seen {
+			s.okMs = nowMs
+		}
+		for _, index := range indexed(m.Step(nowMs, wire.Tick{})) {
+			qt.Assert(t, index.Holders, qt.HasLen, 1)
+			qt.Assert(t, index.Id, qt.Equals, uint64(0))
+			told++
+		}
+	}
+	qt.Assert(t, told, qt.Equals, 1)
+}
--- /dev/null
+++ b/control/seat_test.go
@@ -0,0 +1,86 @@
+package control
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"myrtlewinch/wire"
+	"myrtlewinch/witness"
+)
+
+// The hold runs from when the renewals that a majority granted were sent, of
+// the present witnesses and of those before.
+func TestCountHold(t *testing.T) {
+	a, b, c, d := diskOf("a", "1"), diskOf("b", "1"), diskOf("c", "1"), diskOf("d", "1")
+	set, next := []wire.Seat{a, b, c}, []wire.Seat{a, b, d}
+	cases := []struct {
+		about             string
+		witnesses, before []wire.Seat
+		grants            map[wire.Seat]int64
+		fromMs            int64
+	}{
+		{"none granted", set, set, map[wire.Seat]int64{}, 0},
+		{"one is no majority", set, set, map[wire.Seat]int64{a: 100}, 0},
+		{"two: from the earlier", set, set, map[wire.Seat]int64{a: 100, b: 200}, 100},
+		{"three: from the second", set, set, map[wire.Seat]int64{a: 100, b: 200, c: 300}, 200},
+		{"a disk that is no witness", set, set, map[wire.Seat]int64{a: 100, d: 300}, 0},
+		{"another disk of a witness's name", set, set, map[wire.Seat]int64{a: 100, diskOf("b", "2"): 300}, 0},
+		{"a change of the set: both need a majority", next, set, map[wire.Seat]int64{a: 100, d: 300}, 0},
+		{"a change of the set: both have one", next, set, map[wire.Seat]int64{a: 100, b: 200, d: 300}, 100},
+	}
+	for _, test := range cases {
+		t.Run(test.about, func(t *testing.T) {
+			m := &Machine{record: wire.Record{Epoch: 1, Witnesses: test.witnesses, Before: test.before}}
+			m.seat.grants = test.grants
+			m.countHold()
+			untilMs := int64(0)
+			if test.fromMs > 0 {
+				untilMs = test.fromMs + witness.HoldMs
+			}
+			qt.Assert(t, m.seat.holdUntilMs, qt.Equals, untilMs)
+		})
+	}
+}
+
+// A primary whose hold has run out notices before it does anything else.
+func TestHoldRunsOut(t *testing.T) {
+	m := serving(t)
+	qt.Assert(t, m.active(), qt.IsTrue)
+	m.seat.holdUntilMs = m.nowMs + 100
+	m.Step(m.nowMs+99, wire.Tick{})
+	qt.Assert(t, m.isPrimary(), qt.IsTrue)
+	m.seat.holdUntilMs = m.nowMs + 1
+	effects := m.Step(m.nowMs+1, HandOver{Id: 3, Base: 1, Text: described})
+	qt.Assert(t, m.isPrimary(), qt.IsFalse)
+	qt.Assert(t, effects.Answers, qt.HasLen, 1)
+	qt.Assert(t, effects.Answers[0].Body.(wire.Dropped).Kind.Reply().Drop, qt.IsTrue)
+}
+
+// One that still hears the primary keeps another from taking over.
+func TestOpinions(t *testing.T) {
+	cases := []struct {
+		about   string
+		heardMs int64
+		takes   bool
+	}{
+		{"the fellow heard it lately", missMs - 1, false},
+		{"the fellow misses it too", missMs + 1, true},
+	}
+	for _, test := range cases {
+		t.Run(test.about, func(t *testing.T) {
+			m := serving(t)
+			m.loseSeat("test")
+			m.record.Primary = "b"
+			nowMs := m.nowMs + missMs + renewMs + 50
+			m.Step(nowMs, wire.Tick{})
+			qt.Assert(t, m.seat.role, qt.Equals, asking)
+			m.Step(nowMs+10, wire.Envelope{
+				Site: "s", To: "a", From: wire.Place{Name: "c", Address: "c:1", Part: wire.Controller, Incarnation: "1"},
+				Body: wire.Opined{Epoch: 1, HeardMs: test.heardMs},
+			})
+			m.Step(nowMs+opinionMs, wire.Tick{})
+			qt.Assert(t, m.seat.role == promising, qt.Equals, test.takes)
+		})
+	}
+}
