--- a/sim/broken_test.go
+++ b/sim/broken_test.go
@@ -105,6 +105,7 @@
 // The slip back of a router, and a revision that is not in force in time, are
 // brought about by routers whose holds never run out.
 func TestBrokenRevisions(t *testing.T) {
+	t.Parallel()
 	fired := map[string]bool{}
 	for seed := int64(1); seed <= 4; seed++ {
 		w := New(example(t, "zagreb"), seed)
@@ -151,6 +152,7 @@
 // Renewals that fellows gave are waited for; kept from the primary, the old
 // revision would be used too long.
 func TestBrokenFellows(t *testing.T) {
+	t.Parallel()
 	for _, site := range []string{"zagreb", "alexandria"} {
 		for _, kept := range []bool{false, true} {
 			w := New(example(t, site), 1)
--- a/sim/founding_test.go
+++ b/sim/founding_test.go
@@ -14,6 +14,7 @@
 // different one, where a witness was already taken, is refused and changes
 // nothing.
 func TestFoundingCutShort(t *testing.T) {
+	t.Parallel()
 	halves, refused := 0, 0
 	for seed := int64(1); seed <= 60; seed++ {
 		w := New(example(t, "zagreb"), seed)
--- a/sim/recovery_test.go
+++ b/sim/recovery_test.go
@@ -32,6 +32,7 @@
 // Both disks of the pair are wiped. Nothing goes on by itself; the operator's
 // act goes on from a spare, loses nothing that it holds, and breaks no rule.
 func TestRecoveryFromASpare(t *testing.T) {
+	t.Parallel()
 	for _, site := range []string{"zagreb", "alexandria"} {
 		for seed := int64(1); seed <= 6; seed++ {
 			w := New(example(t, site), seed)
@@ -72,6 +73,7 @@
 // The pair was only away: its disks return after the recovery. They retire and
 // disturb nothing; while one of them is there the act is refused.
 func TestRecoveryAndTheOldPair(t *testing.T) {
+	t.Parallel()
 	for seed := int64(1); seed <= 6; seed++ {
 		w := New(example(t, "zagreb"), seed)
 		r := w.Play(Scenario{"", func(w *World) {
--- a/sim/sim_test.go
+++ b/sim/sim_test.go
@@ -78,6 +78,7 @@
 
 // A run with the same seed is the same run.
 func TestCampaignRepeats(t *testing.T) {
+	t.Parallel()
 	text := example(t, "alexandria")
 	first, second := Campaign(text, 7, 8), Campaign(text, 7, 8)
 	qt.Assert(t, second.World.Trace(), qt.Equals, first.World.Trace())
@@ -90,6 +91,7 @@
 // A rolling restart loses no request: each is answered, or dropped so that it
 // may be sent again, or found the door closed before it was sent.
 func TestRollingRestart(t *testing.T) {
+	t.Parallel()
 	for _, site := range []string{"zagreb", "alexandria"} {
 		r := Play(example(t, site), 1, Scenario{"", (*World).RollingRestart, 5000})
 		if len(r.Breaches) > 0 {
