Lay the seams for the platform: service map, tenant of a controller, calls outward

Cause: the platform's runners come from a list and its maps name no routers, so the copied state needs a second tenant, and calls outward need words that a folder of their own translates.

--- a/daemon/shell.go
+++ b/daemon/shell.go
@@ -41,6 +41,16 @@
 	Clock  Clock
 	Log    *log.Logger
 	TickMs int64
+	// Exchanger carries calls outward that are not in this project's own
+	// words; nil where there are none.
+	Exchanger Exchanger
+}
+
+// Exchanger carries a call out and gives what it brought, as an input for the
+// machine; false says that it does not know the call. May makes the check at
+// the socket: no byte may be written once the process's clock shows untilMs.
+type Exchanger interface {
+	Exchange(ctx context.Context, out *outward.Transport, call wire.Call, may func(untilMs int64) func() bool) (any, bool)
 }
 
 // Shell runs one machine.
@@ -264,6 +274,12 @@
 		return wire.Reported{Runner: body.Runner, Address: call.Address}
 	case wire.ReportCall:
 		return wire.Reported{Runner: body.Runner, Address: call.Address, Number: body.Number}
+	case wire.FleetCall:
+		return wire.Fleet{}
+	case wire.StateCall:
+		return wire.StateSaid{Runner: body.Runner, Number: body.Number}
+	case wire.CommandCall:
+		return wire.CommandSaid{Runner: body.Runner, Number: body.Number}
 	}
 	return wire.Listing{}
 }
@@ -272,6 +288,12 @@
 func (s *Shell) exchange(call wire.Call) any {
 	ctx, cancel := context.WithTimeout(context.Background(), outwardMs*time.Millisecond)
 	defer cancel()
+	if s.set.Exchanger != nil {
+		may := func(untilMs int64) func() bool { return s.MaySend(func(nowMs int64) bool { return nowMs < untilMs }) }
+		if brought, known := s.set.Exchanger.Exchange(ctx, s.out, call, may); known {
+			return brought
+		}
+	}
 	always := s.MaySend(func(int64) bool { return true })
 	switch body := call.Body.(type) {
 	case wire.OrderCall:
--- /dev/null
+++ b/servicemap/servicemap.go
@@ -0,0 +1,158 @@
+// Package servicemap is the service map that operators write: which requests
+// there are, by host and path, which services they may go to, and what the
+// runners of a service can hold. Its words are the product's; how an operator
+// writes one is the door's business.
+package servicemap
+
+import "strings"
+
+// Kind says what may be repeated of a route's requests.
+type Kind int
+
+// The kinds.
+const (
+	// Unsafe requests run at most once for each request of a client.
+	Unsafe Kind = iota
+	// Safe requests may run more than once.
+	Safe
+	// Stream requests are answered piece by piece. They may be repeated only
+	// where the route may resume, going on after the last piece passed on.
+	Stream
+)
+
+// Map is one whole service map.
+type Map struct {
+	Version  uint64
+	Routes   []Route
+	Services []Service
+	Limits   Limits
+
+	hosts    map[string][]int
+	services map[string]int
+}
+
+// Route is what a host and a path prefix lead to.
+type Route struct {
+	Name, Host, Prefix string
+	Kind               Kind
+	// GiveUpMs is the longest the operator wants a request held.
+	GiveUpMs int64
+	// AimMs is the time within which an answer earns its full worth; for
+	// streams it counts to the first piece.
+	AimMs int64
+	// Priority is the rank; nought is the highest.
+	Priority int
+	Split    []Share
+	// Tries is the greatest number of runners one request may be sent to.
+	Tries int
+	// Sticky says that prompts share parts that runners keep.
+	Sticky bool
+	Resume bool
+	// GapMs is the longest pause between pieces that is still in time.
+	GapMs int64
+}
+
+// Share is the part of a route's requests that goes to a service.
+type Share struct {
+	Service string
+	Weight  int64
+}
+
+// Service is a set of runners that answer alike.
+type Service struct {
+	Name, SoundnessPath string
+	// MostStreams is how many connections a runner takes from all daemons.
+	MostStreams int
+	// Engine says what its runners can hold; nil where they hold no models.
+	Engine *Engine
+}
+
+// Engine is what each runner of a service can do.
+type Engine struct {
+	// Slots is how many requests run at once.
+	Slots int
+	// CacheTokens is the memory for tokens that running requests and kept
+	// prompts share.
+	CacheTokens int64
+	// Stride is how many tokens one piece of a stream carries.
+	Stride int
+	Models []Model
+	// RoomMb holds models and adapters together.
+	RoomMb float64
+	// AdapterRoom is how many adapters a runner takes.
+	AdapterRoom int
+	// LoadsPerSec is the pace of the weight store over all runners.
+	LoadsPerSec float64
+
+	models map[string]int
+}
+
+// Model is what a runner may hold; its adapters are named a1, a2 and onward.
+type Model struct {
+	Name      string
+	Mb        float64
+	LoadMs    int64
+	Adapters  int
+	AdapterMb float64
+}
+
+// Limits bound what a client may send.
+type Limits struct {
+	HeaderBytes, BodyBytes, HeaderWaitMs, IdleMs int64
+}
+
+// Repeatable says whether a request of the route may run more than once.
+func (r *Route) Repeatable() bool { return r.Kind == Safe || r.Kind == Stream && r.Resume }
+
+// Index makes a read map ready to be asked. It must be called once after the
+// fields are set.
+func (m *Map) Index() {
+	m.hosts, m.services = map[string][]int{}, map[string]int{}
+	for i := range m.Routes {
+		host := strings.ToLower(m.Routes[i].Host)
+		m.hosts[host] = append(m.hosts[host], i)
+	}
+	for i := range m.Services {
+		m.services[m.Services[i].Name] = i
+		if e := m.Services[i].Engine; e != nil {
+			e.models = map[string]int{}
+			for j := range e.Models {
+				e.models[e.Models[j].Name] = j
+			}
+		}
+	}
+}
+
+// Route finds the route of a request: of the host's routes the longest prefix
+// that begins the path.
+func (m *Map) Route(host, path string) (*Route, bool) {
+	best := -1
+	for _, i := range m.hosts[strings.ToLower(host)] {
+		prefix := m.Routes[i].Prefix
+		if strings.HasPrefix(path, prefix) && (best < 0 || len(prefix) > len(m.Routes[best].Prefix)) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return nil, false
+	}
+	return &m.Routes[best], true
+}
+
+// Service finds a service by name.
+func (m *Map) Service(name string) (*Service, bool) {
+	i, ok := m.services[name]
+	if !ok {
+		return nil, false
+	}
+	return &m.Services[i], true
+}
+
+// Model finds a model that the engine's runners may hold.
+func (e *Engine) Model(name string) (*Model, bool) {
+	i, ok := e.models[name]
+	if !ok {
+		return nil, false
+	}
+	return &e.Models[i], true
+}
--- /dev/null
+++ b/wire/fleet.go
@@ -0,0 +1,171 @@
+package wire
+
+import "encoding/gob"
+
+// HeldModel is a model that a runner holds, with its adapters.
+type HeldModel struct {
+	Name     string
+	Version  int64
+	Adapters []string
+}
+
+// RunnerEntry is a runner as the platform lists it. Every start of a runner is
+// a new Id.
+type RunnerEntry struct {
+	Id, Service, Address, Zone string
+	Slots                      int
+	Leaving                    bool
+	// LeftMs is the time until it is gone whatever it runs, or -1.
+	LeftMs int64
+	// SlowMs is for how long it is still slow from its start.
+	SlowMs int64
+	Models []HeldModel
+}
+
+// RunnerState is a runner's own word on itself, some hundred ms old.
+type RunnerState struct {
+	Models []HeldModel
+	// Busy says that an order is under way; Calls how many it has taken.
+	Busy  bool
+	Calls int64
+	// Queued and Active count requests; CacheUsed and CacheTotal tokens.
+	Queued, Active        int
+	CacheUsed, CacheTotal int64
+}
+
+// Calls outward, and what they bring back to the machine.
+type (
+	// FleetCall reads the platform's whole list.
+	FleetCall struct{}
+	// Fleet is the list, or that none came.
+	Fleet struct {
+		Ok bool
+		// Limited says that the platform wants fewer calls.
+		Limited bool
+		Runners []RunnerEntry
+	}
+	// StateCall asks a runner for its state. Number comes back.
+	StateCall struct {
+		Runner string
+		Number uint64
+	}
+	// StateSaid answers a StateCall.
+	StateSaid struct {
+		Runner string
+		Number uint64
+		Ok     bool
+		State  RunnerState
+	}
+	// CommandCall orders a runner to load or unload. It may not be written to
+	// the socket once the sender's clock shows UntilMs or more.
+	CommandCall struct {
+		Runner  string
+		Number  uint64
+		Holder  string
+		Fence   uint64
+		Load    bool
+		Model   string
+		Adapter string
+		// Expected is how many orders the runner must have taken before.
+		Expected int64
+		UntilMs  int64
+	}
+	// CommandSaid answers a CommandCall.
+	CommandSaid struct {
+		Runner  string
+		Number  uint64
+		Outcome CommandOutcome
+	}
+)
+
+// CommandOutcome is what is known of an order once its call ended.
+type CommandOutcome int
+
+// The outcomes of an order.
+const (
+	// CommandUnknown: it may have been taken; only a later state can tell.
+	CommandUnknown CommandOutcome = iota
+	// CommandTaken: it is under way.
+	CommandTaken
+	// CommandInEffect: it was in effect already.
+	CommandInEffect
+	// CommandBusy: another is under way, or the count did not match. Not taken.
+	CommandBusy
+	// CommandFenced: the runner has seen a higher fence. Not taken.
+	CommandFenced
+	// CommandRefused: it does not exist, or another runner answered. Not taken.
+	CommandRefused
+	// CommandNotSent: no byte was written.
+	CommandNotSent
+)
+
+// Messages between routers and controllers where the service map is in use.
+type (
+	// MapAsk is a router's constant question to the primary.
+	MapAsk struct {
+		EchoMs int64
+		// Version and Sum name the map that the router uses; nought is none.
+		Version uint64
+		Sum     string
+	}
+	// MapWord answers a MapAsk; unasked it is sent to all routers at once when
+	// a map came into force or a runner was seen to leave (EchoMs is nought).
+	MapWord struct {
+		EchoMs int64
+		Epoch  uint64
+		// Version and Sum name the map in force; Text is the map itself, as the
+		// operator wrote it, where the router lacks it.
+		Version uint64
+		Sum     string
+		Text    string
+		// Leaving lists the ids of the runners that are leaving.
+		Leaving []string
+		// AgeMs is how old the platform's list was that this rests on, or -1.
+		AgeMs int64
+		// Routers is how many routers share the budget of second tries.
+		Routers int
+		// Controllers are where look-ups and questions may go.
+		Controllers []Place
+	}
+	// MapLookUp is the one look-up that each request sends. Model and Adapter
+	// are empty where the service holds none.
+	MapLookUp struct {
+		Id                      uint64
+		Service, Model, Adapter string
+		// Tokens is the work that the request asks for.
+		Tokens int64
+		// Waits says that the request can't go on without a holder.
+		Waits bool
+	}
+	// MapHolder is a runner that a choice table offers.
+	MapHolder struct {
+		Id, Address, Zone string
+		// Adapter says that it holds the adapter too.
+		Adapter bool
+		Slots   int
+		// Active, Queued and the token memory as it last told, AgeMs ago.
+		Active, Queued        int
+		CacheUsed, CacheTotal int64
+		AgeMs                 int64
+	}
+	// MapIndex answers a MapLookUp, or tells a router that asked lately of a
+	// change (Id is nought).
+	MapIndex struct {
+		Id                      uint64
+		Service, Model, Adapter string
+		Epoch, Change           uint64
+		// Known says that the controller has a state to answer from.
+		Known   bool
+		Holders []MapHolder
+		// TurnMs is in how many ms it may be held where it is not, or -1 where
+		// that can't be told; Loading that a load of it is under way.
+		TurnMs  int64
+		Loading bool
+	}
+)
+
+func init() {
+	for _, body := range []any{MapAsk{}, MapWord{}, MapLookUp{}, MapIndex{}} {
+		gob.Register(body)
+	}
+}
