Let the seeds found a site, with as many copies and witnesses as losses ask for

Cause: on the platform nobody founds by hand, a lost core machine must be whole again within catch_up_s, and the losses to be borne differ by site. One mechanism stays: a primary with backups and epoch witnesses; their numbers come from the settings (f + 1 copies, 2f + 1 witnesses). Ruled out: a pair for each site (two may be lost at once on the grown ones); waiting 30 s for a silent witness (the next loss comes after 4 s). Found by the new tests: a further witness was listed among the gone and retired itself; a seat of a machine that was gone was kept beyond the catch-up time.

--- a/control/copy.go
+++ b/control/copy.go
@@ -92,9 +92,9 @@
 	c.writing = false
 	c.committed = 0
 	c.sentMs, c.beganMs = m.nowMs-followMs, m.nowMs
-	// A recorded fellow has the usual time to show itself.
+	// A recorded fellow has a time to show itself; the one before may be lost.
 	for _, seat := range m.record.Pair {
-		c.fellows[seat.Name] = &fellowCopy{incarnation: seat.Incarnation, heardMs: m.nowMs}
+		c.fellows[seat.Name] = &fellowCopy{incarnation: seat.Incarnation, heardMs: m.nowMs - missMs + m.set.ShowMs}
 	}
 }
 
@@ -205,7 +205,9 @@
 		return
 	}
 	m.copies.sentMs = m.nowMs
-	m.copies.soft = m.duty.soft(m.nowMs)
+	if m.set.Tenant == nil {
+		m.copies.soft = m.duty.soft(m.nowMs)
+	}
 	for _, place := range m.roster.Part(wire.Controller) {
 		m.sendCopy(place)
 	}
@@ -357,6 +359,10 @@
 
 // stateChanged brings what is compiled from the state up to it.
 func (m *Machine) stateChanged(rows map[string]string) {
+	if m.set.Tenant != nil {
+		m.set.Tenant.Changed(host{m})
+		return
+	}
 	m.table.Forget()
 	if _, ok := rows[ledger.Prefix+"revision"]; ok {
 		if err := m.describe(); err != nil {
--- a/control/founding.go
+++ b/control/founding.go
@@ -53,9 +53,12 @@
 		}
 		witnesses = append(witnesses, wire.Seat{Name: name, Incarnation: place.Incarnation})
 	}
-	if len(f.Witnesses) != 3 || len(set) != 3 {
+	if len(f.Witnesses) != 3 && m.set.Tenant == nil || len(set) != len(f.Witnesses) {
 		return wire.Record{}, "witnesses: must be three different controllers"
 	}
+	if m.set.Tenant != nil {
+		return m.seedsRecord(witnesses), ""
+	}
 	backup, ok := m.roster.Place(f.Backup)
 	if !ok || backup.Part != wire.Controller || f.Backup == m.set.Self.Name {
 		return wire.Record{}, "backup: must be another controller that is known here"
@@ -98,3 +101,43 @@
 	}
 	m.keep(m.seat.first, false)
 }
+
+// foundAfterMs lets the seeds try one after the other, so that a seed that died
+// at the very start holds the site up only for a moment.
+const foundAfterMs = 1500
+
+// tickFounding founds the site by itself, where this is the first start of
+// all and this daemon is one of the seeds. All of the seeds must agree, so two
+// foundings can't both be; a blank disk of a later start never takes part as
+// a founder, and a seed that has heard of a record doesn't either.
+func (m *Machine) tickFounding() {
+	if !m.set.Founds || m.record.Epoch > 0 || m.state.Position.Number > 0 || m.seat.role != follower || m.seat.founding != nil {
+		return
+	}
+	seeds := slices.Sorted(slices.Values(m.set.Seeds))
+	turn := slices.Index(seeds, m.set.Self.Address)
+	if turn < 0 || m.nowMs < m.startMs+int64(turn)*foundAfterMs || m.nowMs < m.seat.nextMs {
+		return
+	}
+	var names []string
+	for _, seed := range seeds {
+		place, known := m.roster.At(seed)
+		if !known {
+			return
+		}
+		names = append(names, place.Name)
+	}
+	m.found(Founding{Witnesses: names})
+}
+
+// seedsRecord is the first record of a site that its seeds found: as many of
+// them as may be lost, and one more, hold copies.
+func (m *Machine) seedsRecord(witnesses []wire.Seat) wire.Record {
+	record := wire.Record{Epoch: 1, Primary: m.set.Self.Name, Pair: []wire.Seat{m.ownSeat()}, Witnesses: witnesses, Before: witnesses}
+	for _, seat := range witnesses {
+		if seat != m.ownSeat() && len(record.Pair) < m.set.Losses+1 {
+			record.Pair = append(record.Pair, seat)
+		}
+	}
+	return record
+}
--- a/control/machine.go
+++ b/control/machine.go
@@ -28,6 +28,21 @@
 	Platform string
 	// GapMs replaces the usual gap between the orders of two holders.
 	GapMs int64
+	// Tenant, where there is one, takes the place of descriptions, the index,
+	// the duty and the orders of this project's own interface.
+	Tenant Tenant
+	// Losses is how many disks may be lost at once: so many further copies has
+	// the state beside the primary's. Nought counts as one.
+	Losses int
+	// Founds says that this is the first start of the whole site, so that its
+	// seeds found it among them.
+	Founds bool
+	// AwayMs replaces the usual time after which a silent witness's seat passes
+	// to another.
+	AwayMs int64
+	// ShowMs replaces the usual time that a recorded copy has to show itself to
+	// a new primary.
+	ShowMs int64
 }
 
 // Keys of a controller's own rows on the disk.
@@ -69,6 +84,7 @@
 	index   index
 	duty    duty
 	table   choice.Table
+	startMs int64
 }
 
 // New makes a controller from what its disk holds.
@@ -76,6 +92,13 @@
 	if set.GapMs == 0 {
 		set.GapMs = gapMs
 	}
+	set.Losses = max(set.Losses, 1)
+	if set.AwayMs == 0 {
+		set.AwayMs = awayMs
+	}
+	if set.ShowMs == 0 {
+		set.ShowMs = missMs
+	}
 	m := &Machine{set: set, nowMs: nowMs, state: ledger.New(), saves: map[uint64]func(bool){}}
 	var err error
 	if m.witness, err = witness.New(m.ownSeat(), keys[witness.Key], nowMs); err != nil {
@@ -102,8 +125,10 @@
 	if err := m.state.Take(keys); err != nil {
 		return nil, errors.Wrap(err, "the control state on the disk can't be read")
 	}
-	if err := m.describe(); err != nil {
-		return nil, err
+	if set.Tenant == nil {
+		if err := m.describe(); err != nil {
+			return nil, err
+		}
 	}
 	m.roster = watch.New(set.Self, set.Seeds, places)
 	m.seat = seat{heardMs: nowMs}
@@ -111,6 +136,10 @@
 	m.offer.forget()
 	m.index = index{waiting: map[choice.Key]map[string]int64{}, counts: map[string]int64{}}
 	m.duty = newDuty()
+	m.startMs = nowMs
+	if set.Tenant != nil {
+		set.Tenant.Changed(host{m})
+	}
 	return m, nil
 }
 
@@ -154,6 +183,8 @@
 	}
 	// StepDown begins a planned stop.
 	StepDown struct{}
+	// Reseed replaces the seeds, since the settings changed.
+	Reseed struct{ Seeds []string }
 )
 
 // Step takes one input and returns what to do.
@@ -193,12 +224,17 @@
 	case StepDown:
 		m.leaving = true
 		m.stepDown("planned stop")
+	case Reseed:
+		m.set.Seeds = in.Seeds
+		m.roster.Reseed(in.Seeds)
 	case Look:
 		m.look(in)
 	case wire.Tick:
 		m.tick()
 	default:
-		panic(fmt.Sprintf("control: unknown input %T", input))
+		if m.set.Tenant == nil || !m.set.Tenant.Input(host{m}, input) {
+			panic(fmt.Sprintf("control: unknown input %T", input))
+		}
 	}
 	// Messages of the daemon to itself, such as to its own witness.
 	for len(m.local) > 0 {
@@ -214,9 +250,14 @@
 	m.out.Sends = append(m.out.Sends, m.roster.Tick(m.nowMs, m.record.Epoch, primary, m.active())...)
 	m.tickSeat()
 	m.tickCopies()
-	m.tickOffer()
-	m.tickIndex()
-	m.tickDuty()
+	if m.set.Tenant != nil {
+		m.tickFounding()
+		m.set.Tenant.Tick(host{m})
+	} else {
+		m.tickOffer()
+		m.tickIndex()
+		m.tickDuty()
+	}
 	m.rememberFellows()
 }
 
@@ -246,6 +287,9 @@
 		return
 	}
 	m.roster.Heard(m.nowMs, e.From)
+	if m.set.Tenant != nil && m.set.Tenant.Receive(host{m}, e) {
+		return
+	}
 	switch body := e.Body.(type) {
 	case wire.Heartbeat:
 		if body.Serving && body.Epoch >= m.record.Epoch {
--- a/control/seat.go
+++ b/control/seat.go
@@ -363,6 +363,12 @@
 			return
 		}
 		m.seat.established = true
+		if m.set.Tenant != nil {
+			m.seat.founding = nil
+			m.note("the copies are whole; epoch %d serves", m.record.Epoch)
+			m.set.Tenant.Began(host{m})
+			return
+		}
 		// What the lost pair gave must have run out before anyone hears of
 		// what may be older than it.
 		if m.seat.quietMs = 0; recovers {
@@ -393,7 +399,11 @@
 	m.seat.nextMs = m.nowMs + renewMs
 	m.seat.heardMs = m.nowMs
 	m.endCopies()
-	m.endOffer()
+	if m.set.Tenant != nil {
+		m.set.Tenant.Ended(host{m})
+	} else {
+		m.endOffer()
+	}
 	if f := m.seat.founding; f != nil {
 		m.seat.founding = nil
 		m.answer(f.Id, wire.Dropped{Kind: defect.AcceptanceUnknown, Detail: "the founding may have been recorded; ask for the status"})
@@ -407,7 +417,7 @@
 		return
 	}
 	epoch, voters := m.record.Epoch, m.record.Voters()
-	fellow, paired := m.record.Fellow(m.set.Self.Name)
+	fellow, paired := m.heir()
 	m.loseSeat(why)
 	m.seat.nextMs = m.nowMs + 2*witness.HoldMs
 	for _, voter := range voters {
@@ -428,9 +438,10 @@
 	next.Epoch++
 	next.Before = m.record.Witnesses
 	// The other disk of the pair goes first: without it nothing is written.
-	if fellow, ok := m.record.Fellow(m.set.Self.Name); !ok || !m.copies.keepsUp(m.nowMs, fellow) {
-		if spare, found := m.recruit(fellow); found {
-			next.Pair = []wire.Seat{m.ownSeat(), spare}
+	if lost, ok := m.lostCopy(); ok {
+		if spare, found := m.recruit(lost); found {
+			next.Pair = slices.DeleteFunc(slices.Clone(m.record.Pair), func(seat wire.Seat) bool { return seat == lost })
+			next.Pair = append(next.Pair, spare)
 			// A disk that came back blank under the name takes over the name.
 			if old, ok := m.record.Names(spare.Name); ok && old != spare {
 				next.Gone = m.record.Replaced(old)
@@ -447,14 +458,39 @@
 	}
 	if i, seat, ok := m.nextWitness(); ok {
 		next.Witnesses = slices.Clone(m.record.Witnesses)
-		if old := next.Witnesses[i]; old.Name == seat.Name {
-			next.Gone = m.record.Replaced(old)
+		if i == len(next.Witnesses) {
+			next.Witnesses = append(next.Witnesses, seat)
+		} else {
+			if old := next.Witnesses[i]; old.Name == seat.Name {
+				next.Gone = m.record.Replaced(old)
+			}
+			next.Witnesses[i] = seat
 		}
-		next.Witnesses[i] = seat
 		m.keep(next, false)
 	}
 }
 
+// lostCopy names the copy to be replaced: one whose disk does not keep up, or
+// none yet (a seat without a name) where there are fewer than must be.
+func (m *Machine) lostCopy() (wire.Seat, bool) {
+	for _, seat := range m.record.Pair {
+		if seat != m.ownSeat() && !m.copies.keepsUp(m.nowMs, seat) {
+			return seat, true
+		}
+	}
+	return wire.Seat{}, len(m.record.Pair) < m.set.Losses+1
+}
+
+// heir is the copy that a primary which stops on purpose asks to take over.
+func (m *Machine) heir() (wire.Seat, bool) {
+	for _, seat := range m.record.Pair {
+		if seat != m.ownSeat() && m.copies.keepsUp(m.nowMs, seat) {
+			return seat, true
+		}
+	}
+	return m.record.Fellow(m.set.Self.Name)
+}
+
 // recruit picks a fellow that holds every change, in another zone if it can.
 func (m *Machine) recruit(lost wire.Seat) (wire.Seat, bool) {
 	var best wire.Seat
@@ -462,7 +498,7 @@
 	for _, place := range m.roster.Part(wire.Controller) {
 		seat := wire.Seat{Name: place.Name, Incarnation: place.Incarnation}
 		c := m.copies.fellows[place.Name]
-		if seat == lost || c == nil || !m.copies.live(m.nowMs, seat) || c.acked < m.state.Position.Number {
+		if seat == lost || m.record.Pairs(seat) || c == nil || !m.copies.live(m.nowMs, seat) || c.acked < m.state.Position.Number {
 			continue
 		}
 		elsewhere := place.Zone != m.set.Self.Zone
--- a/control/tenant.go
+++ b/control/tenant.go
@@ -1,6 +1,11 @@
 package control
 
-import "myrtlewinch/wire"
+import (
+	"slices"
+
+	"myrtlewinch/ledger"
+	"myrtlewinch/wire"
+)
 
 // Tenant is what a controller does with the copied state beside keeping it:
 // the description or the service map, the runners, the index and the orders.
@@ -27,6 +32,9 @@
 	Active() bool
 	// HoldUntilMs is until when it may, if nothing more is heard.
 	HoldUntilMs() int64
+	// OrdersFromMs is from when a new primary may order, since the one before
+	// may have ordered until its hold ran out.
+	OrdersFromMs() int64
 	Self() wire.Place
 	Epoch() uint64
 	// Primary is whom this daemon takes for the primary; its name may be empty.
@@ -46,3 +54,40 @@
 	Note(format string, args ...any)
 	Count(name string)
 }
+
+// host lets a tenant ask the machine.
+type host struct{ m *Machine }
+
+func (h host) NowMs() int64        { return h.m.nowMs }
+func (h host) Active() bool        { return h.m.active() }
+func (h host) HoldUntilMs() int64  { return h.m.seat.holdUntilMs }
+func (h host) OrdersFromMs() int64 { return h.m.seat.ordersMs }
+func (h host) Self() wire.Place    { return h.m.set.Self }
+func (h host) Epoch() uint64       { return h.m.record.Epoch }
+
+func (h host) Primary() wire.Place {
+	place, _ := h.m.roster.Place(h.m.record.Primary)
+	return place
+}
+
+func (h host) live(part string) []wire.Place {
+	return slices.DeleteFunc(h.m.roster.Part(part), func(p wire.Place) bool { return !h.m.roster.Live(h.m.nowMs, p.Name) })
+}
+
+func (h host) Controllers() []wire.Place { return h.live(wire.Controller) }
+func (h host) Routers() []wire.Place     { return h.live(wire.Router) }
+func (h host) Row(key string) string     { return h.m.state.Kept[key] }
+
+func (h host) Submit(rows map[string]string, then func(ok bool)) {
+	h.m.submit(then, ledger.Put{Rows: rows})
+}
+
+func (h host) Send(to wire.Place, body any) { h.m.send(to, body) }
+
+func (h host) Call(address string, body any) {
+	h.m.out.Calls = append(h.m.out.Calls, wire.Call{Address: address, Body: body})
+}
+
+func (h host) Answer(id uint64, body any)      { h.m.answer(id, body) }
+func (h host) Note(format string, args ...any) { h.m.note(format, args...) }
+func (h host) Count(name string)               { h.m.out.Counts = append(h.m.out.Counts, name) }
--- /dev/null
+++ b/control/tenant_test.go
@@ -0,0 +1,345 @@
+package control
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"sort"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"myrtlewinch/wire"
+)
+
+// keepTenant keeps one row and tells what happened to it.
+type keepTenant struct {
+	began, ended int
+	row          string
+}
+
+func (k *keepTenant) Changed(h Host)                   { k.row = h.Row("row") }
+func (k *keepTenant) Began(h Host)                     { k.began++; k.row = h.Row("row") }
+func (k *keepTenant) Ended(Host)                       { k.ended++ }
+func (k *keepTenant) Receive(Host, wire.Envelope) bool { return false }
+func (k *keepTenant) Tick(Host)                        {}
+
+type put struct {
+	row  string
+	then func(bool)
+}
+
+func (k *keepTenant) Input(h Host, input any) bool {
+	p, ok := input.(put)
+	if ok {
+		h.Submit(map[string]string{"row": p.row}, p.then)
+	}
+	return ok
+}
+
+// core is a few controllers on a network without loss, in virtual time.
+type core struct {
+	c       *qt.C
+	nowMs   int64
+	losses  int
+	seeds   []string
+	nodes   map[string]*coreNode
+	ahead   []coreEvent
+	cut     map[string]bool
+	wiped   int
+	history []string
+}
+
+type coreNode struct {
+	machine *Machine
+	tenant  *keepTenant
+	keys    map[string]string
+	place   wire.Place
+	down    bool
+	life    int
+}
+
+type coreEvent struct {
+	atMs int64
+	do   func()
+}
+
+func newCore(c *qt.C, losses, count int) *core {
+	w := &core{c: c, nowMs: 3_600_000, losses: losses, nodes: map[string]*coreNode{}, cut: map[string]bool{}}
+	for i := range count {
+		if i < 3 {
+			w.seeds = append(w.seeds, fmt.Sprintf("10.0.0.%d:7", i+1))
+		}
+	}
+	for i := range count {
+		name := fmt.Sprintf("core-%d", i+1)
+		w.nodes[name] = &coreNode{place: wire.Place{
+			Name: name, Address: fmt.Sprintf("10.0.0.%d:7", i+1), Zone: fmt.Sprintf("zone-%d", i%3), Part: wire.Controller, Incarnation: name + "-disk",
+		}}
+		w.start(name, map[string]string{}, true)
+	}
+	return w
+}
+
+func (w *core) start(name string, keys map[string]string, first bool) {
+	n := w.nodes[name]
+	n.down, n.keys, n.tenant = false, keys, &keepTenant{}
+	n.life++
+	machine, err := New(Settings{
+		Site: "s", Self: n.place, Seeds: w.seeds, Tenant: n.tenant, Losses: w.losses, Founds: first, AwayMs: 1000, ShowMs: 400,
+	}, keys, w.nowMs)
+	w.c.Assert(err, qt.IsNil)
+	n.machine = machine
+}
+
+func (w *core) kill(name string) { w.nodes[name].down = true }
+
+func (w *core) restart(name string) { w.start(name, w.nodes[name].keys, false) }
+
+// wipe brings a daemon back with an empty disk.
+func (w *core) wipe(name string) {
+	w.wiped++
+	w.nodes[name].place.Incarnation = fmt.Sprintf("%s-disk-%d", name, w.wiped)
+	w.start(name, map[string]string{}, false)
+}
+
+func (w *core) after(ms int64, do func()) { w.ahead = append(w.ahead, coreEvent{w.nowMs + ms, do}) }
+
+func (w *core) step(name string, input any) {
+	n := w.nodes[name]
+	if n.down {
+		return
+	}
+	life := n.life
+	out := n.machine.Step(w.nowMs, input)
+	w.history = append(w.history, out.Notes...)
+	for _, save := range out.Saves {
+		w.after(5, func() {
+			if !n.down && n.life == life {
+				keys := maps.Clone(n.keys)
+				save.Write.Apply(keys)
+				n.keys = keys
+				w.step(name, wire.Saved{Number: save.Number, Ok: true})
+			}
+		})
+	}
+	for _, send := range out.Sends {
+		from := n.place
+		for _, to := range slices.Sorted(maps.Keys(w.nodes)) {
+			if w.nodes[to].place.Address == send.Address && !w.cut[name+">"+to] {
+				w.after(1, func() { w.step(to, wire.Envelope{Site: "s", From: from, To: send.To, Body: send.Body}) })
+			}
+		}
+	}
+}
+
+func (w *core) run(ms int64) {
+	end := w.nowMs + ms
+	for w.nowMs < end {
+		w.nowMs++
+		for {
+			sort.SliceStable(w.ahead, func(i, j int) bool { return w.ahead[i].atMs < w.ahead[j].atMs })
+			if len(w.ahead) == 0 || w.ahead[0].atMs > w.nowMs {
+				break
+			}
+			next := w.ahead[0]
+			w.ahead = w.ahead[1:]
+			next.do()
+		}
+		if w.nowMs%50 == 0 {
+			for _, name := range slices.Sorted(maps.Keys(w.nodes)) {
+				w.step(name, wire.Tick{})
+			}
+		}
+	}
+}
+
+// primary names the one that may speak, and checks that no two may.
+func (w *core) primary() string {
+	var active []string
+	for _, name := range slices.Sorted(maps.Keys(w.nodes)) {
+		if n := w.nodes[name]; !n.down && n.machine.nowMs == w.nowMs && n.machine.active() {
+			active = append(active, name)
+		}
+	}
+	w.c.Assert(len(active) <= 1, qt.IsTrue, qt.Commentf("%v are all active", active))
+	if len(active) == 0 {
+		return ""
+	}
+	return active[0]
+}
+
+// put writes a row at the primary and says whether it was answered.
+func (w *core) put(row string) *bool {
+	var answered bool
+	name := w.primary()
+	w.c.Assert(name, qt.Not(qt.Equals), "")
+	w.step(name, put{row, func(ok bool) { answered = ok }})
+	return &answered
+}
+
+func (w *core) record() wire.Record { return w.nodes[w.primary()].machine.record }
+
+func (w *core) until(ms int64, what string, ok func() bool) {
+	for range ms / 50 {
+		w.run(50)
+		if ok() {
+			return
+		}
+	}
+	w.c.Fatalf("%s: not within %d ms; %v", what, ms, w.history[max(0, len(w.history)-20):])
+}
+
+func (w *core) serves() bool { return w.primary() != "" }
+
+// The first start founds the site; the losses to be borne tell how many copies
+// and witnesses there are.
+func TestSeedsFoundTheSite(t *testing.T) {
+	for _, test := range []struct {
+		losses, count, copies, witnesses int
+	}{{1, 3, 2, 3}, {1, 4, 2, 3}, {2, 5, 3, 5}, {2, 6, 3, 5}} {
+		t.Run(fmt.Sprintf("%d of %d", test.losses, test.count), func(t *testing.T) {
+			w := newCore(qt.New(t), test.losses, test.count)
+			w.until(2500, "founding", w.serves)
+			w.run(2000)
+			record := w.record()
+			w.c.Assert(record.Pair, qt.HasLen, test.copies)
+			w.c.Assert(record.Witnesses, qt.HasLen, test.witnesses)
+		})
+	}
+}
+
+// Each core machine in turn dies, is wiped, and must be whole again within the
+// catch-up time, so that the next may be lost then; what was answered stays.
+func TestEachLossInTurn(t *testing.T) {
+	for _, test := range []struct{ losses, count int }{{1, 3}, {1, 4}, {2, 5}, {2, 6}} {
+		for _, how := range []string{"killed", "wiped"} {
+			t.Run(fmt.Sprintf("%d of %d %s", test.losses, test.count, how), func(t *testing.T) {
+				w := newCore(qt.New(t), test.losses, test.count)
+				w.until(2500, "founding", w.serves)
+				w.run(2000)
+				for round := range 2 * test.count {
+					row := fmt.Sprint("row ", round)
+					answered := w.put(row)
+					w.until(1000, "an answer", func() bool { return *answered })
+					lost := []string{fmt.Sprintf("core-%d", round%test.count+1)}
+					if test.losses > 1 {
+						lost = append(lost, fmt.Sprintf("core-%d", (round+1)%test.count+1))
+					}
+					for _, name := range lost {
+						w.kill(name)
+					}
+					w.run(700)
+					for _, name := range lost {
+						if how == "wiped" {
+							w.wipe(name)
+						} else {
+							w.restart(name)
+						}
+					}
+					w.run(4000)
+					w.until(2500, "a primary", w.serves)
+					w.c.Assert(w.nodes[w.primary()].tenant.row, qt.Equals, row)
+				}
+			})
+		}
+	}
+}
+
+// All die at once, and one of them comes back with an empty disk.
+func TestAllLostAtOnceAndOneWiped(t *testing.T) {
+	for wiped := 1; wiped <= 4; wiped++ {
+		for _, count := range []int{3, 4} {
+			if wiped > count {
+				continue
+			}
+			t.Run(fmt.Sprintf("%d of %d", wiped, count), func(t *testing.T) {
+				w := newCore(qt.New(t), 1, count)
+				w.until(2500, "founding", w.serves)
+				w.run(3000)
+				answered := w.put("kept")
+				w.until(1000, "an answer", func() bool { return *answered })
+				for name := range w.nodes {
+					w.kill(name)
+				}
+				w.ahead = nil
+				w.run(700)
+				for i := range count {
+					name := fmt.Sprintf("core-%d", i+1)
+					if i+1 == wiped {
+						w.wipe(name)
+					} else {
+						w.restart(name)
+					}
+				}
+				w.until(8000, "a primary", w.serves)
+				w.c.Assert(w.nodes[w.primary()].tenant.row, qt.Equals, "kept")
+			})
+		}
+	}
+}
+
+// A machine that is gone for good is replaced by an empty one elsewhere, again
+// and again, until none of the first ones and none of the seeds is left.
+func TestEachReplacedByAnEmptyOneElsewhere(t *testing.T) {
+	w := newCore(qt.New(t), 1, 3)
+	w.until(2500, "founding", w.serves)
+	w.run(2000)
+	answered := w.put("kept")
+	w.until(1000, "an answer", func() bool { return *answered })
+	for i := range 3 {
+		gone, name := fmt.Sprintf("core-%d", i+1), fmt.Sprintf("core-%d", i+11)
+		w.kill(gone)
+		w.seeds = nil
+		for _, n := range w.nodes {
+			if !n.down {
+				w.seeds = append(w.seeds, n.place.Address)
+			}
+		}
+		slices.Sort(w.seeds)
+		w.nodes[name] = &coreNode{place: wire.Place{Name: name, Address: fmt.Sprintf("10.0.0.%d:7", i+11), Zone: "zone-1", Part: wire.Controller, Incarnation: name}}
+		w.start(name, map[string]string{}, false)
+		w.run(4000)
+		w.until(2500, "a primary", w.serves)
+		w.c.Assert(w.nodes[w.primary()].tenant.row, qt.Equals, "kept")
+	}
+	record := w.record()
+	for _, seat := range append(record.Pair, record.Witnesses...) {
+		w.c.Assert(w.nodes[seat.Name].down, qt.IsFalse, qt.Commentf("%s sits still", seat.Name))
+	}
+}
+
+// A primary that is cut off from the rest of the core, either way or one way,
+// gives way; no two ever speak at once.
+func TestPrimaryCutOff(t *testing.T) {
+	for _, oneWay := range []bool{false, true} {
+		w := newCore(qt.New(t), 1, 3)
+		w.until(2500, "founding", w.serves)
+		w.run(1000)
+		before := w.primary()
+		for name := range w.nodes {
+			w.cut[before+">"+name] = true
+			w.cut[name+">"+before] = !oneWay
+		}
+		for range 120 {
+			w.run(50)
+			w.primary()
+		}
+		w.c.Assert(w.primary(), qt.Not(qt.Equals), before)
+		answered := w.put("after")
+		w.until(1000, "an answer", func() bool { return *answered })
+		w.cut = map[string]bool{}
+		w.run(3000)
+		w.c.Assert(w.nodes[before].tenant.row, qt.Equals, "after")
+	}
+}
+
+// A blank daemon of a later start founds nothing, and votes for nobody.
+func TestBlankOnesFoundNothing(t *testing.T) {
+	w := newCore(qt.New(t), 1, 3)
+	for name := range w.nodes {
+		w.wipe(name)
+	}
+	w.run(10_000)
+	w.c.Assert(w.primary(), qt.Equals, "")
+}
--- a/control/witnesses.go
+++ b/control/witnesses.go
@@ -33,17 +33,15 @@
 			return i, wire.Seat{Name: seat.Name, Incarnation: c.incarnation}, true
 		}
 	}
+	if i, seat, ok := m.furtherWitness(); ok {
+		return i, seat, true
+	}
 	away := m.away()
 	if len(away) == 0 {
 		m.copies.away = ""
 		return 0, wire.Seat{}, false
 	}
-	for _, place := range m.roster.Part(wire.Controller) {
-		seat := wire.Seat{Name: place.Name, Incarnation: place.Incarnation}
-		sits := slices.ContainsFunc(m.record.Witnesses, func(w wire.Seat) bool { return w.Name == seat.Name })
-		if sits || !m.copies.keepsUp(m.nowMs, seat) || m.copies.fellows[seat.Name].acked < m.state.Position.Number {
-			continue
-		}
+	if seat, ok := m.outsider(); ok {
 		m.note("%s takes the place of witness %s, which stays away", seat.Name, away[0].Name)
 		return slices.Index(m.record.Witnesses, away[0]), seat, true
 	}
@@ -61,9 +59,36 @@
 		return nil
 	}
 	for _, seat := range m.record.Witnesses {
-		if m.silentMs(seat) > awayMs {
+		if m.silentMs(seat) > m.set.AwayMs {
 			away = append(away, seat)
 		}
 	}
 	return away
 }
+
+// outsider gives a live core fellow that holds every change and sits nowhere.
+func (m *Machine) outsider() (wire.Seat, bool) {
+	for _, place := range m.roster.Part(wire.Controller) {
+		seat := wire.Seat{Name: place.Name, Incarnation: place.Incarnation}
+		sits := slices.ContainsFunc(m.record.Witnesses, func(w wire.Seat) bool { return w.Name == seat.Name })
+		if !sits && m.copies.keepsUp(m.nowMs, seat) && m.copies.fellows[seat.Name].acked >= m.state.Position.Number {
+			return seat, true
+		}
+	}
+	return wire.Seat{}, false
+}
+
+// furtherWitness adds a seat where the losses to be borne want more witnesses
+// than a site was founded with.
+func (m *Machine) furtherWitness() (int, wire.Seat, bool) {
+	have, want := len(m.record.Witnesses), 2*m.set.Losses+1
+	if m.set.Tenant == nil || have >= want {
+		return 0, wire.Seat{}, false
+	}
+	seat, ok := m.outsider()
+	if !ok {
+		return 0, wire.Seat{}, false
+	}
+	m.note("%s becomes a further witness", seat.Name)
+	return have, seat, true
+}
--- a/ledger/command.go
+++ b/ledger/command.go
@@ -143,3 +143,22 @@
 	row.Intent = nil
 	s.dirty["row/"+c.Runner] = true
 }
+
+// Put sets plain rows of the tenant; an empty value forgets one.
+type Put struct{ Rows map[string]string }
+
+// Apply sets them.
+func (p Put) Apply(s *State) {
+	for name, text := range p.Rows {
+		s.keep(name, text)
+		s.dirty[keptKey+name] = true
+	}
+}
+
+func (s *State) keep(name, text string) {
+	if text == "" {
+		delete(s.Kept, name)
+		return
+	}
+	s.Kept[name] = text
+}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -119,12 +119,14 @@
 	Rows     map[string]*Row
 	// Marks are the leaving incarnations; they only grow.
 	Marks map[wire.Mark]bool
+	// Kept are plain rows that a controller's tenant keeps.
+	Kept  map[string]string
 	dirty map[string]bool
 }
 
 // New makes an empty state.
 func New() *State {
-	return &State{Rows: map[string]*Row{}, Marks: map[wire.Mark]bool{}, dirty: map[string]bool{}}
+	return &State{Rows: map[string]*Row{}, Marks: map[wire.Mark]bool{}, Kept: map[string]string{}, dirty: map[string]bool{}}
 }
 
 // Command changes the state at the primary.
@@ -160,6 +162,8 @@
 		value = s.Rows[strings.TrimPrefix(key, "row/")]
 	case strings.HasPrefix(key, "mark/"):
 		return "leaving"
+	case strings.HasPrefix(key, keptKey):
+		return s.Kept[strings.TrimPrefix(key, keptKey)]
 	}
 	text, _ := json.Marshal(value)
 	return string(text)
@@ -177,9 +181,14 @@
 	for mark := range s.Marks {
 		rows[Prefix+markKey(mark)] = "leaving"
 	}
+	for name, text := range s.Kept {
+		rows[Prefix+keptKey+name] = text
+	}
 	return rows
 }
 
+const keptKey = "kept/"
+
 func markKey(mark wire.Mark) string { return "mark/" + mark.Runner + "/" + mark.Incarnation }
 
 // Take brings rows into the state, as a follower or after a restart does.
@@ -216,6 +225,9 @@
 		runner, incarnation, _ := strings.Cut(strings.TrimPrefix(key, "mark/"), "/")
 		s.Marks[wire.Mark{Runner: runner, Incarnation: incarnation}] = true
 		return nil
+	case strings.HasPrefix(key, keptKey):
+		s.keep(strings.TrimPrefix(key, keptKey), text)
+		return nil
 	}
 	return errors.Newf("unknown row")
 }
--- a/watch/roster.go
+++ b/watch/roster.go
@@ -197,3 +197,19 @@
 	}
 	return sends
 }
+
+// At finds a fellow that was heard of itself, or this daemon, by address.
+func (r *Roster) At(address string) (wire.Place, bool) {
+	if address == r.self.Address {
+		return r.self, true
+	}
+	for _, known := range r.fellows {
+		if known.seen && known.place.Address == address {
+			return known.place, true
+		}
+	}
+	return wire.Place{}, false
+}
+
+// Reseed replaces the seeds; fellows that are known stay known.
+func (r *Roster) Reseed(seeds []string) { r.seeds = seeds }
