--- /dev/null
+++ b/cmd/myrtlewinch/main.go
@@ -0,0 +1,184 @@
+// Program myrtlewinch runs one process of a site on the users' platform: a
+// router on an edge machine, or a controller on a core machine.
+package main
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"github.com/integrii/flaggy"
+
+	"myrtlewinch/crew"
+	"myrtlewinch/daemon"
+	"myrtlewinch/platform"
+	"myrtlewinch/program"
+	"myrtlewinch/relay"
+	"myrtlewinch/steward"
+	"myrtlewinch/wire"
+)
+
+// site is the name that all processes of one site share. A deployment has
+// one site, so any name does.
+const site = "platform"
+
+const (
+	// heapPart is the part of the process's memory that the heap may take
+	// before it is collected without regard to the processor.
+	heapPart = 0.7
+	// gcPercent collects often: memory is dear, and little of it lives long.
+	gcPercent = 50
+)
+
+// part is a process of a site that can be told of changed settings.
+type part interface {
+	program.Daemon
+	Reseed(seeds []string)
+}
+
+func main() {
+	program.Begin("myrtlewinch", "Runs one process of a site: a router or a controller.")
+	var file string
+	router := flaggy.NewSubcommand("router")
+	router.Description = "take requests and send them to runners"
+	controller := flaggy.NewSubcommand("controller")
+	controller.Description = "take service maps, list runners and order loads"
+	for _, command := range []*flaggy.Subcommand{router, controller} {
+		command.String(&file, "s", "settings", "settings file (YAML); the platform's own where it is left out")
+		flaggy.AttachSubcommand(command, 1)
+	}
+	program.Parse()
+	if file == "" {
+		file = platform.Path()
+	}
+	switch {
+	case router.Used:
+		run(wire.Router, file, newRouter)
+	case controller.Used:
+		run(wire.Controller, file, newController)
+	default:
+		program.Misused("which part to run must be given: router or controller")
+	}
+}
+
+func run(name, file string, make func(platform.Place, *log.Logger) (part, error)) {
+	// Heard from the start on: unheard, the signal would end the program.
+	hangups := signalled(syscall.SIGHUP)
+	place, err := platform.Load(file)
+	if err != nil {
+		program.Misused("%v", err)
+	}
+	logger := program.Log(name + " " + place.Name)
+	defer func() {
+		if cause := recover(); cause != nil {
+			logger.Error("panic", "cause", cause, "stack", string(debug.Stack()))
+			os.Exit(program.ExitFailed)
+		}
+	}()
+	thrift(place.MemoryMb)
+	made, err := make(place, logger)
+	if err != nil {
+		program.Failed("%v", err)
+	}
+	var c crew.Crew
+	made.Join(&c)
+	c.Signals(made.Leave)
+	newReload(file, place, made, logger).join(&c, hangups)
+	logger.Info("running", "address", place.Inner())
+	if err := c.Run(); err != nil {
+		program.Failed("%v", err)
+	}
+	logger.Info("stopped")
+}
+
+// thrift keeps the process within its memory and its one thread at a time.
+func thrift(memoryMb int) {
+	runtime.GOMAXPROCS(1)
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(float64(memoryMb) * heapPart * (1 << 20)))
+}
+
+func signalled(which os.Signal) <-chan os.Signal {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, which)
+	return signals
+}
+
+// listen opens an address of the settings.
+func listen(field, address string) (net.Listener, error) {
+	at, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, field)
+	}
+	return at, nil
+}
+
+// self is this process as its fellows know it.
+func self(place platform.Place, part string) wire.Place {
+	return wire.Place{Name: place.Name, Address: place.Inner(), Zone: place.Zone, Part: part}
+}
+
+func newRouter(place platform.Place, logger *log.Logger) (part, error) {
+	if !place.ServesClients() {
+		return nil, errors.New("serves: a router must serve clients")
+	}
+	token := make([]byte, 8)
+	if _, err := rand.Read(token); err != nil {
+		return nil, err
+	}
+	me := self(place, wire.Router)
+	// A router keeps nothing, so each start is another.
+	me.Incarnation = hex.EncodeToString(token)
+	fellows, err := listen("inner_port_range", place.Inner())
+	if err != nil {
+		return nil, err
+	}
+	front, err := listen("listen.front", place.Front)
+	if err != nil {
+		return nil, err
+	}
+	ready, err := listen("listen.ready", place.Ready)
+	if err != nil {
+		return nil, err
+	}
+	return relay.NewGate(relay.Settings{
+		Site: site, Self: me, Seeds: place.InnerSeeds(), Bounds: place.Bounds, ListAddress: place.List.Address,
+		MemoryMb: place.MemoryMb, OpenFiles: place.OpenFiles,
+	}, platform.Tongue{}, platform.Format{}, platform.Calls{}, fellows, front, ready, logger)
+}
+
+func newController(place platform.Place, logger *log.Logger) (part, error) {
+	if !place.ServesOperators() {
+		return nil, errors.New("serves: a controller must serve operators")
+	}
+	if place.Data == "" {
+		return nil, errors.New("data_folder: a controller must have one")
+	}
+	_, port, err := net.SplitHostPort(place.Control)
+	if err != nil {
+		return nil, err
+	}
+	fellows, err := listen("inner_port_range", place.Inner())
+	if err != nil {
+		return nil, err
+	}
+	web, err := listen("listen.control", place.Control)
+	if err != nil {
+		return nil, err
+	}
+	return steward.NewOffice(steward.OfficeSettings{
+		Site: site, Self: self(place, wire.Controller), Seeds: place.InnerSeeds(), Losses: place.Losses,
+		FirstStart: place.FirstStart, Bounds: place.Bounds, ListAddress: place.List.Address,
+		ListPerSec: place.List.CallsPerSec, ControlPort: port, Data: place.Data,
+	}, platform.Format{}, platform.Calls{}, func(shell *daemon.Shell) http.Handler {
+		return platform.Operators(shell, place.Bounds.AckMs)
+	}, fellows, web, logger)
+}
--- /dev/null
+++ b/holdings/index_test.go
@@ -0,0 +1,140 @@
+package holdings
+
+import (
+	"bytes"
+	"encoding/gob"
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"myrtlewinch/wire"
+)
+
+// A router that asked lately hears of a holder that comes or goes.
+func TestRoutersAreTold(t *testing.T) {
+	c := qt.New(t)
+	b := ordered(c)
+	b.outcome(wire.CommandTaken)
+	b.tick(500)
+	b.say(4, false, "m001", "m004")
+	_, tells := b.k.Tick(b.nowMs+10, b.nowMs+2000)
+	c.Assert(tells, qt.HasLen, 1)
+	c.Assert(tells[0].To.Name, qt.Equals, "router")
+	c.Assert(tells[0].Index.Model, qt.Equals, "m004")
+	c.Assert(tells[0].Index.Holders, qt.HasLen, 1)
+	_, tells = b.k.Tick(b.nowMs+60, b.nowMs+2000)
+	c.Assert(tells, qt.HasLen, 0)
+}
+
+// While something is loaded, the answer says so, and when.
+func TestTurnIsTold(t *testing.T) {
+	c := qt.New(t)
+	b := ordered(c)
+	index := b.k.LookUp(b.nowMs, wire.Place{Name: "router"}, wire.MapLookUp{Id: 9, Service: llm, Model: "m004"})
+	c.Assert(index.Id, qt.Equals, uint64(9))
+	c.Assert(index.Known, qt.IsTrue)
+	c.Assert(index.Loading, qt.IsTrue)
+	c.Assert(index.TurnMs > 1500 && index.TurnMs < 2500, qt.IsTrue)
+	c.Assert(b.k.LookUp(b.nowMs, wire.Place{Name: "router"}, wire.MapLookUp{Service: "other"}).Holders, qt.HasLen, 0)
+}
+
+// Before any list was read, nothing is claimed.
+func TestUnknownBeforeTheList(t *testing.T) {
+	c := qt.New(t)
+	k := New(standBounds, "one", "list", 47)
+	c.Assert(k.LookUp(1, wire.Place{Name: "router"}, wire.MapLookUp{Service: llm, Model: "m001"}).Known, qt.IsFalse)
+	c.Assert(k.ListAgeMs(1), qt.Equals, int64(-1))
+}
+
+// A service that holds no models is answered with its runners.
+func TestPlainServiceHasItsRunners(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c)
+	b.k.Fleet(b.nowMs, wire.Fleet{Ok: true, Runners: []wire.RunnerEntry{
+		{Id: "p1", Service: "plain", Address: "10.0.0.8:80", Slots: 6, LeftMs: -1},
+		{Id: "p2", Service: "plain", Address: "10.0.0.9:80", Slots: 6, LeftMs: 2000, Leaving: true},
+	}})
+	index := b.k.LookUp(b.nowMs, wire.Place{Name: "router"}, wire.MapLookUp{Service: "plain"})
+	c.Assert(index.Holders, qt.HasLen, 1)
+	c.Assert(index.Holders[0].Id, qt.Equals, "p1")
+	c.Assert(index.Holders[0].Adapter, qt.IsTrue)
+	c.Assert(b.k.Leaving(), qt.DeepEquals, []string{"p2"})
+}
+
+// A silent runner is not offered unless it is the only holder.
+func TestSilentRunners(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c, "m001")
+	for range 3 {
+		b.tick(1000)
+		b.k.State(b.nowMs, wire.StateSaid{Runner: b.asked.Runner, Number: b.asked.Number})
+	}
+	c.Assert(b.k.runners["r1"].suspect, qt.IsTrue)
+	c.Assert(b.holds("m001"), qt.IsTrue)
+	e := wire.RunnerEntry{Service: llm, Slots: 64, LeftMs: -1, Models: []wire.HeldModel{{Name: "m001"}}}
+	first, second := e, e
+	first.Id, first.Address, second.Id, second.Address = "r1", "10.0.0.1:80", "r2", "10.0.0.2:80"
+	b.k.Fleet(b.nowMs, wire.Fleet{Ok: true, Runners: []wire.RunnerEntry{first, second}})
+	holders := b.k.index(b.nowMs, llm, "m001", "").Holders
+	c.Assert(holders, qt.HasLen, 1)
+	c.Assert(holders[0].Id, qt.Equals, "r2")
+}
+
+// A follower answers as the primary does, counts, and goes on from there.
+func TestFollowerAnswersFromTheImage(t *testing.T) {
+	c := qt.New(t)
+	s := newStand(t, 8, newMap(20, 42, 4.2), 8)
+	s.fill(0, 1)
+	k := s.keeper("one")
+	k.Begin(s.nowMs, 1, s.nowMs)
+	load := newTraffic(s, k)
+	play(s, load, 6, func(int64) {
+		if s.poisson(10) {
+			load.ask("m000", fmt.Sprintf("a%d", 1+s.rnd.IntN(9)))
+		}
+	})
+	var wired bytes.Buffer
+	c.Assert(gob.NewEncoder(&wired).Encode(k.Soft()), qt.IsNil)
+	t.Logf("%d bytes", wired.Len())
+	var image Soft
+	c.Assert(gob.NewDecoder(&wired).Decode(&image), qt.IsNil)
+	follower := New(s.bounds, "two", "list", 47)
+	follower.SetMap(s.m)
+	follower.TakeSoft(s.nowMs, image)
+	from := wire.Place{Name: "router"}
+	ids := func(x wire.MapIndex) map[string]bool {
+		out := map[string]bool{}
+		for _, h := range x.Holders {
+			out[h.Id] = h.Adapter
+		}
+		return out
+	}
+	for i := range 9 {
+		in := wire.MapLookUp{Service: llm, Model: "m000", Adapter: fmt.Sprintf("a%d", i+1), Tokens: 5, Waits: i == 0}
+		index := follower.LookUp(s.nowMs, from, in)
+		c.Assert(index.Known, qt.IsTrue)
+		c.Assert(index.Change, qt.Equals, k.Change())
+		c.Assert(ids(index), qt.DeepEquals, ids(k.index(s.nowMs, llm, "m000", in.Adapter)))
+	}
+	c.Assert(follower.Waits(), qt.IsTrue)
+	demand := follower.DrainDemand()
+	c.Assert(demand, qt.HasLen, 9)
+	c.Assert(follower.DrainDemand(), qt.HasLen, 0)
+	before := k.services[llm].models["m000"].want.fast
+	k.TakeDemand(s.nowMs, demand)
+	c.Assert(k.services[llm].models["m000"].want.fast > before, qt.IsTrue)
+	// A holder that goes is told to those who asked the follower.
+	follower.Tick(s.nowMs, 0)
+	image.Change += 5
+	for i := range image.Runners {
+		image.Runners[i].Models = nil
+	}
+	follower.TakeSoft(s.nowMs, image)
+	_, tells := follower.Tick(s.nowMs, 0)
+	c.Assert(tells, qt.HasLen, 9)
+	c.Assert(tells[0].Index.Holders, qt.HasLen, 0)
+	_, err := json.Marshal(k.Status())
+	c.Assert(err, qt.IsNil)
+}
--- /dev/null
+++ b/holdings/keeper_test.go
@@ -0,0 +1,231 @@
+package holdings
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"myrtlewinch/wire"
+)
+
+// play runs a stand with one keeper and demand for so many seconds.
+func play(s *stand, t *traffic, seconds int, each func(ms int64)) {
+	end := s.nowMs + int64(seconds)*1000
+	for s.nowMs < end {
+		s.step()
+		each(s.nowMs)
+		t.step()
+	}
+}
+
+// poisson says how often something of a rate happens within 10 ms.
+func (s *stand) poisson(perSec float64) bool { return s.rnd.Float64() < perSec/100 }
+
+func (s *stand) copies(name string) int {
+	n := 0
+	for _, r := range s.runners {
+		if _, ok := r.held[name]; ok && !r.dead {
+			n++
+		}
+	}
+	return n
+}
+
+// Runners take no more than they hold, and the store's pace is kept, whatever
+// is lost or late and however demand jumps, also across a take-over.
+func TestLimitAndCeilingHoldInTrouble(t *testing.T) {
+	for seed := range uint64(30) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			c := qt.New(t)
+			s := newStand(t, seed, newMap(39, 42, 4.2), 12)
+			s.fill(0, 1)
+			s.lossIn, s.lossOut = 0.15, 0.15
+			k := s.keeper("one")
+			k.Begin(s.nowMs, 1, s.nowMs+500)
+			load := newTraffic(s, k)
+			hot := 0
+			play(s, load, 40, func(ms int64) {
+				if ms%3000 == 0 {
+					hot = s.rnd.IntN(39)
+				}
+				for range 2 {
+					if s.poisson(20) {
+						adapter := ""
+						if hot == 0 || hot == 2 {
+							adapter = fmt.Sprintf("a%d", 1+s.rnd.IntN(s.engine.Models[hot].Adapters))
+						}
+						load.ask(s.engine.Models[hot].Name, adapter)
+					}
+				}
+				if s.poisson(12) {
+					load.ask(s.engine.Models[s.rnd.IntN(39)].Name, "")
+				}
+				if s.poisson(5) {
+					load.ask("m000", fmt.Sprintf("a%d", 1+s.rnd.IntN(42)))
+				}
+				if ms%7000 == 0 {
+					s.crash(s.rnd.IntN(len(s.runners)))
+				}
+				if ms == 21_000 {
+					// Another holder takes over while the first still believes.
+					next := s.keeper("two")
+					next.TakeSoft(s.nowMs, k.Soft())
+					next.Begin(s.nowMs, 2, s.nowMs+100)
+					load.k = next
+				}
+			})
+			c.Assert(s.breaches, qt.HasLen, 0)
+			c.Assert(s.ceiling() <= s.allowed(), qt.IsTrue, qt.Commentf("%d loads, %d allowed", s.ceiling(), s.allowed()))
+			c.Assert(s.orders > 30, qt.IsTrue)
+			c.Assert(s.keepers[0].fenced, qt.IsTrue)
+		})
+	}
+}
+
+// crash ends one runner's life; another begins at its address.
+func (s *stand) crash(n int) {
+	ids := sortedKeys(s.runners)
+	r := s.runners[ids[n%len(ids)]]
+	r.dead = true
+	disk := r.disk
+	s.after(2500, func() { delete(s.runners, r.entry.Id) })
+	s.after(3000, func() {
+		next := s.start(r.entry.Address, r.entry.Zone)
+		next.disk = disk
+	})
+}
+
+// Demand that moves to another model has its copies within a few seconds.
+func TestCopiesFollowDemand(t *testing.T) {
+	c := qt.New(t)
+	s := newStand(t, 3, newMap(39, 42, 4.2), 12)
+	s.fill(0, 1)
+	k := s.keeper("one")
+	k.Begin(s.nowMs, 1, s.nowMs)
+	load := newTraffic(s, k)
+	both := func(a, b string) func(ms int64) {
+		return func(int64) {
+			if s.poisson(47) {
+				load.ask(a, "")
+			}
+			if s.poisson(17) {
+				load.ask(b, "")
+			}
+			if s.poisson(7) {
+				load.ask(s.engine.Models[5+s.rnd.IntN(34)].Name, "")
+			}
+		}
+	}
+	play(s, load, 10, both("m000", "m001"))
+	c.Assert(s.copies("m000") >= 2, qt.IsTrue)
+	c.Assert(s.copies("m001") >= 2, qt.IsTrue)
+	before := s.copies("m003")
+	play(s, load, 5, both("m003", "m004"))
+	c.Assert(before <= 2, qt.IsTrue)
+	c.Assert(s.copies("m003") >= 3, qt.IsTrue, qt.Commentf("%d copies", s.copies("m003")))
+	c.Assert(s.copies("m004") >= 2, qt.IsTrue, qt.Commentf("%d copies", s.copies("m004")))
+	play(s, load, 5, both("m000", "m001"))
+	c.Assert(s.copies("m000") >= 2, qt.IsTrue)
+	c.Assert(s.breaches, qt.HasLen, 0)
+	t.Logf("late over 0.4 s: %.3f, over 1 s: %.3f, over 3 s: %.3f, loads %d (%d from the store), orders %d, denied %d", load.lateShare(400), load.lateShare(1000), load.lateShare(3000), s.loads, len(s.starts), s.orders, load.denied)
+	c.Assert(load.lateShare(3000) < 0.01, qt.IsTrue)
+}
+
+// Many rare models asked for at once come in turn, none is left out for ever.
+func TestCrowdForRareModels(t *testing.T) {
+	c := qt.New(t)
+	s := newStand(t, 4, newMap(39, 0, 4.2), 12)
+	s.fill(0, 1)
+	k := s.keeper("one")
+	k.Begin(s.nowMs, 1, s.nowMs)
+	load := newTraffic(s, k)
+	play(s, load, 30, func(ms int64) {
+		if s.poisson(40) {
+			load.ask("m000", "")
+		}
+		if s.poisson(17) {
+			load.ask("m001", "")
+		}
+		rare := 7.0
+		if ms > 10_000 && ms < 15_000 {
+			rare = 17
+		}
+		if s.poisson(rare) {
+			load.ask(s.engine.Models[5+s.rnd.IntN(34)].Name, "")
+		}
+	})
+	t.Logf("late over 0.4 s: %.3f, over 1 s: %.3f, over 3 s: %.3f, loads %d (%d from the store), orders %d, denied %d", load.lateShare(400), load.lateShare(1000), load.lateShare(3000), s.loads, len(s.starts), s.orders, load.denied)
+	c.Assert(load.lateShare(3000) < 0.02, qt.IsTrue)
+	for key, asked := range load.asked {
+		c.Assert(load.late[key]*2 <= asked+1, qt.IsTrue, qt.Commentf("%v", key))
+	}
+	c.Assert(s.breaches, qt.HasLen, 0)
+}
+
+// The adapters of one model are spread over its runners, each there once
+// before any is there often, and nobody waits for long.
+func TestAdaptersSpread(t *testing.T) {
+	c := qt.New(t)
+	s := newStand(t, 5, newMap(4, 42, 4.2), 5)
+	for _, r := range s.runners {
+		r.held["m000"] = map[string]bool{}
+	}
+	s.noteList()
+	k := s.keeper("one")
+	k.Begin(s.nowMs, 1, s.nowMs)
+	load := newTraffic(s, k)
+	play(s, load, 20, func(ms int64) {
+		if s.poisson(12) {
+			load.ask("m000", fmt.Sprintf("a%d", 1+s.rnd.IntN(42)))
+		}
+		if s.poisson(20) {
+			load.ask("m000", "")
+		}
+	})
+	held := map[string]bool{}
+	for _, r := range s.runners {
+		for a := range r.held["m000"] {
+			held[a] = true
+		}
+		c.Assert(len(r.held["m000"]) >= 7, qt.IsTrue, qt.Commentf("%v", r.held))
+	}
+	t.Logf("held %d; late over 0.2 s: %.3f, 0.4 s: %.3f, over 1 s: %.3f, orders %d, denied %d", len(held), load.lateShare(200), load.lateShare(400), load.lateShare(1000), s.orders, load.denied)
+	c.Assert(len(held) >= 36, qt.IsTrue)
+	c.Assert(load.lateShare(1000) < 0.02, qt.IsTrue)
+	c.Assert(s.breaches, qt.HasLen, 0)
+}
+
+// What a leaving runner alone holds is loaded elsewhere while it still serves.
+func TestLeavingRunnersThingsMove(t *testing.T) {
+	c := qt.New(t)
+	s := newStand(t, 6, newMap(9, 0, 4.2), 5)
+	s.fill()
+	k := s.keeper("one")
+	k.Begin(s.nowMs, 1, s.nowMs)
+	load := newTraffic(s, k)
+	ask := func(ms int64) {
+		if s.poisson(5) {
+			load.ask(s.engine.Models[s.rnd.IntN(9)].Name, "")
+		}
+	}
+	play(s, load, 8, ask)
+	leaver := s.runners[sortedKeys(s.runners)[0]]
+	leaver.entry.Leaving = true
+	play(s, load, 6, ask)
+	c.Assert(k.Leaving(), qt.DeepEquals, []string{leaver.entry.Id})
+	for name := range leaver.held {
+		c.Assert(s.copies(name) >= 2, qt.IsTrue, qt.Commentf("%s", name))
+		for _, h := range k.LookUp(s.nowMs, load.from, wire.MapLookUp{Service: llm, Model: name}).Holders {
+			c.Assert(h.Id, qt.Not(qt.Equals), leaver.entry.Id)
+		}
+	}
+	// Leaving stays, whatever a later list says, and while it is gone.
+	leaver.entry.Leaving = false
+	play(s, load, 2, ask)
+	c.Assert(k.Leaving(), qt.HasLen, 1)
+	delete(s.runners, leaver.entry.Id)
+	play(s, load, 3, ask)
+	c.Assert(k.Leaving(), qt.HasLen, 1)
+	c.Assert(s.breaches, qt.HasLen, 0)
+}
--- /dev/null
+++ b/holdings/planner_bench_test.go
@@ -0,0 +1,44 @@
+package holdings
+
+import (
+	"fmt"
+	"testing"
+)
+
+// The cost of a second of the keeper's life at a large site.
+func BenchmarkLargeSite(b *testing.B) {
+	m := newMap(747, 42, 46)
+	m.Services[0].Engine.Slots = 12
+	s := newStand(b, 1, m, 140)
+	s.fill(0, 1)
+	k := s.keeper("one")
+	k.Begin(s.nowMs, 1, s.nowMs)
+	load := newTraffic(s, k)
+	ask := func(int64) {
+		for range 4 {
+			if s.poisson(40) {
+				load.ask(fmt.Sprintf("m%03d", s.rnd.IntN(3)), "")
+			}
+		}
+		if s.poisson(60) {
+			load.ask(fmt.Sprintf("m%03d", s.rnd.IntN(747)), "")
+		}
+	}
+	play(s, load, 20, ask)
+	b.Logf("late over 0.4 s: %.3f, over 1 s: %.3f, over 3 s: %.3f, loads %d (%d), orders %d, m000 %d", load.lateShare(400), load.lateShare(1000), load.lateShare(3000), s.loads, len(s.starts), s.orders, s.copies("m000"))
+	s.keepers = nil
+	b.ReportAllocs()
+	for b.Loop() {
+		// A tick of 50 ms with the look-ups of it.
+		for range 11 {
+			load.ask(fmt.Sprintf("m%03d", s.rnd.IntN(3)), "")
+		}
+		for range 3 {
+			load.ask(fmt.Sprintf("m%03d", s.rnd.IntN(747)), "")
+		}
+		k.replan = true
+		k.Tick(s.nowMs, s.nowMs+2000)
+		s.nowMs += 50
+		s.events = nil
+	}
+}
--- /dev/null
+++ b/holdings/planner_test.go
@@ -0,0 +1,156 @@
+package holdings
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"myrtlewinch/wire"
+)
+
+// scene is a service whose runners are told, and what is asked of it.
+func scene(models int, held ...[]string) *service {
+	s := newService(llm)
+	m := newMap(models, 42, 4.2)
+	s.set(m.Services[0].Engine)
+	s.engine = m.Services[0].Engine
+	for i, names := range held {
+		r := newRunner(wire.RunnerEntry{Id: fmt.Sprintf("r%d", i+1), Address: fmt.Sprint(i), Zone: string(rune('a' + i%3)), Slots: 64}, s)
+		r.clean = true
+		var said []wire.HeldModel
+		for _, name := range names {
+			said = append(said, wire.HeldModel{Name: name})
+		}
+		r.adopt(0, said, silence{})
+		s.runners = append(s.runners, r)
+	}
+	return s
+}
+
+type silence struct{}
+
+func (silence) touch(*model) {}
+
+// asks adds so many requests a second for ten seconds before nowMs.
+func (s *service) asks(nowMs int64, name string, perSec int) {
+	for atMs := nowMs - 10_000; atMs < nowMs; atMs += 1000 / int64(perSec) {
+		s.models[name].want.add(atMs, 1, 1000, 0)
+	}
+}
+
+const sceneMs = 100_000
+
+func TestPlannerChooses(t *testing.T) {
+	full := budget{left: 10, atOnce: 8}
+	for _, test := range []struct {
+		name   string
+		held   [][]string
+		demand func(s *service)
+		budget budget
+		want   []string
+	}{
+		{"nothing is asked: nothing moves", [][]string{{"m001"}, {"m002"}}, func(*service) {}, full, nil},
+		{"a fill takes free room, slowly", [][]string{{"m001"}, {"m000"}}, func(*service) {}, budget{left: 10, atOnce: 8, fill: true}, []string{"load m002"}},
+		{"what someone waits for is loaded into free room", [][]string{{"m001", "m002", "m000"}, {"m003"}}, func(s *service) {
+			s.models["m004"].want.add(sceneMs, 1, 1, 1)
+		}, full, []string{"r2 load m004"}},
+		{"the store's pace holds it back", [][]string{{"m001"}}, func(s *service) {
+			s.models["m004"].want.add(sceneMs, 1, 1, 1)
+		}, budget{}, nil},
+		{"what the runner held before needs no store", [][]string{{"m001"}, {"m002"}}, func(s *service) {
+			s.models["m004"].want.add(sceneMs, 1, 1, 1)
+			s.runners[1].disk["m004"] = true
+		}, budget{}, []string{"r2 load m004"}},
+		{"the silent one goes, not the asked one", [][]string{{"m001", "m002", "m003"}}, func(s *service) {
+			s.models["m004"].want.add(sceneMs, 1, 1, 1)
+			s.asks(sceneMs, "m001", 5)
+			s.asks(sceneMs-20_000, "m002", 5)
+			s.asks(sceneMs, "m003", 5)
+		}, full, []string{"r1 unload m002"}},
+		{"a surplus copy goes before a last one", [][]string{{"m001", "m002", "m003"}, {"m001", "m005", "m000"}, {"m001", "m006", "m007"}}, func(s *service) {
+			s.models["m004"].want.add(sceneMs, 1, 1, 1)
+			s.asks(sceneMs, "m001", 1)
+			for _, name := range []string{"m002", "m003", "m005", "m000", "m006", "m007"} {
+				s.asks(sceneMs, name, 1)
+			}
+		}, full, []string{"unload m001"}},
+		{"what is asked for as much does not go", [][]string{{"m001", "m002", "m003"}}, func(s *service) {
+			for _, name := range []string{"m001", "m002", "m003", "m004"} {
+				s.asks(sceneMs, name, 1)
+			}
+		}, full, nil},
+		{"a busy model has a second copy in another zone", [][]string{{"m001"}, {"m000"}, {"m002"}}, func(s *service) {
+			s.asks(sceneMs, "m001", 10)
+			s.runners[1].entry.Zone = "a"
+		}, full, []string{"r3 load m001"}},
+		{"an adapter goes where fewest are", [][]string{{"m000"}, {"m000"}}, func(s *service) {
+			s.models["m000"].want.add(sceneMs, 1, 1, 0)
+			s.models["m000"].adapter("a5").want.add(sceneMs, 1, 1, 1)
+			s.runners[0].held["m000"].adapters["a1"] = &heldAdapter{}
+		}, full, []string{"r2 load m000 a5"}},
+		{"a full runner drops the adapter asked for longest ago", [][]string{{"m000"}}, func(s *service) {
+			s.models["m000"].want.add(sceneMs, 1, 1, 0)
+			for i := range 8 {
+				name := fmt.Sprintf("a%d", i+1)
+				s.runners[0].held["m000"].adapters[name] = &heldAdapter{}
+				s.models["m000"].adapter(name).want.add(sceneMs-int64(i)*3000-10_000, 1, 1, 0)
+			}
+			s.models["m000"].adapter("a9").want.add(sceneMs, 1, 1, 1)
+		}, full, []string{"r1 unload m000 a8"}},
+		{"a runner that leaves counts no more", [][]string{{"m001", "m002", "m003"}, {"m000"}}, func(s *service) {
+			s.asks(sceneMs, "m002", 1)
+			s.runners[0].leaving = true
+		}, full, []string{"r2 load m002"}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := scene(8, test.held...)
+			test.demand(s)
+			var p planner
+			p.plan(sceneMs, s, test.budget, func(r *runner) bool { return !r.away() })
+			var got []string
+			for _, mv := range p.moves {
+				verb := " unload "
+				if mv.load {
+					verb = " load "
+				}
+				text := mv.runner.entry.Id + verb + mv.Model
+				if mv.Adapter != "" {
+					text += " " + mv.Adapter
+				}
+				got = append(got, text)
+			}
+			c.Assert(got, qt.HasLen, len(test.want), qt.Commentf("%v", got))
+			for _, want := range test.want {
+				c.Assert(slices.ContainsFunc(got, func(text string) bool { return text == want || len(text) > 3 && text[3:] == want }), qt.IsTrue, qt.Commentf("%v", got))
+			}
+		})
+	}
+}
+
+// Where all fits and demand is steady, nothing moves after the start.
+func TestSteadyDemandMovesNothing(t *testing.T) {
+	c := qt.New(t)
+	s := newStand(t, 9, newMap(12, 8, 4.2), 8)
+	s.fill(0, 1)
+	k := s.keeper("one")
+	k.Begin(s.nowMs, 1, s.nowMs)
+	load := newTraffic(s, k)
+	ask := func(int64) {
+		if s.poisson(30) {
+			load.ask("m000", "")
+		}
+		if s.poisson(5) {
+			load.ask("m000", fmt.Sprintf("a%d", 1+s.rnd.IntN(8)))
+		}
+		if s.poisson(6) {
+			load.ask(fmt.Sprintf("m%03d", 1+s.rnd.IntN(11)), "")
+		}
+	}
+	play(s, load, 8, ask)
+	before := s.orders
+	play(s, load, 20, ask)
+	c.Assert(s.orders-before <= 2, qt.IsTrue, qt.Commentf("%d orders", s.orders-before))
+}
--- /dev/null
+++ b/holdings/stand_test.go
@@ -0,0 +1,492 @@
+package holdings
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"myrtlewinch/bounds"
+	"myrtlewinch/servicemap"
+	"myrtlewinch/wire"
+)
+
+// The stand plays the platform: its list, its runners and its store, with
+// states that lag, orders that are taken before they are done, and answers
+// that get lost. It notes when a runner is told to take more than it holds.
+
+const llm = "llm"
+
+type standRunner struct {
+	entry   wire.RunnerEntry
+	held    map[string]map[string]bool
+	disk    map[string]bool
+	calls   int64
+	fence   uint64
+	busyMs  int64
+	finish  func()
+	dead    bool
+	active  map[string]int
+	listing wire.RunnerEntry
+	past    []snapshot
+}
+
+type snapshot struct {
+	atMs  int64
+	state wire.RunnerState
+}
+
+func (r *standRunner) models() []wire.HeldModel {
+	var out []wire.HeldModel
+	for _, name := range sortedKeys(r.held) {
+		out = append(out, wire.HeldModel{Name: name, Version: 1, Adapters: sortedKeys(r.held[name])})
+	}
+	return out
+}
+
+func (r *standRunner) state() wire.RunnerState {
+	active := 0
+	for _, n := range r.active {
+		active += n
+	}
+	return wire.RunnerState{Models: r.models(), Busy: r.finish != nil, Calls: r.calls, Active: active, CacheTotal: 100_000, CacheUsed: int64(active) * 1000}
+}
+
+// event is something that happens at a time.
+type event struct {
+	atMs int64
+	seq  int
+	do   func()
+}
+
+type stand struct {
+	t       testing.TB
+	rnd     *rand.Rand
+	m       *servicemap.Map
+	engine  *servicemap.Engine
+	bounds  bounds.Bounds
+	nowMs   int64
+	seq     int
+	events  []event
+	runners map[string]*standRunner
+	lists   []struct {
+		atMs int64
+		list []wire.RunnerEntry
+	}
+	keepers  []*Keeper
+	holdMs   map[*Keeper]int64
+	lossIn   float64
+	lossOut  float64
+	starts   []int64
+	breaches []string
+	orders   int
+	loads    int
+	next     int
+	changes  map[string]uint64
+}
+
+func newMap(models, adapters int, perSec float64) *servicemap.Map {
+	e := &servicemap.Engine{Slots: 64, CacheTokens: 150_000, Stride: 6, RoomMb: 220_000, AdapterRoom: 8, LoadsPerSec: perSec}
+	for i := range models {
+		m := servicemap.Model{Name: fmt.Sprintf("m%03d", i), Mb: 65_100, LoadMs: 1900, AdapterMb: 12}
+		if i%2 == 1 {
+			m.Mb, m.LoadMs = 72_700, 2100
+		}
+		if i == 0 {
+			m.Adapters = adapters
+		}
+		if i == 2 {
+			m.Adapters, m.AdapterMb = 16, 66
+		}
+		e.Models = append(e.Models, m)
+	}
+	m := &servicemap.Map{Version: 1, Services: []servicemap.Service{{Name: llm, Engine: e}, {Name: "plain"}}}
+	m.Index()
+	return m
+}
+
+var standBounds = bounds.Bounds{DrainMs: 3000, LeaseMs: 3000, ThawMs: 300, InTouchMs: 3000, OriginWindowMs: 5000, OriginOver: 1.1, Fenced: true}
+
+func newStand(t testing.TB, seed uint64, m *servicemap.Map, runners int) *stand {
+	s := &stand{t: t, rnd: rand.New(rand.NewPCG(seed, 7)), m: m, engine: m.Services[0].Engine, bounds: standBounds, nowMs: 1000, runners: map[string]*standRunner{}, holdMs: map[*Keeper]int64{}}
+	zones := []string{"a", "b", "c", "d"}
+	for i := range runners {
+		s.start(fmt.Sprintf("10.0.0.%d:80", i), zones[i%len(zones)])
+	}
+	s.noteList()
+	return s
+}
+
+func (s *stand) start(address, zone string) *standRunner {
+	s.next++
+	id := fmt.Sprintf("r%04d", s.next)
+	r := &standRunner{held: map[string]map[string]bool{}, disk: map[string]bool{}, active: map[string]int{}}
+	r.entry = wire.RunnerEntry{Id: id, Service: llm, Address: address, Zone: zone, Slots: s.engine.Slots, LeftMs: -1}
+	s.runners[id] = r
+	return r
+}
+
+// fill gives the runners models at the start: the busy ones many times.
+func (s *stand) fill(busy ...int) {
+	ids := sortedKeys(s.runners)
+	at := 0
+	put := func(name string) bool {
+		for range ids {
+			r := s.runners[ids[at%len(ids)]]
+			at++
+			if r.held[name] == nil && s.takenMb(r)+s.model(name).Mb <= s.engine.RoomMb {
+				r.held[name] = map[string]bool{}
+				r.disk[name] = true
+				return true
+			}
+		}
+		return false
+	}
+	for i := range s.engine.Models {
+		put(s.engine.Models[i].Name)
+	}
+	for more := true; more && len(busy) > 0; {
+		more = false
+		for _, i := range busy {
+			more = put(s.engine.Models[i].Name) || more
+		}
+	}
+	s.noteList()
+}
+
+func (s *stand) model(name string) *servicemap.Model {
+	m, _ := s.engine.Model(name)
+	return m
+}
+
+func (s *stand) takenMb(r *standRunner) float64 {
+	sum := 0.0
+	for name, adapters := range r.held {
+		sum += s.model(name).Mb + float64(len(adapters))*s.model(name).AdapterMb
+	}
+	return sum
+}
+
+func (s *stand) after(ms int64, do func()) {
+	s.seq++
+	e := event{s.nowMs + ms, s.seq, do}
+	at, _ := slices.BinarySearchFunc(s.events, e, func(a, b event) int {
+		if a.atMs != b.atMs {
+			return int(a.atMs - b.atMs)
+		}
+		return a.seq - b.seq
+	})
+	s.events = slices.Insert(s.events, at, e)
+}
+
+func (s *stand) keeper(name string) *Keeper {
+	k := New(s.bounds, name, "list", 47)
+	k.SetMap(s.m)
+	s.keepers = append(s.keepers, k)
+	return k
+}
+
+func (s *stand) noteList() {
+	var list []wire.RunnerEntry
+	for _, id := range sortedKeys(s.runners) {
+		r := s.runners[id]
+		e := r.entry
+		e.Models = r.models()
+		list = append(list, e)
+	}
+	s.lists = append(s.lists, struct {
+		atMs int64
+		list []wire.RunnerEntry
+	}{s.nowMs, list})
+	if len(s.lists) > 40 {
+		s.lists = s.lists[1:]
+	}
+}
+
+// list is what the platform showed some time ago.
+func (s *stand) list(lagMs int64) []wire.RunnerEntry {
+	out := s.lists[0].list
+	for _, l := range s.lists {
+		if l.atMs <= s.nowMs-lagMs {
+			out = l.list
+		}
+	}
+	return out
+}
+
+// step goes on by some ms: 10 at a time.
+func (s *stand) step() {
+	s.nowMs += 10
+	for len(s.events) > 0 && s.events[0].atMs <= s.nowMs {
+		e := s.events[0]
+		s.events = s.events[1:]
+		e.do()
+	}
+	if s.nowMs%100 == 0 {
+		s.noteList()
+	}
+	for _, r := range s.runners {
+		if r.finish != nil && s.nowMs >= r.busyMs {
+			finish := r.finish
+			r.finish = nil
+			finish()
+		}
+		if s.nowMs%20 == 0 {
+			r.past = append(r.past, snapshot{s.nowMs, r.state()})
+			if len(r.past) > 20 {
+				r.past = r.past[1:]
+			}
+		}
+	}
+	if s.nowMs%50 == 0 {
+		for _, k := range s.keepers {
+			s.tick(k)
+		}
+	}
+}
+
+func (s *stand) tick(k *Keeper) []Tell {
+	holdMs := s.nowMs + 2000
+	if until, ok := s.holdMs[k]; ok {
+		holdMs = until
+	}
+	calls, tells := k.Tick(s.nowMs, holdMs)
+	for _, call := range calls {
+		s.call(k, call)
+	}
+	return tells
+}
+
+func (s *stand) call(k *Keeper, call wire.Call) {
+	way := int64(1 + s.rnd.IntN(4))
+	switch body := call.Body.(type) {
+	case wire.FleetCall:
+		s.after(2*way, func() { k.Fleet(s.nowMs, wire.Fleet{Ok: true, Runners: s.list(800)}) })
+	case wire.StateCall:
+		s.after(2*way, func() {
+			r := s.at(call.Address)
+			said := wire.StateSaid{Runner: body.Runner, Number: body.Number}
+			if r != nil && !r.dead && r.entry.Id == body.Runner && s.rnd.Float64() >= s.lossOut && len(r.past) > 0 {
+				said.Ok = true
+				lagMs := int64(100 + s.rnd.IntN(100))
+				said.State = r.past[0].state
+				for _, p := range r.past {
+					if p.atMs <= s.nowMs-lagMs {
+						said.State = p.state
+					}
+				}
+			}
+			k.State(s.nowMs, said)
+		})
+	case wire.CommandCall:
+		s.orders++
+		if s.rnd.Float64() < s.lossIn/2 {
+			s.after(300, func() { k.Commanded(s.nowMs, wire.CommandSaid{Runner: body.Runner, Number: body.Number}) })
+			return
+		}
+		if s.rnd.Float64() < s.lossIn {
+			// It comes late, long after its sender gave it up.
+			way = int64(s.rnd.IntN(900))
+		}
+		s.after(way, func() {
+			outcome := s.command(call.Address, body)
+			lost := s.rnd.Float64() < s.lossOut || way > 300
+			s.after(way, func() {
+				if lost {
+					outcome = wire.CommandUnknown
+				}
+				k.Commanded(s.nowMs, wire.CommandSaid{Runner: body.Runner, Number: body.Number, Outcome: outcome})
+			})
+		})
+	}
+}
+
+func (s *stand) at(address string) *standRunner {
+	for _, r := range s.runners {
+		if r.entry.Address == address && !r.dead {
+			return r
+		}
+	}
+	return nil
+}
+
+// command is the runner's side of an order.
+func (s *stand) command(address string, c wire.CommandCall) wire.CommandOutcome {
+	r := s.at(address)
+	if r == nil {
+		return wire.CommandNotSent
+	}
+	if r.entry.Id != c.Runner {
+		return wire.CommandRefused
+	}
+	if c.Fence < r.fence {
+		return wire.CommandFenced
+	}
+	r.fence = c.Fence
+	if r.finish != nil || c.Expected != r.calls {
+		return wire.CommandBusy
+	}
+	_, there := r.held[c.Model]
+	if c.Adapter != "" {
+		if !there {
+			return wire.CommandRefused
+		}
+		there = r.held[c.Model][c.Adapter]
+	}
+	if c.Load == there {
+		return wire.CommandInEffect
+	}
+	r.calls++
+	m := s.model(c.Model)
+	took := int64(10)
+	switch {
+	case c.Load && c.Adapter == "":
+		s.loads++
+		if s.takenMb(r)+m.Mb > s.engine.RoomMb {
+			s.breaches = append(s.breaches, fmt.Sprintf("%d ms: %s overfilled with %s", s.nowMs, r.entry.Id, c.Model))
+		}
+		took = m.LoadMs
+		if r.disk[c.Model] {
+			took = 380
+		} else {
+			s.starts = append(s.starts, s.nowMs)
+		}
+		r.finish = func() { r.held[c.Model] = map[string]bool{}; r.disk[c.Model] = true }
+	case c.Load:
+		adapters := 0
+		for _, held := range r.held {
+			adapters += len(held)
+		}
+		if adapters >= s.engine.AdapterRoom || s.takenMb(r)+m.AdapterMb > s.engine.RoomMb {
+			s.breaches = append(s.breaches, fmt.Sprintf("%d ms: %s overfilled with %s %s", s.nowMs, r.entry.Id, c.Model, c.Adapter))
+		}
+		r.finish = func() { r.held[c.Model][c.Adapter] = true }
+	case c.Adapter == "":
+		took = int64(20 + s.rnd.IntN(600))
+		r.finish = func() { delete(r.held, c.Model) }
+	default:
+		took = int64(5 + s.rnd.IntN(30))
+		r.finish = func() { delete(r.held[c.Model], c.Adapter) }
+	}
+	r.busyMs = s.nowMs + took
+	return wire.CommandTaken
+}
+
+// ceiling gives the most loads that began in any window.
+func (s *stand) ceiling() int {
+	most := 0
+	for i := range s.starts {
+		n := 0
+		for _, at := range s.starts[i:] {
+			if at-s.starts[i] <= s.bounds.OriginWindowMs {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+func (s *stand) allowed() int {
+	return int(s.engine.LoadsPerSec*float64(s.bounds.OriginWindowMs)/1000*s.bounds.OriginOver + 3)
+}
+
+// traffic plays clients behind one router.
+type traffic struct {
+	s       *stand
+	k       *Keeper
+	from    wire.Place
+	waiting map[demandKey][]int64
+	asked   map[demandKey]int
+	late    map[demandKey]int
+	waitsMs []int64
+	denied  int
+	runMs   int64
+}
+
+func newTraffic(s *stand, k *Keeper) *traffic {
+	return &traffic{s: s, k: k, from: wire.Place{Name: "router-1", Address: "x"}, waiting: map[demandKey][]int64{}, asked: map[demandKey]int{}, late: map[demandKey]int{}, runMs: 600}
+}
+
+// ask sends one request. Holders are checked against the runners themselves.
+func (t *traffic) ask(model, adapter string) {
+	key := demandKey{llm, model, adapter}
+	t.asked[key]++
+	index := t.k.LookUp(t.s.nowMs, t.from, wire.MapLookUp{Id: 1, Service: llm, Model: model, Adapter: adapter, Tokens: 1000, Waits: !t.try(key)})
+	_ = index
+	if !t.try(key) {
+		t.waiting[key] = append(t.waiting[key], t.s.nowMs)
+	} else {
+		t.waitsMs = append(t.waitsMs, 0)
+		t.run(key)
+	}
+}
+
+// try says whether a holder is offered.
+func (t *traffic) try(key demandKey) bool {
+	for _, h := range t.k.index(t.s.nowMs, key.Service, key.Model, key.Adapter).Holders {
+		if h.Adapter {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *traffic) run(key demandKey) {
+	var best *standRunner
+	for _, h := range t.k.index(t.s.nowMs, key.Service, key.Model, key.Adapter).Holders {
+		if !h.Adapter {
+			continue
+		}
+		r := t.s.runners[h.Id]
+		if r == nil || r.dead {
+			t.denied++
+			continue
+		}
+		if _, there := r.held[key.Model]; !there || key.Adapter != "" && !r.held[key.Model][key.Adapter] {
+			t.denied++
+			continue
+		}
+		if best == nil || r.active["all"] < best.active["all"] {
+			best = r
+		}
+	}
+	if best != nil {
+		best.active["all"]++
+		t.s.after(t.runMs, func() { best.active["all"]-- })
+	}
+}
+
+// step serves those who wait.
+func (t *traffic) step() {
+	for key, since := range t.waiting {
+		if t.try(key) {
+			for _, atMs := range since {
+				t.waitsMs = append(t.waitsMs, t.s.nowMs-atMs)
+				if t.s.nowMs-atMs > 3000 {
+					t.late[key]++
+				}
+				t.run(key)
+			}
+			delete(t.waiting, key)
+		}
+	}
+}
+
+// lateShare is the part of the requests that waited for longer.
+func (t *traffic) lateShare(ms int64) float64 {
+	late := 0
+	for _, waitMs := range t.waitsMs {
+		if waitMs > ms {
+			late++
+		}
+	}
+	for _, since := range t.waiting {
+		for _, atMs := range since {
+			if t.s.nowMs-atMs > ms {
+				late++
+			}
+		}
+	}
+	return float64(late) / float64(max(1, len(t.waitsMs)))
+}
--- a/outward/transport.go
+++ b/outward/transport.go
@@ -22,16 +22,39 @@
 const (
 	dialMs = 1000
 	idleMs = 2000
+	// Requests of clients have less time: another runner is soon reached, and
+	// a stream that has just been used is the one least likely to be closed.
+	clientDialMs = 300
+	clientIdleMs = 1000
+	// deadMs is how long the other side may acknowledge nothing before a
+	// stream counts as broken; a machine without power says nothing itself.
+	deadMs = 2000
 )
 
 // Transport sends requests that are never repeated by themselves.
-type Transport struct{ inner *http.Transport }
+type Transport struct {
+	inner *http.Transport
+	// kept uses streams more than once; single makes one for each request.
+	kept, single *http.Transport
+}
 
 // New makes a transport.
 func New() *Transport {
-	t := &Transport{}
-	dialer := net.Dialer{Timeout: dialMs * time.Millisecond}
-	t.inner = &http.Transport{
+	t := &Transport{inner: newInner(dialMs, idleMs), kept: newInner(clientDialMs, clientIdleMs), single: newInner(clientDialMs, clientIdleMs)}
+	t.kept.MaxResponseHeaderBytes = headMost
+	t.single.MaxResponseHeaderBytes = headMost
+	t.single.DisableKeepAlives = true
+	return t
+}
+
+const headMost = 64 << 10
+
+func newInner(dialMs, idleMs int64) *http.Transport {
+	dialer := net.Dialer{
+		Timeout: time.Duration(dialMs) * time.Millisecond, Control: watchful,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
+	}
+	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
@@ -41,11 +64,13 @@
 		},
 		// What a runner sends is relayed as it is.
 		DisableCompression:     true,
-		IdleConnTimeout:        idleMs * time.Millisecond,
+		IdleConnTimeout:        time.Duration(idleMs) * time.Millisecond,
 		MaxIdleConnsPerHost:    16,
 		MaxResponseHeaderBytes: 16 << 10,
+		// Small buffers: there may be thousands of streams.
+		ReadBufferSize:  2 << 10,
+		WriteBufferSize: 2 << 10,
 	}
-	return t
 }
 
 // shot is one request on its way.
@@ -113,4 +138,8 @@
 }
 
 // Close lets idle streams go.
-func (t *Transport) Close() { t.inner.CloseIdleConnections() }
+func (t *Transport) Close() {
+	for _, inner := range []*http.Transport{t.inner, t.kept, t.single} {
+		inner.CloseIdleConnections()
+	}
+}
--- /dev/null
+++ b/outward/watchful_other.go
@@ -0,0 +1,7 @@
+//go:build !linux
+
+package outward
+
+import "syscall"
+
+func watchful(_, _ string, _ syscall.RawConn) error { return nil }
--- /dev/null
+++ b/relay/budget_test.go
@@ -0,0 +1,47 @@
+package relay
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestBudget(t *testing.T) {
+	cases := []struct {
+		about          string
+		extra, routers int
+		first          int
+		most           int
+	}{
+		{"nothing earned", 58, 9, 0, 1},
+		{"a fifth earned", 58, 9, 20, 5},
+		{"no more than the share", 58, 9, 1000, 5},
+		{"alone", 50, 1, 1000, 45},
+		{"a small share", 3, 9, 1000, 1},
+	}
+	for _, test := range cases {
+		t.Run(test.about, func(t *testing.T) {
+			c := qt.New(t)
+			b := newBudget(test.extra, test.routers)
+			for range test.first {
+				b.earn(0.2)
+			}
+			spent := 0
+			for b.spend() {
+				spent++
+			}
+			c.Assert(spent, qt.Equals, test.most)
+		})
+	}
+}
+
+// Routers that come and go never fill a bucket.
+func TestBudgetIsNeverFilledByItsSize(t *testing.T) {
+	c := qt.New(t)
+	b := newBudget(58, 9)
+	before := b.tokens
+	b.size(58, 1)
+	c.Assert(b.tokens, qt.Equals, before)
+	b.size(58, 100)
+	c.Assert(b.tokens, qt.Equals, 1.0)
+}
--- /dev/null
+++ b/relay/cache_test.go
@@ -0,0 +1,67 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"myrtlewinch/wire"
+)
+
+func TestCacheTakesOnlyNewer(t *testing.T) {
+	cases := []struct {
+		about         string
+		epoch, change uint64
+		taken         bool
+	}{
+		{"the same", 2, 5, true},
+		{"a later change", 2, 6, true},
+		{"an earlier change", 2, 4, false},
+		{"a later epoch", 3, 1, true},
+		{"an earlier epoch", 1, 9, false},
+	}
+	for _, test := range cases {
+		t.Run(test.about, func(t *testing.T) {
+			c := qt.New(t)
+			lines := cache{}
+			c.Assert(lines.take(1, wire.MapIndex{Service: "s", Epoch: 2, Change: 5, TurnMs: -1}), qt.IsTrue)
+			c.Assert(lines.take(2, wire.MapIndex{Service: "s", Epoch: test.epoch, Change: test.change, TurnMs: 7}), qt.Equals, test.taken)
+			want := int64(-1)
+			if test.taken {
+				want = 9
+			}
+			c.Assert(lines[key{service: "s"}].turnMs, qt.Equals, want)
+		})
+	}
+}
+
+func TestCacheLetsTheUnusedGo(t *testing.T) {
+	c := qt.New(t)
+	lines := cache{}
+	for i := range cacheMost {
+		lines.take(int64(i), wire.MapIndex{Service: "s", Model: fmt.Sprint(i)})
+	}
+	lines[key{"s", "0", ""}].usedMs = 1 << 40
+	lines.take(1<<40, wire.MapIndex{Service: "s", Model: "new"})
+	c.Assert(lines, qt.HasLen, cacheMost)
+	c.Assert(lines[key{"s", "0", ""}], qt.IsNotNil)
+	c.Assert(lines[key{"s", "1", ""}], qt.IsNil)
+}
+
+// A runner that said no is left out until the index tells of a change.
+func TestCacheShuns(t *testing.T) {
+	c := qt.New(t)
+	lines, at := cache{}, key{service: "s"}
+	line := wire.MapIndex{Service: "s", Epoch: 1, Change: 1, Holders: []wire.MapHolder{{Id: "a"}}}
+	lines.take(1, line)
+	lines[at].shun(1, "a")
+	offers := func(nowMs int64) bool { return lines[at].offers(nowMs, at, &lines[at].holders[0]) }
+	c.Assert(offers(2), qt.IsFalse)
+	lines.take(3, line)
+	c.Assert(offers(4), qt.IsFalse)
+	c.Assert(offers(1+shunMs), qt.IsTrue)
+	line.Change = 2
+	lines.take(5, line)
+	c.Assert(offers(6), qt.IsTrue)
+}
--- /dev/null
+++ b/relay/chooser.go
@@ -0,0 +1,135 @@
+package relay
+
+import "hash/fnv"
+
+// candidate is a runner that may take a request now.
+type candidate struct {
+	id string
+	// load is how many requests are thought to run or wait there.
+	load, slots int
+	own         bool
+	suspect     bool
+}
+
+// wish is what a choice depends on beside the candidates.
+type wish struct {
+	// affinity names the parts of the prompt that others share; nought is none.
+	affinity uint64
+	// draw is a number that differs for each request.
+	draw uint64
+}
+
+const (
+	// ownZoneSlack is by how much a runner of the own zone may be busier.
+	ownZoneSlack = 2
+	// A runner that holds the prompt's parts may have a quarter and some more
+	// than the average before another one reads them anew.
+	affinityOver, affinityMore = 1.25, 4
+)
+
+// choose gives the place of the runner to take, or -1 where there is none.
+func choose(candidates []candidate, w wish) int {
+	sound := make([]int, 0, len(candidates))
+	for i := range candidates {
+		if !candidates[i].suspect {
+			sound = append(sound, i)
+		}
+	}
+	if len(sound) == 0 {
+		for i := range candidates {
+			sound = append(sound, i)
+		}
+	}
+	switch {
+	case len(sound) == 0:
+		return -1
+	case w.affinity != 0:
+		return byAffinity(candidates, sound, w.affinity)
+	}
+	return byLoad(candidates, sound, w.draw)
+}
+
+// byAffinity takes the first in the order of the parts' own hash that is not
+// too busy, so that all routers meet at the same runner without a word.
+func byAffinity(candidates []candidate, of []int, affinity uint64) int {
+	total := 0
+	for _, i := range of {
+		total += candidates[i].load
+	}
+	bound := affinityOver*float64(total)/float64(len(of)) + affinityMore
+	best, bestRank, least := -1, uint64(0), of[0]
+	for _, i := range of {
+		c := &candidates[i]
+		if c.load < candidates[least].load {
+			least = i
+		}
+		if float64(c.load) >= bound || c.load >= c.slots {
+			continue
+		}
+		if rank := mix(affinity ^ hash(c.id)); best < 0 || rank > bestRank {
+			best, bestRank = i, rank
+		}
+	}
+	if best < 0 {
+		return least
+	}
+	return best
+}
+
+// byLoad draws two and takes the less busy one, since the loads are known a
+// little late; one of the own zone goes first where it is hardly busier.
+func byLoad(candidates []candidate, of []int, draw uint64) int {
+	pick := func(from []int, draw uint64) int {
+		a := from[draw%uint64(len(from))]
+		b := from[mix(draw)%uint64(len(from))]
+		if candidates[b].load < candidates[a].load {
+			return b
+		}
+		return a
+	}
+	best := pick(of, draw)
+	var own []int
+	for _, i := range of {
+		if candidates[i].own {
+			own = append(own, i)
+		}
+	}
+	if len(own) > 0 {
+		if near := pick(own, mix(draw+1)); candidates[near].load <= candidates[best].load+ownZoneSlack {
+			return near
+		}
+	}
+	return best
+}
+
+func hash(text string) uint64 {
+	sum := fnv.New64a()
+	_, _ = sum.Write([]byte(text))
+	return sum.Sum64()
+}
+
+// mix spreads the bits of a number.
+func mix(n uint64) uint64 {
+	n += 0x9e3779b97f4a7c15
+	n = (n ^ n>>30) * 0xbf58476d1ce4e5b9
+	n = (n ^ n>>27) * 0x94d049bb133111eb
+	return n ^ n>>31
+}
+
+// affinity names all parts of a prompt but the last, which is the request's
+// own; nought says that there is nothing to share.
+func affinity(service string, a Asked) uint64 {
+	if len(a.Parts) < 2 {
+		return 0
+	}
+	sum := fnv.New64a()
+	for _, text := range []string{service, a.Model, a.Adapter} {
+		_, _ = sum.Write([]byte(text))
+		_, _ = sum.Write([]byte{'/'})
+	}
+	for _, part := range a.Parts[:len(a.Parts)-1] {
+		_, _ = sum.Write([]byte(part.Id))
+		_, _ = sum.Write([]byte{','})
+	}
+	return max(1, sum.Sum64())
+}
--- /dev/null
+++ b/relay/chooser_test.go
@@ -0,0 +1,73 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestChoose(t *testing.T) {
+	cases := []struct {
+		about      string
+		candidates []candidate
+		wish       wish
+		want       []string
+	}{
+		{"none", nil, wish{}, nil},
+		{"the only one", []candidate{{id: "a", slots: 4}}, wish{}, []string{"a"}},
+		{"a suspect one is left out", []candidate{{id: "a", slots: 4, suspect: true}, {id: "b", load: 3, slots: 4}}, wish{}, []string{"b"}},
+		{"all suspect", []candidate{{id: "a", slots: 4, suspect: true}}, wish{}, []string{"a"}},
+		{"the own zone", []candidate{{id: "a", slots: 9}, {id: "b", load: 2, slots: 9, own: true}}, wish{}, []string{"b"}},
+		{"the own zone is too busy", []candidate{{id: "a", slots: 9}, {id: "b", load: 3, slots: 9, own: true}}, wish{}, []string{"a", "b"}},
+		{"parts go past a busy runner", []candidate{{id: "a", load: 20, slots: 64}, {id: "b", load: 1, slots: 64}}, wish{affinity: 7}, []string{"b"}},
+		{"parts go to the least busy where all are over", []candidate{{id: "a", load: 6, slots: 6}, {id: "b", load: 7, slots: 6}}, wish{affinity: 7}, []string{"a"}},
+	}
+	for _, test := range cases {
+		t.Run(test.about, func(t *testing.T) {
+			c := qt.New(t)
+			for draw := range uint64(200) {
+				test.wish.draw = mix(draw)
+				got := choose(test.candidates, test.wish)
+				if test.want == nil {
+					c.Assert(got, qt.Equals, -1)
+					continue
+				}
+				c.Assert(test.want, qt.Contains, test.candidates[got].id)
+			}
+		})
+	}
+}
+
+// Routers that see the same runners in another order send the same parts to
+// the same runner, and different parts are spread.
+func TestAffinityNeedsNoWord(t *testing.T) {
+	c := qt.New(t)
+	var one, other []candidate
+	for i := range 8 {
+		one = append(one, candidate{id: fmt.Sprint("r", i), slots: 64})
+		other = append([]candidate{one[i]}, other...)
+	}
+	counts := map[string]int{}
+	for i := range 400 {
+		w := wish{affinity: affinity("s", Asked{Model: "m", Parts: []Part{{Id: fmt.Sprint(i)}, {Id: "own"}}}), draw: uint64(i)}
+		at := one[choose(one, w)].id
+		w.draw += 99
+		c.Assert(other[choose(other, w)].id, qt.Equals, at)
+		counts[at]++
+	}
+	for _, count := range counts {
+		c.Assert(count > 25 && count < 90, qt.IsTrue, qt.Commentf("%v", counts))
+	}
+}
+
+func TestAffinity(t *testing.T) {
+	c := qt.New(t)
+	a := Asked{Model: "m", Adapter: "a1", Parts: []Part{{Id: "x"}, {Id: "y"}, {Id: "own"}}}
+	same := a
+	same.Parts = []Part{{Id: "x"}, {Id: "y"}, {Id: "another"}}
+	c.Assert(affinity("s", a), qt.Equals, affinity("s", same))
+	same.Adapter = "a2"
+	c.Assert(affinity("s", a), qt.Not(qt.Equals), affinity("s", same))
+	c.Assert(affinity("s", Asked{Parts: []Part{{Id: "own"}}}), qt.Equals, uint64(0))
+}
--- /dev/null
+++ b/relay/gate.go
@@ -0,0 +1,316 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+
+	"myrtlewinch/crew"
+	"myrtlewinch/daemon"
+	"myrtlewinch/defect"
+	"myrtlewinch/servicemap"
+	"myrtlewinch/wire"
+)
+
+const (
+	tickMs = 25
+	// Limits where the map says nothing.
+	headMost     = 64 << 10
+	bodyMost     = 4 << 20
+	headWaitMs   = 5000
+	bodyWaitMs   = 10_000
+	streamIdleMs = 20_000
+	// spareFiles are kept for what is not a client's request; each request
+	// takes two streams.
+	spareFiles  = 400
+	requestMost = 8192
+	// eachKb is about what one request takes of the memory.
+	eachKb = 96
+	// goneMs is when the platform has stopped to send clients here, after the
+	// ready page said no.
+	goneMs = 2200
+	// endMs before the end of the grace all must be over.
+	endMs = 700
+	// lateMs is how long after its time a request is broken off; the runner
+	// and the client end it themselves.
+	lateMs = 1000
+)
+
+// Gate is a router as a process: its machine in a shell, and the way of a
+// request through it.
+type Gate struct {
+	shell   *daemon.Shell
+	machine *Machine
+	set     Settings
+	tongue  Tongue
+	front   net.Listener
+	server  *http.Server
+	under   atomic.Int64
+	most    int64
+	leaving atomic.Bool
+}
+
+// NewGate makes the router; nothing runs yet. Clients come to front, and
+// whoever asks whether this router takes any comes to ready.
+func NewGate(set Settings, tongue Tongue, format Format, exchanger daemon.Exchanger, fellows, front, ready net.Listener, logger *log.Logger) (*Gate, error) {
+	clock := daemon.NewClock()
+	g := &Gate{machine: New(set, format, clock.NowMs()), set: set, tongue: tongue, front: front, most: requestMost}
+	if set.OpenFiles > 0 {
+		g.most = min(g.most, int64(max(64, (set.OpenFiles-spareFiles)/2)))
+	}
+	if set.MemoryMb > 0 {
+		g.most = min(g.most, int64(max(64, set.MemoryMb*1024/2/eachKb)))
+	}
+	g.shell = daemon.New(daemon.Settings{
+		Site: set.Site, Self: set.Self, Clock: clock, Log: logger, TickMs: tickMs, Exchanger: exchanger,
+	}, g.machine, nil, fellows, ready, http.HandlerFunc(g.page))
+	g.server = &http.Server{
+		Handler: g, ReadHeaderTimeout: headWaitMs * time.Millisecond, IdleTimeout: streamIdleMs * time.Millisecond,
+		MaxHeaderBytes: headMost, DisableGeneralOptionsHandler: true,
+		ErrorLog: logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
+	}
+	return g, nil
+}
+
+// Join adds the router's duties to a crew.
+func (g *Gate) Join(c *crew.Crew) {
+	g.shell.Join(c)
+	c.Duty(func() error {
+		if err := g.server.Serve(g.front); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	}, func() {
+		ctx, cancel := context.WithTimeout(context.Background(), endMs/2*time.Millisecond)
+		defer cancel()
+		if g.server.Shutdown(ctx) != nil {
+			_ = g.server.Close()
+		}
+	})
+}
+
+// Reseed gives the seeds anew.
+func (g *Gate) Reseed(seeds []string) { g.shell.Put(Reseed{Seeds: seeds}) }
+
+// Halt makes the router stand still until it is released.
+func (g *Gate) Halt() (release func()) { return g.shell.Halt() }
+
+// Leave says not ready, ends what was read, and returns when no one comes any
+// more or the grace is nearly over.
+func (g *Gate) Leave() {
+	clock := g.shell.Clock()
+	beganMs := clock.NowMs()
+	g.leaving.Store(true)
+	g.shell.Put(Leave{})
+	lastMs := beganMs + max(goneMs, g.set.Bounds.GraceMs-endMs)
+	closed := false
+	for nowMs := beganMs; nowMs < lastMs; nowMs = clock.NowMs() {
+		if !closed && nowMs-beganMs >= goneMs {
+			// Idle streams have no more use; clients have gone elsewhere.
+			closed = true
+			g.server.SetKeepAlivesEnabled(false)
+		}
+		if closed && g.under.Load() == 0 {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// page answers whoever asks whether this router is ready.
+func (g *Gate) page(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodGet && r.Method != http.MethodHead {
+		w.Header().Set("Allow", http.MethodGet)
+		w.WriteHeader(http.StatusMethodNotAllowed)
+		return
+	}
+	switch r.URL.Path {
+	case "/status":
+		ctx, cancel := context.WithTimeout(r.Context(), 2*time.Second)
+		defer cancel()
+		answer, ok := g.shell.Ask(ctx, func(id uint64) any { return Look{Id: id} })
+		if !ok {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		writeJson(w, answer)
+	case "/counters":
+		writeJson(w, g.shell.Counts())
+	default:
+		if g.machine.Map() == nil || g.leaving.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	}
+}
+
+func writeJson(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+// ServeHTTP answers clients.
+func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	// The count goes first, so that a stop never misses one.
+	under := g.under.Add(1)
+	defer g.under.Add(-1)
+	if g.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	// The bound keeps a crowd from filling the memory.
+	if under > g.most {
+		g.shell.Count("requests too many")
+		g.tongue.Refuse(w, defect.HoldingFull, 300)
+		return
+	}
+	path, query, hasQuery := strings.Cut(r.RequestURI, "?")
+	if !strings.HasPrefix(path, "/") {
+		g.tongue.Refuse(w, defect.BadRequest, 0)
+		return
+	}
+	asked, err := g.tongue.Ask(r)
+	if err != nil {
+		g.tongue.Refuse(w, defect.BadRequest, 0)
+		return
+	}
+	body, kind := g.readBody(w, r)
+	if kind != "" {
+		g.tongue.Refuse(w, kind, 0)
+		return
+	}
+	p := &passage{
+		gate: g, w: w, r: r, asked: asked, body: body, path: path, query: query, hasQuery: hasQuery,
+		beganMs: g.shell.Clock().NowMs(),
+	}
+	p.serve()
+}
+
+// readBody reads the whole body before anything is sent on: a body that broke
+// off halfway must reach no runner.
+func (g *Gate) readBody(w http.ResponseWriter, r *http.Request) ([]byte, defect.Kind) {
+	if r.ContentLength == 0 {
+		return nil, ""
+	}
+	most := int64(bodyMost)
+	if document := g.machine.Map(); document != nil && document.Limits.BodyBytes > 0 {
+		most = document.Limits.BodyBytes
+	}
+	if r.ContentLength > most {
+		w.Header().Set("Connection", "close")
+		return nil, defect.TooLarge
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(bodyWaitMs * time.Millisecond))
+	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
+	var body []byte
+	var err error
+	limited := http.MaxBytesReader(w, r.Body, most)
+	if r.ContentLength > 0 {
+		body = make([]byte, r.ContentLength)
+		_, err = io.ReadFull(limited, body)
+		if err == nil {
+			// The server sees the end of the body only once it is read, and
+			// notices from then on when the client goes away.
+			_, _ = limited.Read(make([]byte, 1))
+		}
+	} else {
+		body, err = io.ReadAll(limited)
+	}
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return nil, defect.TooLarge
+	case err != nil:
+		w.Header().Set("Connection", "close")
+		return nil, defect.BadRequest
+	}
+	return body, ""
+}
+
+// limit bounds the writing to a client that does not read; done lifts it.
+func (p *passage) limit(ms int64) (done func()) {
+	control := http.NewResponseController(p.w)
+	_ = control.SetWriteDeadline(time.Now().Add(time.Duration(ms) * time.Millisecond))
+	return func() { _ = control.SetWriteDeadline(time.Time{}) }
+}
+
+// after calls do later, unless it is stopped before.
+func after(ms int64, do func()) (stop func()) {
+	timer := time.AfterFunc(time.Duration(ms)*time.Millisecond, do)
+	return func() { timer.Stop() }
+}
+
+// host is what a route is chosen by, without a port.
+func host(text string) string {
+	if name, _, err := net.SplitHostPort(text); err == nil {
+		return name
+	}
+	return text
+}
+
+// serve asks the machine what to do with a request, until it has its answer.
+func (p *passage) serve() {
+	g := p.gate
+	id, answers := g.shell.Expect()
+	defer g.shell.Forget(id)
+	p.id = id
+	if !g.shell.Put(Request{Id: id, Host: host(p.r.Host), Path: p.path, Asked: p.asked}) {
+		g.tongue.Refuse(p.w, defect.HoldingFull, 300)
+		return
+	}
+	// Whatever ends this, the place that a send took is free again.
+	over := false
+	defer func() {
+		if !over {
+			g.shell.Put(Gone{Id: id})
+		}
+	}()
+	for {
+		select {
+		case <-p.r.Context().Done():
+			panic(http.ErrAbortHandler)
+		case answer := <-answers:
+			switch said := answer.(type) {
+			case wire.Dropped:
+				over = true
+				g.tongue.Refuse(p.w, said.Kind, said.RetryMs)
+				return
+			case Break:
+				over = true
+				g.shell.Count("streams broken off")
+				panic(http.ErrAbortHandler)
+			case Keep:
+				over = true
+				p.pass(p.kept)
+				return
+			case Send:
+				ended := p.send(said)
+				if p.r.Context().Err() != nil {
+					panic(http.ErrAbortHandler)
+				}
+				over = ended.Outcome == Answered
+				g.shell.Put(ended)
+				if over {
+					return
+				}
+			}
+		}
+	}
+}
+
+var _ http.Handler = (*Gate)(nil)
+
+// shape says whether an answer of the route comes piece by piece.
+func streams(route *servicemap.Route, answer *http.Response) bool {
+	return answer.StatusCode/100 == 2 &&
+		(route.Kind == servicemap.Stream || strings.HasPrefix(answer.Header.Get("Content-Type"), "text/event-stream"))
+}
--- /dev/null
+++ b/relay/gate_test.go
@@ -0,0 +1,326 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/charmbracelet/log"
+	qt "github.com/frankban/quicktest"
+
+	"myrtlewinch/bounds"
+	"myrtlewinch/crew"
+	"myrtlewinch/defect"
+	"myrtlewinch/wire"
+)
+
+// plainTongue speaks in headers of its own.
+type plainTongue struct{}
+
+func (plainTongue) Ask(r *http.Request) (Asked, error) {
+	left, _ := strconv.ParseInt(r.Header.Get("Left"), 10, 64)
+	return Asked{Try: r.Header.Get("Try"), Model: r.Header.Get("Model"), LeftMs: left}, nil
+}
+
+func (plainTongue) Dress(to, from http.Header, g Go) {
+	for name, values := range from {
+		to[name] = values
+	}
+	to.Del("Connection")
+	to.Set("Runner", g.Runner)
+	to.Set("Left", fmt.Sprint(g.LeftMs))
+	if g.After != "" {
+		to.Set("After", g.After)
+	}
+}
+
+func (plainTongue) Hear(answer *http.Response) Heard {
+	h := answer.Header
+	return Heard{NotRun: h.Get("Not-Run") != "", Try: h.Get("Try"), Sealed: h.Get("Seal") != "", Encoded: h.Get("Content-Encoding") != ""}
+}
+
+func (plainTongue) Pass(to, from http.Header) {
+	for name, values := range from {
+		if name != "Connection" {
+			to[name] = values
+		}
+	}
+}
+
+func (plainTongue) Refuse(w http.ResponseWriter, kind defect.Kind, retryMs int64) {
+	w.Header().Set("Kind", string(kind))
+	w.WriteHeader(kind.Reply().Status)
+}
+
+func (plainTongue) Piece(event []byte) (string, int64) {
+	for _, line := range strings.Split(string(event), "\n") {
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			return id, 0
+		}
+	}
+	return "", 0
+}
+
+// played is a stand-in runner: it plays one script for each request in turn.
+type played struct {
+	at      net.Listener
+	mu      sync.Mutex
+	scripts []string
+	seen    []*http.Request
+	bodies  []string
+}
+
+// end in a script closes the stream there.
+const end = "<end>"
+
+func newPlayed(c *qt.C, scripts ...string) *played {
+	at, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = at.Close() })
+	p := &played{at: at, scripts: scripts}
+	crew.Side(func() {
+		for {
+			stream, err := at.Accept()
+			if err != nil {
+				return
+			}
+			crew.Side(func() { p.serve(stream) })
+		}
+	})
+	return p
+}
+
+func (p *played) serve(stream net.Conn) {
+	defer stream.Close()
+	reader := bufio.NewReader(stream)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		p.mu.Lock()
+		script := end
+		if len(p.scripts) > 0 {
+			script, p.scripts = p.scripts[0], p.scripts[1:]
+		}
+		p.seen, p.bodies = append(p.seen, r), append(p.bodies, string(body))
+		p.mu.Unlock()
+		text, ended := strings.CutSuffix(script, end)
+		_, _ = io.WriteString(stream, strings.ReplaceAll(text, "TRY", r.Header.Get("Try")))
+		if ended {
+			return
+		}
+	}
+}
+
+func (p *played) requests() []*http.Request {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.seen
+}
+
+const head = "HTTP/1.1 200 OK\r\nTry: TRY\r\nSeal: s\r\n"
+
+func plain(body string) string {
+	return fmt.Sprintf("%sContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s", head, len(body), body)
+}
+
+// events is a stream of the events from the first to the last id; whole says
+// whether it ends well.
+func events(first, last int, whole bool) string {
+	text := head + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for id := first; id <= last; id++ {
+		event := fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id)
+		text += fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
+	}
+	if whole {
+		return text + "0\r\n\r\n"
+	}
+	return text + "20\r\nid: 99\ndata: ha" + end
+}
+
+func pieces(first, last int) string {
+	text := ""
+	for id := first; id <= last; id++ {
+		text += fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id)
+	}
+	return text
+}
+
+// gateBed is a router with stand-in runners, all of which hold all.
+func gateBed(c *qt.C, runners ...*played) (*Gate, *httptest.Server) {
+	fellows, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	front, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	page, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	g, err := NewGate(Settings{
+		Site: "site", Self: selfPlace, Bounds: bounds.Bounds{GraceMs: 3000, RetryRatio: 0.2, ExtraTries: 400},
+	}, plainTongue{}, plainFormat{}, nil, fellows, front, page, log.New(io.Discard))
+	c.Assert(err, qt.IsNil)
+	group := &crew.Crew{}
+	g.Join(group)
+	stop, done := make(chan struct{}), make(chan struct{})
+	group.Until(stop)
+	crew.Side(func() {
+		defer close(done)
+		_ = group.Run()
+	})
+	c.Cleanup(func() { close(stop); <-done })
+	put := func(body any) {
+		g.shell.Put(wire.Envelope{Site: "site", From: primaryPlace, To: selfPlace.Name, Body: body})
+	}
+	text, _ := json.Marshal(exampleMap(1))
+	put(wire.MapWord{EchoMs: g.shell.Clock().NowMs(), Epoch: 3, Version: 1, Sum: "1", Text: string(text), Routers: 1})
+	for _, line := range []wire.MapIndex{{Service: "pages"}, {Service: "reader", Model: "m"}} {
+		line.Id, line.Known, line.Epoch, line.TurnMs = 1, true, 3, -1
+		for i, r := range runners {
+			line.Holders = append(line.Holders, wire.MapHolder{Id: fmt.Sprint("r", i), Address: r.at.Addr().String(), Slots: 8})
+		}
+		put(line)
+	}
+	return g, &httptest.Server{URL: "http://" + front.Addr().String()}
+}
+
+// call asks the router; broken says that the answer did not end well.
+func call(c *qt.C, base, path string) (status int, header http.Header, body string, broken bool) {
+	r, err := http.NewRequest(http.MethodPost, base+path, strings.NewReader("the body"))
+	c.Assert(err, qt.IsNil)
+	r.Host = "h"
+	r.Header.Set("Try", "t1")
+	r.Header.Set("Model", "m")
+	r.Header.Set("Left", "5000")
+	transport := &http.Transport{DisableKeepAlives: true}
+	answer, err := transport.RoundTrip(r)
+	if err != nil {
+		return 0, nil, "", true
+	}
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	return answer.StatusCode, answer.Header, string(text), err != nil
+}
+
+func TestWhatAClientGets(t *testing.T) {
+	other := strings.Replace(plain("another's"), "Try: TRY", "Try: t0", 1)
+	short := strings.Replace(plain("a whole answer"), "a whole answer", "a who", 1) + end
+	away := "HTTP/1.1 503 Full\r\nTry: TRY\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	otherRunner := "HTTP/1.1 421 Other\r\nTry: TRY\r\nContent-Length: 0\r\n\r\n"
+	failed := "HTTP/1.1 500 Failed\r\nTry: TRY\r\nContent-Length: 4\r\n\r\noops"
+	encoded := strings.Replace(plain("zipped"), "Seal: s\r\n", "Seal: s\r\nContent-Encoding: gzip\r\n", 1)
+	unsealed := strings.Replace(plain("bare"), "Seal: s\r\n", "", 1)
+	full := "HTTP/1.1 503 Full\r\nTry: TRY\r\nContent-Length: 0\r\n\r\n"
+	endless := head + "\r\nno length" + end
+	cases := []struct {
+		about, path string
+		scripts     []string
+		status      int
+		body        string
+		broken      bool
+		// goes is how many requests reached the runners, after what the second
+		// asked to go on after.
+		goes  int
+		after string
+	}{
+		{"a plain answer", "/safe/x", []string{plain("hello")}, 200, "hello", false, 1, ""},
+		{"the wrong echo, safe", "/safe/x", []string{other, plain("hello")}, 200, "hello", false, 2, ""},
+		{"the wrong echo, unsafe", "/unsafe/x", []string{other}, 502, "", false, 1, ""},
+		{"a short body, safe", "/safe/x", []string{short, plain("hello")}, 200, "hello", false, 2, ""},
+		{"a short body, unsafe", "/unsafe/x", []string{short}, 502, "", false, 1, ""},
+		{"turned away", "/unsafe/x", []string{away, plain("hello")}, 200, "hello", false, 2, ""},
+		{"another runner", "/unsafe/x", []string{otherRunner, plain("hello")}, 200, "hello", false, 2, ""},
+		{"closed without a word, unsafe", "/unsafe/x", []string{end}, 502, "", false, 1, ""},
+		{"closed without a word, safe", "/safe/x", []string{end, plain("hello")}, 200, "hello", false, 2, ""},
+		{"no answer in the protocol", "/safe/x", []string{"garbage\r\n\r\n" + end, plain("hello")}, 200, "hello", false, 2, ""},
+		{"an encoding nobody asked for", "/safe/x", []string{encoded, plain("hello")}, 200, "hello", false, 2, ""},
+		{"no seal", "/safe/x", []string{unsealed, plain("hello")}, 200, "hello", false, 2, ""},
+		{"no end to be told", "/unsafe/x", []string{endless}, 502, "", false, 1, ""},
+		{"failed, unsafe", "/unsafe/x", []string{failed}, 500, "oops", false, 1, ""},
+		{"failed, safe", "/safe/x", []string{failed, plain("hello")}, 200, "hello", false, 2, ""},
+		{"failed each time", "/safe/x", []string{failed, failed, failed}, 500, "oops", false, 3, ""},
+		{"a promise that the runner did not give, unsafe", "/unsafe/x", []string{full}, 502, "", false, 1, ""},
+		{"a stream", "/stream/x", []string{events(1, 4, true)}, 200, pieces(1, 4), false, 1, ""},
+		{"a cut stream goes on", "/stream/x", []string{events(1, 3, false), events(4, 6, true)}, 200, pieces(1, 6), false, 2, "3"},
+		{"it goes on with some of the old", "/stream/x", []string{events(1, 3, false), events(2, 6, true)}, 200, pieces(1, 6), false, 2, "3"},
+		{"it goes on with a gap", "/stream/x", []string{events(1, 3, false), events(5, 6, true), events(4, 5, true)}, 200, pieces(1, 5), false, 3, "3"},
+		{"cut before the first piece", "/stream/x", []string{events(1, 0, false), events(1, 2, true)}, 200, pieces(1, 2), false, 2, ""},
+		{"a cut stream that may not be resumed", "/once/x", []string{events(1, 3, false)}, 200, pieces(1, 3), true, 1, ""},
+		{"that one before the first piece", "/once/x", []string{events(1, 0, false)}, 502, "", false, 1, ""},
+		{"it fails after pieces", "/stream/x", []string{events(1, 3, false), failed, events(4, 4, true)}, 200, pieces(1, 4), false, 3, "3"},
+		{"cut too often", "/stream/x", []string{events(1, 1, false), events(2, 2, false), events(3, 3, false)}, 200, pieces(1, 3), true, 3, "1"},
+		{"no route", "/nowhere/x", nil, 404, "", false, 0, ""},
+	}
+	for _, test := range cases {
+		t.Run(test.about, func(t *testing.T) {
+			c := qt.New(t)
+			// One after the other plays its part, whoever is chosen.
+			script := newPlayed(c, test.scripts...)
+			_, server := gateBed(c, script, script, script, script)
+			status, header, body, broken := call(c, server.URL, test.path)
+			c.Assert(status, qt.Equals, test.status)
+			c.Assert(broken, qt.Equals, test.broken)
+			c.Assert(body, qt.Equals, test.body)
+			if status == 200 {
+				c.Assert(header.Get("Seal"), qt.Equals, "s")
+			}
+			seen := script.requests()
+			c.Assert(seen, qt.HasLen, test.goes)
+			for i, r := range seen {
+				c.Assert(r.RequestURI, qt.Equals, test.path)
+				c.Assert(r.Host, qt.Equals, "h")
+				c.Assert(script.bodies[i], qt.Equals, "the body")
+				c.Assert(strings.HasPrefix(r.Header.Get("Runner"), "r"), qt.IsTrue)
+			}
+			if test.goes > 1 {
+				c.Assert(seen[1].Header.Get("After"), qt.Equals, test.after)
+				c.Assert(seen[1].Header.Get("Runner"), qt.Not(qt.Equals), seen[0].Header.Get("Runner"))
+			}
+		})
+	}
+}
+
+// What a runner sends after a whole answer belongs to no request.
+func TestSurplusBytesReachNobody(t *testing.T) {
+	c := qt.New(t)
+	script := newPlayed(c, plain("one")+plain("surplus"), plain("two"))
+	_, server := gateBed(c, script)
+	for _, want := range []string{"one", "two"} {
+		_, _, body, _ := call(c, server.URL, "/safe/x")
+		c.Assert(body, qt.Equals, want)
+	}
+}
+
+func TestAHugeBodyIsRefused(t *testing.T) {
+	c := qt.New(t)
+	_, server := gateBed(c, newPlayed(c))
+	answer, err := http.Post(server.URL+"/safe/x", "", bytes.NewReader(make([]byte, bodyMost+1)))
+	if err == nil {
+		defer answer.Body.Close()
+		c.Assert(answer.StatusCode, qt.Equals, http.StatusRequestEntityTooLarge)
+	}
+}
+
+func TestReadyUntilItLeaves(t *testing.T) {
+	c := qt.New(t)
+	g, _ := gateBed(c)
+	// The page needs the map, which the machine takes on its own thread.
+	look := func(path string) int {
+		w := httptest.NewRecorder()
+		g.page(w, httptest.NewRequest(http.MethodGet, path, nil))
+		return w.Code
+	}
+	c.Assert(look("/status"), qt.Equals, 200)
+	c.Assert(look("/any"), qt.Equals, 200)
+	g.leaving.Store(true)
+	c.Assert(look("/any"), qt.Equals, 503)
+}
--- /dev/null
+++ b/relay/machine.go
@@ -0,0 +1,542 @@
+package relay
+
+import (
+	"fmt"
+	"slices"
+	"sync/atomic"
+
+	"myrtlewinch/bounds"
+	"myrtlewinch/defect"
+	"myrtlewinch/servicemap"
+	"myrtlewinch/watch"
+	"myrtlewinch/wire"
+)
+
+const (
+	askMs = 300
+	// silentMs is when the primary's silence counts: the router asks around
+	// for another, and reads the platform's list itself.
+	silentMs = 1000
+	helloMs  = 300
+	// gapMs between two steps means that the process stood still, and thawMs
+	// is how long it then waits for a word before it sends a request on.
+	gapMs  = 1000
+	thawMs = 400
+	// leavingMs is how long a leaving runner is remembered after the last word
+	// of it. Its id never comes back.
+	leavingMs   = 600_000
+	leavingMost = 8192
+	sweepMs     = 10_000
+	// listedMs is how old the router's own reading of the list may be and
+	// stand in for the index, while no controller answers.
+	listedMs   = 10_000
+	readEachMs = 50
+)
+
+// Settings is what a router knows before it knows anyone.
+type Settings struct {
+	Site   string
+	Self   wire.Place
+	Seeds  []string
+	Bounds bounds.Bounds
+	// ListAddress is where the platform lists its runners; empty is nowhere.
+	ListAddress         string
+	MemoryMb, OpenFiles int
+}
+
+// Format reads service maps as operators write them.
+type Format interface {
+	// Read gives the map, or every fault found.
+	Read(text []byte) (*servicemap.Map, []string)
+}
+
+// Machine is one router.
+type Machine struct {
+	set    Settings
+	format Format
+	nowMs  int64
+	stepMs int64
+	out    wire.Effects
+	roster *watch.Roster
+	seeds  []string
+
+	// current is the map in use, also for those on other threads.
+	current atomic.Pointer[servicemap.Map]
+	version uint64
+	sum     string
+	epoch   uint64
+	primary string
+	// heeded is the highest epoch that a fellow told of.
+	heeded uint64
+	// heardMs is when the question was asked that the last word answers.
+	heardMs     int64
+	askedMs     int64
+	helloMs     int64
+	thawUntilMs int64
+	routers     int
+	// leavers are the runners that are leaving, with the last word of each.
+	leavers map[string]int64
+	sweptMs int64
+	// The router's own reading of the list: when the next is due, and what
+	// the last brought at atMs.
+	readMs  int64
+	reading bool
+	listed  []wire.RunnerEntry
+	atMs    int64
+	leaving bool
+	leaveMs int64
+
+	cache    cache
+	runners  map[string]*runner
+	requests map[uint64]*request
+	waiting  []*request
+	// crowded counts, by service, requests that wait for want of a place.
+	crowded map[string]int
+	budgets map[string]*budget
+	paces   map[string]*paced
+	// times is about how long a request of a route takes.
+	times map[string]float64
+	asks  uint64
+	// What candidates found last.
+	offered    []wire.MapHolder
+	chosen     []candidate
+	crowdedNow bool
+	Tally      Tally
+}
+
+// Tally counts what a router did.
+type Tally struct {
+	Requests, LookUps, LookUpsAgain, Hits, Misses, MissesHeld uint64
+	Goes, SecondGoes, Resumes                                 uint64
+	Drops                                                     map[defect.Kind]uint64
+}
+
+// Status is the status page of a router.
+type Status struct {
+	Name     string `json:"name"`
+	Version  uint64 `json:"version"`
+	Epoch    uint64 `json:"epoch"`
+	Primary  string `json:"primary"`
+	HeardMs  int64  `json:"heard_ms_ago"`
+	Routers  int    `json:"routers"`
+	Leaving  bool   `json:"leaving"`
+	Entries  int    `json:"entries"`
+	Runners  int    `json:"runners"`
+	Requests int    `json:"requests"`
+	Waiting  int    `json:"waiting"`
+	Tally    Tally  `json:"tally"`
+}
+
+// New makes a router that knows nothing but its seeds.
+func New(set Settings, format Format, nowMs int64) *Machine {
+	return &Machine{
+		set: set, format: format, nowMs: nowMs, stepMs: nowMs, roster: watch.New(set.Self, nil, nil), seeds: set.Seeds,
+		heardMs: nowMs - silentMs - 1, askedMs: nowMs - askMs, helloMs: nowMs - helloMs, readMs: nowMs, sweptMs: nowMs,
+		leavers: map[string]int64{}, cache: cache{}, runners: map[string]*runner{}, requests: map[uint64]*request{},
+		crowded: map[string]int{}, budgets: map[string]*budget{}, paces: map[string]*paced{}, times: map[string]float64{},
+		Tally: Tally{Drops: map[defect.Kind]uint64{}},
+	}
+}
+
+// Map is the map in use, or nil; any thread may ask.
+func (m *Machine) Map() *servicemap.Map { return m.current.Load() }
+
+// Step takes one input and returns what to do.
+func (m *Machine) Step(nowMs int64, input any) wire.Effects {
+	m.nowMs = nowMs
+	m.out = wire.Effects{}
+	if nowMs-m.stepMs > gapMs {
+		m.thaw()
+	}
+	m.stepMs = nowMs
+	switch in := input.(type) {
+	case wire.Envelope:
+		m.receive(in)
+	case Request:
+		m.take(in)
+	case Told:
+		m.told(in)
+	case Ended:
+		m.ended(in)
+	case Gone:
+		m.gone(in.Id)
+	case wire.Fleet:
+		m.fleet(in)
+	case Leave:
+		if !m.leaving {
+			m.leaving, m.leaveMs = true, nowMs
+		}
+	case Reseed:
+		m.seeds = in.Seeds
+	case Look:
+		m.answer(in.Id, m.status())
+	case wire.Tick:
+		m.tick()
+	default:
+		panic(fmt.Sprintf("relay: unknown input %T", input))
+	}
+	return m.out
+}
+
+// thaw asks at once: what this router believes is from before it stood still.
+func (m *Machine) thaw() {
+	m.thawUntilMs = m.nowMs + thawMs
+	m.ask()
+}
+
+func (m *Machine) tick() {
+	if m.nowMs-m.askedMs >= askMs {
+		m.ask()
+	}
+	if m.silent() && m.nowMs-m.helloMs >= helloMs {
+		m.hello()
+	}
+	// The list is read here only while the primary gives no word.
+	if m.set.ListAddress != "" && m.current.Load() != nil && m.silent() && m.nowMs >= m.readMs && !m.reading {
+		// All routers share the platform's patience.
+		m.readMs, m.reading = m.nowMs+max(silentMs, int64(m.routers)*readEachMs), true
+		m.out.Calls = append(m.out.Calls, wire.Call{Address: m.set.ListAddress, Body: wire.FleetCall{}})
+	}
+	if m.nowMs-m.sweptMs >= sweepMs {
+		m.sweep()
+	}
+	m.wake()
+}
+
+// silent says that the primary has given no word for too long.
+func (m *Machine) silent() bool { return m.nowMs-m.heardMs > silentMs }
+
+// ask is the constant question to the primary; it says as well that this
+// router lives.
+func (m *Machine) ask() {
+	m.askedMs = m.nowMs
+	if place, ok := m.roster.Place(m.primary); ok && m.primary != "" {
+		m.send(place, wire.MapAsk{EchoMs: m.nowMs, Version: m.version, Sum: m.sum})
+	}
+}
+
+// hello looks for the primary: at all seeds, and since seeds may be gone, at
+// one known controller after the other.
+func (m *Machine) hello() {
+	m.helloMs = m.nowMs
+	for _, seed := range m.seeds {
+		m.out.Sends = append(m.out.Sends, wire.Send{Address: seed, Body: wire.Hello{}})
+	}
+	known := m.roster.Part(wire.Controller)
+	known = slices.DeleteFunc(known, func(p wire.Place) bool { return slices.Contains(m.seeds, p.Address) })
+	if len(known) > 0 {
+		m.send(known[int(m.nowMs/helloMs)%len(known)], wire.Hello{})
+	}
+}
+
+func (m *Machine) receive(e wire.Envelope) {
+	if e.Site != m.set.Site {
+		m.count(defect.OtherSite)
+		return
+	}
+	// An address may have passed to another daemon.
+	if e.To != "" && e.To != m.set.Self.Name {
+		m.count(defect.OtherDaemon)
+		return
+	}
+	m.roster.Heard(m.nowMs, e.From)
+	switch body := e.Body.(type) {
+	case wire.Heartbeat:
+	case wire.Hello:
+		m.send(e.From, wire.Known{Fellows: m.roster.Places(), Record: wire.Record{Epoch: m.epoch, Primary: m.primary}})
+	case wire.Known:
+		m.roster.Learn(m.nowMs, body.Fellows)
+		m.heed(body.Record.Epoch, body.Record.Primary)
+	case wire.Nudge:
+		m.heed(body.Epoch, e.From.Name)
+	case wire.Opinion:
+		if body.Epoch == m.epoch {
+			m.send(e.From, wire.Opined{Epoch: body.Epoch, HeardMs: m.nowMs - m.heardMs})
+		}
+	case wire.MapWord:
+		m.word(e.From, body)
+	case wire.MapIndex:
+		m.indexed(body)
+	default:
+		m.count(defect.Malformed)
+	}
+}
+
+// heed takes a newer primary as the one to ask, and asks it. Only its own
+// word makes its epoch the least that is listened to.
+func (m *Machine) heed(epoch uint64, primary string) {
+	if epoch < max(m.epoch, m.heeded) || epoch == 0 || primary == "" || primary == m.set.Self.Name {
+		return
+	}
+	m.heeded = epoch
+	if primary != m.primary || m.silent() && m.nowMs-m.askedMs >= askMs/3 {
+		m.primary = primary
+		m.ask()
+	}
+}
+
+// word takes the primary's word, asked or not.
+func (m *Machine) word(from wire.Place, w wire.MapWord) {
+	if w.Epoch < m.epoch {
+		m.count(defect.LowerEpoch)
+		return
+	}
+	if w.EchoMs > m.nowMs {
+		return
+	}
+	m.epoch, m.primary = w.Epoch, from.Name
+	if w.EchoMs > m.heardMs {
+		m.heardMs = w.EchoMs
+		// Only an answer to what was asked since tells of what was missed.
+		if w.EchoMs >= m.thawUntilMs-thawMs {
+			m.thawUntilMs = 0
+		}
+		m.listed = nil
+	}
+	m.roster.Learn(m.nowMs, w.Controllers)
+	for _, id := range w.Leaving {
+		m.leaves(id)
+	}
+	if w.Routers > 0 && w.Routers != m.routers {
+		m.routers = w.Routers
+		for _, b := range m.budgets {
+			b.size(m.set.Bounds.ExtraTries, m.routers)
+		}
+	}
+	m.bring(w)
+	m.wake()
+}
+
+// bring takes a newer map into use. A router never goes back.
+func (m *Machine) bring(w wire.MapWord) {
+	if w.Version <= m.version {
+		return
+	}
+	if w.Text == "" {
+		// It was told that there is one; the answer brings it.
+		if w.EchoMs == 0 {
+			m.ask()
+		}
+		return
+	}
+	document, faults := m.format.Read([]byte(w.Text))
+	if len(faults) > 0 || document == nil {
+		m.count(defect.Malformed)
+		return
+	}
+	document.Index()
+	m.version, m.sum = w.Version, w.Sum
+	m.current.Store(document)
+	m.note("map version %d is in use", w.Version)
+}
+
+func (m *Machine) leaves(id string) {
+	if _, known := m.leavers[id]; known || len(m.leavers) < leavingMost {
+		m.leavers[id] = m.nowMs
+	}
+}
+
+func (m *Machine) isLeaving(id string) bool {
+	_, leaving := m.leavers[id]
+	return leaving
+}
+
+// fleet takes the router's own reading of the list.
+func (m *Machine) fleet(in wire.Fleet) {
+	m.reading = false
+	if in.Limited {
+		m.readMs += 2 * silentMs
+	}
+	if !in.Ok {
+		return
+	}
+	for _, r := range in.Runners {
+		if r.Leaving {
+			m.leaves(r.Id)
+		}
+	}
+	if m.silent() {
+		m.listed, m.atMs = in.Runners, m.nowMs
+	}
+	m.wake()
+}
+
+// entry gives the cached line of a key. While no controller answers, the list
+// that the router read itself stands in for lines that it lacks.
+func (m *Machine) entry(at key) *entry {
+	e := m.cache[at]
+	if e != nil && len(e.holders) > 0 || m.listed == nil || !m.silent() || m.nowMs-m.atMs > listedMs {
+		return e
+	}
+	line := wire.MapIndex{Service: at.service, Model: at.model, Adapter: at.adapter, TurnMs: -1}
+	if e != nil {
+		line.Epoch, line.Change = e.epoch, e.change
+	}
+	for i := range m.listed {
+		r := &m.listed[i]
+		held := at.model == ""
+		adapter := false
+		for _, model := range r.Models {
+			if model.Name == at.model {
+				held, adapter = true, slices.Contains(model.Adapters, at.adapter)
+			}
+		}
+		if r.Service == at.service && held {
+			line.Holders = append(line.Holders, wire.MapHolder{Id: r.Id, Address: r.Address, Zone: r.Zone, Adapter: adapter, Slots: r.Slots})
+		}
+	}
+	if len(line.Holders) == 0 || !m.cache.take(m.nowMs, line) {
+		return e
+	}
+	return m.cache[at]
+}
+
+// indexed takes an answer of the index, or its word of a change.
+func (m *Machine) indexed(in wire.MapIndex) {
+	if !in.Known {
+		return
+	}
+	at := key{in.Service, in.Model, in.Adapter}
+	asked := false
+	for _, r := range m.waiting {
+		if r.route != nil && r.key == at {
+			asked = true
+			r.answered = true
+		}
+	}
+	// Only what requests named is kept.
+	if !asked && m.cache[at] == nil && in.Id == 0 {
+		return
+	}
+	for i := range in.Holders {
+		m.hold(&in.Holders[i])
+	}
+	if m.cache.take(m.nowMs, in) && asked {
+		m.wake()
+	}
+}
+
+// hold takes what the index tells of a runner's load.
+func (m *Machine) hold(h *wire.MapHolder) {
+	known := m.runner(h.Id)
+	if known.slots == 0 {
+		known.slots = h.Slots
+	}
+	if h.AgeMs < 0 {
+		return
+	}
+	known.tell(m.nowMs-h.AgeMs, h.Active+h.Queued, h.Slots)
+	known.tellCache(m.nowMs-h.AgeMs, h.CacheUsed, h.CacheTotal)
+}
+
+// told takes what a runner says of its load in the head of an answer.
+func (m *Machine) told(in Told) {
+	if in.Heard.HasLoad {
+		m.runner(in.Runner).tell(m.nowMs, in.Heard.Running+in.Heard.Waiting, in.Heard.Slots)
+	}
+	m.wake()
+}
+
+func (m *Machine) runner(id string) *runner {
+	r := m.runners[id]
+	if r == nil {
+		r = &runner{usedMs: m.nowMs}
+		m.runners[id] = r
+	}
+	return r
+}
+
+// oracle names whom look-ups go to: the primary, or while it gives no word
+// another controller that does.
+func (m *Machine) oracle() string {
+	if m.silent() {
+		if other := m.nextController(m.primary); other != "" && m.roster.Live(m.nowMs, other) {
+			return other
+		}
+	}
+	return m.primary
+}
+
+// nextController names the one after another, a live one if there is one.
+func (m *Machine) nextController(than string) string {
+	places := m.roster.Part(wire.Controller)
+	at := slices.IndexFunc(places, func(p wire.Place) bool { return p.Name > than })
+	first := ""
+	for i := range places {
+		name := places[(max(0, at)+i)%len(places)].Name
+		if name == than {
+			continue
+		}
+		if m.roster.Live(m.nowMs, name) {
+			return name
+		}
+		if first == "" {
+			first = name
+		}
+	}
+	return first
+}
+
+func (m *Machine) budget(service string) *budget {
+	b := m.budgets[service]
+	if b == nil {
+		b = newBudget(m.set.Bounds.ExtraTries, m.routers)
+		m.budgets[service] = b
+	}
+	return b
+}
+
+// lasts is about how long a request of a route takes here.
+func (m *Machine) lasts(route string) int64 { return int64(m.times[route]) }
+
+func (m *Machine) lasted(route string, ms int64) {
+	if m.times[route] == 0 {
+		m.times[route] = float64(ms)
+	}
+	m.times[route] += (float64(ms) - m.times[route]) / 16
+}
+
+// sweep forgets what is long gone.
+func (m *Machine) sweep() {
+	m.sweptMs = m.nowMs
+	for id, toldMs := range m.leavers {
+		if m.nowMs-toldMs > leavingMs {
+			delete(m.leavers, id)
+		}
+	}
+	for id, r := range m.runners {
+		if r.own == 0 && m.nowMs-max(r.usedMs, r.toldMs) > idleMs {
+			delete(m.runners, id)
+		}
+	}
+	if document := m.current.Load(); document != nil && len(m.times) > 4*len(document.Routes)+64 {
+		clear(m.times)
+	}
+}
+
+func (m *Machine) status() Status {
+	tally := m.Tally
+	tally.Drops = map[defect.Kind]uint64{}
+	for kind, count := range m.Tally.Drops {
+		tally.Drops[kind] = count
+	}
+	return Status{
+		Name: m.set.Self.Name, Version: m.version, Epoch: m.epoch, Primary: m.primary, HeardMs: m.nowMs - m.heardMs,
+		Routers: m.routers, Leaving: m.leaving, Entries: len(m.cache), Runners: len(m.runners),
+		Requests: len(m.requests), Waiting: len(m.waiting), Tally: tally,
+	}
+}
+
+func (m *Machine) send(to wire.Place, body any) {
+	m.out.Sends = append(m.out.Sends, wire.Send{To: to.Name, Address: to.Address, Body: body})
+}
+
+func (m *Machine) answer(id uint64, body any) {
+	m.out.Answers = append(m.out.Answers, wire.Answer{Id: id, Body: body})
+}
+
+func (m *Machine) note(format string, args ...any) {
+	m.out.Notes = append(m.out.Notes, fmt.Sprintf(format, args...))
+}
+
+func (m *Machine) count(kind defect.Kind) { m.out.Counts = append(m.out.Counts, string(kind)) }
--- /dev/null
+++ b/relay/machine_test.go
@@ -0,0 +1,559 @@
+package relay
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"myrtlewinch/bounds"
+	"myrtlewinch/defect"
+	"myrtlewinch/servicemap"
+	"myrtlewinch/wire"
+)
+
+// plainFormat reads maps written as JSON of the product's own types.
+type plainFormat struct{}
+
+func (plainFormat) Read(text []byte) (*servicemap.Map, []string) {
+	var m servicemap.Map
+	if err := json.Unmarshal(text, &m); err != nil {
+		return nil, []string{err.Error()}
+	}
+	return &m, nil
+}
+
+func exampleMap(version uint64) servicemap.Map {
+	return servicemap.Map{
+		Version: version,
+		Routes: []servicemap.Route{
+			{Name: "safe", Host: "h", Prefix: "/safe/", Kind: servicemap.Safe, GiveUpMs: 4000, AimMs: 400, Tries: 3, Split: []servicemap.Share{{Service: "pages", Weight: 1}}},
+			{Name: "urgent", Host: "h", Prefix: "/urgent/", Kind: servicemap.Safe, GiveUpMs: 4000, AimMs: 400, Tries: 3, Split: []servicemap.Share{{Service: "pages", Weight: 1}}},
+			{Name: "later", Host: "h", Prefix: "/later/", Kind: servicemap.Safe, GiveUpMs: 4000, AimMs: 400, Priority: 3, Tries: 3, Split: []servicemap.Share{{Service: "pages", Weight: 1}}},
+			{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Kind: servicemap.Unsafe, GiveUpMs: 4000, AimMs: 400, Tries: 3, Split: []servicemap.Share{{Service: "pages", Weight: 1}}},
+			{Name: "stream", Host: "h", Prefix: "/stream/", Kind: servicemap.Stream, GiveUpMs: 8000, AimMs: 400, Tries: 3, Resume: true, Split: []servicemap.Share{{Service: "reader", Weight: 1}}},
+			{Name: "once", Host: "h", Prefix: "/once/", Kind: servicemap.Stream, GiveUpMs: 8000, AimMs: 400, Tries: 3, Split: []servicemap.Share{{Service: "reader", Weight: 1}}},
+		},
+		Services: []servicemap.Service{
+			{Name: "pages", MostStreams: 90},
+			{Name: "reader", MostStreams: 90, Engine: &servicemap.Engine{Slots: 4, Models: []servicemap.Model{{Name: "m"}}}},
+		},
+	}
+}
+
+var (
+	selfPlace    = wire.Place{Name: "router-1", Address: "r:1", Zone: "z1", Part: wire.Router}
+	primaryPlace = wire.Place{Name: "core-1", Address: "c:1", Part: wire.Controller}
+	otherPlace   = wire.Place{Name: "core-2", Address: "c:2", Part: wire.Controller}
+)
+
+// bed is a machine with a hand on its clock.
+type bed struct {
+	c     *qt.C
+	m     *Machine
+	nowMs int64
+	id    uint64
+}
+
+func newBed(c *qt.C) *bed {
+	b := &bed{c: c, nowMs: 1_000_000}
+	b.m = New(Settings{
+		Site: "site", Self: selfPlace, Seeds: []string{"c:1"}, ListAddress: "list:1",
+		Bounds: bounds.Bounds{GraceMs: 8000, RetryRatio: 0.2, ExtraTries: 40},
+	}, plainFormat{}, b.nowMs)
+	return b
+}
+
+func (b *bed) step(input any) wire.Effects { return b.m.Step(b.nowMs, input) }
+
+func (b *bed) from(place wire.Place, body any) wire.Effects {
+	return b.step(wire.Envelope{Site: "site", From: place, To: selfPlace.Name, Body: body})
+}
+
+func (b *bed) word(version uint64, more ...func(*wire.MapWord)) wire.Effects {
+	text, err := json.Marshal(exampleMap(version))
+	b.c.Assert(err, qt.IsNil)
+	w := wire.MapWord{EchoMs: b.nowMs, Epoch: 3, Version: version, Sum: fmt.Sprint(version), Text: string(text), Routers: 1, Controllers: []wire.Place{primaryPlace, otherPlace}}
+	for _, change := range more {
+		change(&w)
+	}
+	return b.from(primaryPlace, w)
+}
+
+// ready makes a router with a map and two runners of each service in its cache.
+func ready(c *qt.C) *bed {
+	b := newBed(c)
+	b.word(1)
+	b.index(wire.MapIndex{Service: "pages", Holders: []wire.MapHolder{holder("p1"), holder("p2")}})
+	b.index(wire.MapIndex{Service: "reader", Model: "m", Holders: []wire.MapHolder{holder("r1"), holder("r2")}})
+	return b
+}
+
+func holder(id string) wire.MapHolder {
+	return wire.MapHolder{Id: id, Address: id + ":80", Zone: "z1", Slots: 4}
+}
+
+// index brings a line as an answer to an older look-up.
+func (b *bed) index(line wire.MapIndex) wire.Effects {
+	line.Known, line.Epoch = true, 3
+	if line.Id == 0 {
+		line.Id = 1 << 60
+	}
+	if line.TurnMs == 0 {
+		line.TurnMs = -1
+	}
+	return b.from(primaryPlace, line)
+}
+
+func (b *bed) ask(path string, change ...func(*Asked)) wire.Effects {
+	b.id++
+	asked := Asked{Try: fmt.Sprint("try-", b.id), LeftMs: 3000, PromptTokens: 10, OutTokens: 10}
+	if strings.HasPrefix(path, "/stream/") || strings.HasPrefix(path, "/once/") {
+		asked.Model = "m"
+	}
+	for _, change := range change {
+		change(&asked)
+	}
+	return b.step(Request{Id: b.id, Host: "h", Path: path, Asked: asked})
+}
+
+// later lets time pass in ticks, with the primary's word, and gathers what
+// came of it.
+func (b *bed) later(ms int64) wire.Effects {
+	var all wire.Effects
+	for end := b.nowMs + ms; b.nowMs < end; {
+		b.nowMs += min(25, end-b.nowMs)
+		for _, out := range []wire.Effects{b.step(wire.Tick{}), b.from(primaryPlace, wire.MapWord{EchoMs: b.nowMs, Epoch: b.m.epoch, Version: b.m.version})} {
+			all.Answers = append(all.Answers, out.Answers...)
+			all.Sends = append(all.Sends, out.Sends...)
+		}
+	}
+	return all
+}
+
+func lookUps(out wire.Effects) (found []wire.MapLookUp) {
+	for _, send := range out.Sends {
+		if body, ok := send.Body.(wire.MapLookUp); ok {
+			found = append(found, body)
+		}
+	}
+	return found
+}
+
+func answered[T any](c *qt.C, out wire.Effects) T {
+	c.Assert(out.Answers, qt.HasLen, 1)
+	body, ok := out.Answers[0].Body.(T)
+	c.Assert(ok, qt.IsTrue, qt.Commentf("%#v", out.Answers[0].Body))
+	return body
+}
+
+func TestAHitGoesAtOnceWithOneLookUp(t *testing.T) {
+	c := qt.New(t)
+	b := ready(c)
+	out := b.ask("/safe/x")
+	c.Assert(lookUps(out), qt.HasLen, 1)
+	send := answered[Send](c, out)
+	c.Assert([]string{"p1", "p2"}, qt.Contains, send.Go.Runner)
+	c.Assert(send.DeadlineMs, qt.Equals, b.nowMs+3000)
+	c.Assert(lookUps(b.later(500)), qt.HasLen, 0)
+}
+
+func TestAMissWaitsAndGoesByTheIndex(t *testing.T) {
+	c := qt.New(t)
+	b := newBed(c)
+	b.word(1)
+	out := b.ask("/safe/x")
+	c.Assert(lookUps(out), qt.HasLen, 1)
+	c.Assert(lookUps(out)[0].Waits, qt.IsTrue)
+	c.Assert(out.Answers, qt.HasLen, 0)
+	b.later(25)
+	c.Assert(b.m.Tally.MissesHeld, qt.Equals, uint64(0))
+	b.later(50)
+	c.Assert(b.m.Tally.MissesHeld, qt.Equals, uint64(1))
+	out = b.index(wire.MapIndex{Id: lookUps(out)[0].Id, Service: "pages", Holders: []wire.MapHolder{holder("p1")}})
+	c.Assert(answered[Send](c, out).Go.Runner, qt.Equals, "p1")
+}
+
+func TestAMissThatIsLeftUnansweredAsksAnotherOnce(t *testing.T) {
+	c := qt.New(t)
+	b := newBed(c)
+	b.word(1)
+	b.ask("/safe/x")
+	out := b.later(1000)
+	c.Assert(lookUps(out), qt.HasLen, 1)
+	c.Assert(b.m.Tally.LookUpsAgain, qt.Equals, uint64(1))
+}
+
+// The burden on the index follows the requests, however cold the cache is.
+func TestAColdStartAsksNoMore(t *testing.T) {
+	for _, warm := range []bool{true, false} {
+		c := qt.New(t)
+		b := newBed(c)
+		b.word(1)
+		if warm {
+			b = ready(c)
+		}
+		total := 0
+		for range 40 {
+			out := b.ask("/safe/x")
+			found := lookUps(out)
+			total += len(found)
+			for _, l := range found {
+				b.index(wire.MapIndex{Id: l.Id, Service: "pages", Holders: []wire.MapHolder{holder("p1")}})
+			}
+			total += len(lookUps(b.later(50)))
+			b.step(Ended{Id: b.id, Outcome: Answered})
+		}
+		c.Assert(total, qt.Equals, 40)
+	}
+}
+
+func TestARouterNeverGoesBack(t *testing.T) {
+	cases := []struct {
+		about   string
+		word    func(*wire.MapWord)
+		version uint64
+		want    uint64
+	}{
+		{"a later version", func(*wire.MapWord) {}, 9, 9},
+		{"an earlier version", func(*wire.MapWord) {}, 4, 5},
+		{"a push", func(w *wire.MapWord) { w.EchoMs = 0 }, 9, 9},
+		{"a lower epoch", func(w *wire.MapWord) { w.Epoch = 2 }, 9, 5},
+		{"no text", func(w *wire.MapWord) { w.Text = "" }, 9, 5},
+		{"a text that can't be read", func(w *wire.MapWord) { w.Text = "{" }, 9, 5},
+		{"a question from before its life", func(w *wire.MapWord) { w.EchoMs = 1 << 50 }, 9, 5},
+	}
+	for _, test := range cases {
+		t.Run(test.about, func(t *testing.T) {
+			c := qt.New(t)
+			b := newBed(c)
+			b.word(5)
+			b.nowMs++
+			b.word(test.version, test.word)
+			c.Assert(b.m.version, qt.Equals, test.want)
+			c.Assert(b.m.Map().Version, qt.Equals, test.want)
+		})
+	}
+}
+
+func TestALeavingRunnerIsNotChosen(t *testing.T) {
+	c := qt.New(t)
+	b := ready(c)
+	b.word(1, func(w *wire.MapWord) { w.EchoMs, w.Leaving = 0, []string{"p1"} })
+	// A later word without it takes nothing back.
+	b.word(1)
+	for range 3 {
+		c.Assert(answered[Send](c, b.ask("/safe/x")).Go.Runner, qt.Equals, "p2")
+	}
+}
+
+func TestWhatFollowsASend(t *testing.T) {
+	send, broken := "send", "break"
+	cases := []struct {
+		about, path string
+		ended       Ended
+		want        string
+	}{
+		{"safe, lost", "/safe/", Ended{Outcome: Lost}, send},
+		{"safe, nonsense", "/safe/", Ended{Outcome: Nonsense}, send},
+		{"safe, failed", "/safe/", Ended{Outcome: Failed}, send},
+		{"unsafe, lost", "/unsafe/", Ended{Outcome: Lost}, string(defect.OutcomeUnknown)},
+		{"unsafe, nonsense", "/unsafe/", Ended{Outcome: Nonsense}, string(defect.BrokenAnswer)},
+		{"unsafe, turned away", "/unsafe/", Ended{Outcome: TurnedAway}, send},
+		{"unsafe, not held", "/unsafe/", Ended{Outcome: NotHeld}, send},
+		{"unsafe, not sent", "/unsafe/", Ended{Outcome: NotSent}, send},
+		{"unsafe, too late", "/unsafe/", Ended{Outcome: TooLate}, send},
+		{"a stream, lost before its first piece", "/stream/", Ended{Outcome: Lost}, send},
+		{"a stream, cut", "/stream/", Ended{Outcome: Cut, Passed: true, After: "7"}, send},
+		{"a stream, cut after a piece without an id", "/stream/", Ended{Outcome: Cut, Passed: true}, broken},
+		{"a stream that may not be resumed, lost", "/once/", Ended{Outcome: Lost}, string(defect.OutcomeUnknown)},
+		{"a stream that may not be resumed, cut", "/once/", Ended{Outcome: Cut, Passed: true, After: "7"}, broken},
+	}
+	for _, test := range cases {
+		t.Run(test.about, func(t *testing.T) {
+			c := qt.New(t)
+			b := ready(c)
+			first := answered[Send](c, b.ask(test.path))
+			c.Assert(first.Single, qt.Equals, test.path == "/unsafe/" || test.path == "/once/")
+			test.ended.Id = b.id
+			out := b.step(test.ended)
+			c.Assert(out.Answers, qt.HasLen, 1)
+			switch got := out.Answers[0].Body.(type) {
+			case Send:
+				c.Assert(test.want, qt.Equals, send)
+				c.Assert(got.Go.After, qt.Equals, test.ended.After)
+				if test.ended.Outcome != TooLate {
+					c.Assert(got.Go.Runner, qt.Not(qt.Equals), first.Go.Runner)
+				}
+			case Break:
+				c.Assert(test.want, qt.Equals, broken)
+			case wire.Dropped:
+				c.Assert(test.want, qt.Equals, string(got.Kind))
+				c.Assert(got.Kind.Reply().Drop, qt.IsFalse)
+			}
+		})
+	}
+}
+
+// Once a send was lost nothing promises any more that it has not run.
+func TestNoPromiseAfterALostSend(t *testing.T) {
+	c := qt.New(t)
+	b := ready(c)
+	b.ask("/safe/")
+	answered[Send](c, b.step(Ended{Id: b.id, Outcome: Lost}))
+	b.m.budget("pages").tokens = 0
+	out := b.step(Ended{Id: b.id, Outcome: TurnedAway})
+	c.Assert(answered[wire.Dropped](c, out).Kind, qt.Equals, defect.OutcomeUnknown)
+}
+
+func TestTriesAreBounded(t *testing.T) {
+	c := qt.New(t)
+	b := ready(c)
+	b.m.budget("pages").tokens = 100
+	b.index(wire.MapIndex{Service: "pages", Change: 1, Holders: []wire.MapHolder{holder("p1"), holder("p2"), holder("p3"), holder("p4"), holder("p5")}})
+	out := b.ask("/unsafe/")
+	sends := 0
+	for len(out.Answers) == 1 {
+		if _, ok := out.Answers[0].Body.(Send); !ok {
+			break
+		}
+		sends++
+		out = b.step(Ended{Id: b.id, Outcome: TurnedAway})
+	}
+	c.Assert(sends, qt.Equals, 3)
+	dropped := answered[wire.Dropped](c, out)
+	c.Assert(dropped.Kind, qt.Equals, defect.RunnerDropped)
+	c.Assert(dropped.RetryMs > 0, qt.IsTrue)
+}
+
+func TestSecondSendsNeedTheBudget(t *testing.T) {
+	c := qt.New(t)
+	b := ready(c)
+	b.ask("/unsafe/")
+	b.m.budget("pages").tokens = 0.5
+	c.Assert(answered[wire.Dropped](c, b.step(Ended{Id: b.id, Outcome: TurnedAway})).Kind, qt.Equals, defect.RunnerDropped)
+	// A runner that could not be reached has cost nothing.
+	b = ready(c)
+	b.ask("/unsafe/")
+	b.m.budget("pages").tokens = 0.5
+	answered[Send](c, b.step(Ended{Id: b.id, Outcome: NotSent}))
+}
+
+func TestWhatCantBeHadInTime(t *testing.T) {
+	cases := []struct {
+		about   string
+		line    wire.MapIndex
+		leftMs  int64
+		kind    defect.Kind
+		fromMs  int64
+		untilMs int64
+	}{
+		{"its turn is too late", wire.MapIndex{TurnMs: 2500}, 2000, defect.NoTurn, 0, 0},
+		{"its turn comes, and it does not", wire.MapIndex{TurnMs: 500}, 2000, defect.NoTurn, 950, 1100},
+		{"its turn comes late, and it does not", wire.MapIndex{TurnMs: 1200}, 2000, defect.NoTurn, 1450, 1550},
+		{"it is being loaded", wire.MapIndex{Loading: true}, 2000, defect.NoTurn, 800, 1000},
+		{"nobody knows", wire.MapIndex{}, 2000, defect.NoRunner, 800, 1000},
+		{"nobody knows, with much time", wire.MapIndex{}, 8000, defect.NoRunner, 1400, 1600},
+	}
+	for _, test := range cases {
+		t.Run(test.about, func(t *testing.T) {
+			c := qt.New(t)
+			b := newBed(c)
+			b.word(1)
+			out := b.ask("/stream/", func(a *Asked) { a.LeftMs = test.leftMs })
+			beganMs := b.nowMs
+			test.line.Service, test.line.Model, test.line.Id = "reader", "m", lookUps(out)[0].Id
+			out = b.index(test.line)
+			for len(out.Answers) == 0 && b.nowMs < beganMs+10_000 {
+				out = b.later(25)
+			}
+			dropped := answered[wire.Dropped](c, out)
+			c.Assert(dropped.Kind, qt.Equals, test.kind)
+			tookMs := b.nowMs - beganMs
+			c.Assert(tookMs >= test.fromMs && tookMs <= test.untilMs, qt.IsTrue, qt.Commentf("%d", tookMs))
+			c.Assert(dropped.RetryMs > 0 && dropped.RetryMs <= (test.leftMs-tookMs)/3, qt.IsTrue)
+		})
+	}
+}
+
+func TestAServiceWithoutRunnersRefusesWithinAQuarterOfTheAim(t *testing.T) {
+	c := qt.New(t)
+	b := newBed(c)
+	b.word(1)
+	out := b.ask("/safe/")
+	b.index(wire.MapIndex{Id: lookUps(out)[0].Id, Service: "pages"})
+	c.Assert(answered[wire.Dropped](c, b.later(100)).Kind, qt.Equals, defect.NoRunner)
+}
+
+func TestNoMapHoldsALittle(t *testing.T) {
+	c := qt.New(t)
+	b := newBed(c)
+	c.Assert(b.ask("/safe/").Answers, qt.HasLen, 0)
+	out := b.word(1)
+	c.Assert(lookUps(out), qt.HasLen, 1)
+
+	b = newBed(c)
+	b.ask("/safe/")
+	for range 11 {
+		b.nowMs += 25
+		c.Assert(b.step(wire.Tick{}).Answers, qt.HasLen, 0)
+	}
+	b.nowMs += 25
+	c.Assert(answered[wire.Dropped](c, b.step(wire.Tick{})).Kind, qt.Equals, defect.NoWord)
+}
+
+func TestNoRoute(t *testing.T) {
+	c := qt.New(t)
+	b := ready(c)
+	c.Assert(answered[wire.Dropped](c, b.ask("/nowhere/")).Kind, qt.Equals, defect.UnknownPage)
+	// Without word the route may be there by now.
+	for range 50 {
+		b.nowMs += 25
+		b.step(wire.Tick{})
+	}
+	c.Assert(answered[wire.Dropped](c, b.ask("/nowhere/")).Kind, qt.Equals, defect.NoWord)
+}
+
+// While places are free nobody is refused; then the more urgent goes first,
+// and who gets no place is refused within a quarter of its aim.
+func TestFullRunners(t *testing.T) {
+	c := qt.New(t)
+	b := ready(c)
+	var away []uint64
+	for range 12 {
+		answered[Send](c, b.ask("/safe/"))
+		away = append(away, b.id)
+	}
+	c.Assert(b.ask("/later/").Answers, qt.HasLen, 0)
+	laterId := b.id
+	c.Assert(b.ask("/urgent/").Answers, qt.HasLen, 0)
+	urgentId := b.id
+	out := b.step(Ended{Id: away[0], Outcome: Answered})
+	answered[Send](c, out)
+	c.Assert(out.Answers[0].Id, qt.Equals, urgentId)
+	out = b.later(100)
+	dropped := answered[wire.Dropped](c, out)
+	c.Assert(out.Answers[0].Id, qt.Equals, laterId)
+	c.Assert(dropped.Kind, qt.Equals, defect.NoTurn)
+	c.Assert(dropped.RetryMs > 0 && dropped.RetryMs <= 1000, qt.IsTrue)
+}
+
+func TestAClientThatGoesFreesItsPlace(t *testing.T) {
+	c := qt.New(t)
+	b := ready(c)
+	for range 12 {
+		b.ask("/safe/")
+	}
+	b.ask("/safe/")
+	waiting := b.id
+	out := b.step(Gone{Id: 1})
+	answered[Send](c, out)
+	c.Assert(out.Answers[0].Id, qt.Equals, waiting)
+	for id := uint64(1); id <= b.id; id++ {
+		b.step(Gone{Id: id})
+	}
+	c.Assert(b.m.requests, qt.HasLen, 0)
+	c.Assert(b.m.waiting, qt.HasLen, 0)
+	for _, r := range b.m.runners {
+		c.Assert(r.own, qt.Equals, 0)
+	}
+}
+
+// After standing still nothing is sent on before the primary gave its word,
+// or a while has passed.
+func TestAThawedRouterAsksFirst(t *testing.T) {
+	c := qt.New(t)
+	b := ready(c)
+	askedMs := b.nowMs
+	b.nowMs += 5000
+	out := b.ask("/safe/")
+	c.Assert(out.Answers, qt.HasLen, 0)
+	c.Assert(slices.ContainsFunc(out.Sends, func(s wire.Send) bool { _, ok := s.Body.(wire.MapAsk); return ok }), qt.IsTrue)
+	// An answer from before it stood still tells nothing of what was missed.
+	c.Assert(b.from(primaryPlace, wire.MapWord{EchoMs: askedMs, Epoch: 3, Version: 1}).Answers, qt.HasLen, 0)
+	answered[Send](c, b.word(2))
+
+	b = ready(c)
+	b.nowMs += 5000
+	c.Assert(b.ask("/safe/").Answers, qt.HasLen, 0)
+	b.nowMs += thawMs
+	answered[Send](c, b.step(wire.Tick{}))
+}
+
+func TestWithoutWordTheListIsReadAtMostOnceASecond(t *testing.T) {
+	c := qt.New(t)
+	b := newBed(c)
+	b.word(1)
+	calls, hellos := 0, 0
+	for range 200 {
+		b.nowMs += 25
+		out := b.step(wire.Tick{})
+		calls += len(out.Calls)
+		for _, send := range out.Sends {
+			if _, ok := send.Body.(wire.Hello); ok {
+				hellos++
+			}
+		}
+		if len(out.Calls) > 0 {
+			b.step(wire.Fleet{Ok: true, Runners: []wire.RunnerEntry{
+				{Id: "p1", Service: "pages", Address: "p1:80", Leaving: true}, {Id: "p2", Service: "pages", Address: "p2:80", Slots: 4},
+			}})
+		}
+	}
+	c.Assert(calls >= 3 && calls <= 5, qt.IsTrue, qt.Commentf("%d", calls))
+	c.Assert(hellos > 0, qt.IsTrue)
+	c.Assert(b.m.isLeaving("p1"), qt.IsTrue)
+	// Its own reading stands in for the index.
+	c.Assert(answered[Send](c, b.ask("/safe/")).Go.Runner, qt.Equals, "p2")
+}
+
+func TestAPlannedStop(t *testing.T) {
+	c := qt.New(t)
+	b := ready(c)
+	b.m.set.Bounds.GraceMs = 4000
+	b.step(Leave{})
+	// What can be sent on still is.
+	answered[Send](c, b.ask("/safe/"))
+	b.index(wire.MapIndex{Service: "reader", Model: "m", Change: 4, Loading: true})
+	b.ask("/stream/", func(a *Asked) { a.LeftMs = 20_000 })
+	c.Assert(b.later(1950).Answers, qt.HasLen, 0)
+	c.Assert(answered[wire.Dropped](c, b.later(50)).Kind, qt.Equals, defect.Stopping)
+}
+
+func TestANewPrimaryIsAskedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	b := ready(c)
+	out := b.from(otherPlace, wire.Known{Fellows: []wire.Place{otherPlace}, Record: wire.Record{Epoch: 4, Primary: otherPlace.Name}})
+	c.Assert(out.Sends, qt.HasLen, 1)
+	c.Assert(out.Sends[0].To, qt.Equals, otherPlace.Name)
+	// A fellow that trails changes nothing.
+	c.Assert(b.from(primaryPlace, wire.Known{Record: wire.Record{Epoch: 3, Primary: primaryPlace.Name}}).Sends, qt.HasLen, 0)
+	c.Assert(b.m.primary, qt.Equals, otherPlace.Name)
+}
+
+func TestSplitFollowsTheWeights(t *testing.T) {
+	c := qt.New(t)
+	document := exampleMap(1)
+	document.Routes[0].Split = []servicemap.Share{{Service: "pages", Weight: 30}, {Service: "reader", Weight: 70}, {Service: "gone", Weight: 5}}
+	document.Index()
+	counts := map[string]int{}
+	for i := range 2000 {
+		service, ok := split(&document, &document.Routes[0], Asked{}, hash(fmt.Sprint(i)))
+		c.Assert(ok, qt.IsTrue)
+		counts[service.Name]++
+	}
+	c.Assert(counts["pages"] > 500 && counts["pages"] < 700, qt.IsTrue, qt.Commentf("%v", counts))
+	// Who can't hold the model is not drawn.
+	service, _ := split(&document, &document.Routes[0], Asked{Model: "unknown"}, 5)
+	c.Assert(service.Name, qt.Equals, "pages")
+}
+
+func TestUrgency(t *testing.T) {
+	c := qt.New(t)
+	for priority, want := range []int{0, 3, 6, 8, 8, 8} {
+		c.Assert(urgency(priority), qt.Equals, want)
+	}
+}
--- /dev/null
+++ b/relay/request.go
@@ -0,0 +1,660 @@
+package relay
+
+import (
+	"slices"
+
+	"myrtlewinch/defect"
+	"myrtlewinch/servicemap"
+	"myrtlewinch/wire"
+)
+
+// Inputs of the data plane.
+type (
+	// Request is a whole request of a client.
+	Request struct {
+		Id         uint64
+		Host, Path string
+		Asked      Asked
+	}
+	// Told brings what the head of an answer says of a runner's load.
+	Told struct {
+		Runner string
+		Heard  Heard
+	}
+	// Ended says how a send ended.
+	Ended struct {
+		Id      uint64
+		Outcome Outcome
+		// After is the last piece that was passed on; Passed says that the
+		// client has the head of an answer.
+		After  string
+		Passed bool
+		// Other says that a runner with another id answered.
+		Other bool
+		// Version is that of the weights that answered so far, or 0.
+		Version int64
+	}
+	// Gone says that the client went away.
+	Gone struct{ Id uint64 }
+	// Leave begins a planned stop.
+	Leave struct{}
+	// Reseed gives the seeds anew.
+	Reseed struct{ Seeds []string }
+	// Look asks for the status page.
+	Look struct{ Id uint64 }
+)
+
+// Outcome is how a send ended.
+type Outcome int
+
+// The outcomes, by what is known of the runner.
+const (
+	// Answered: the client has its answer, or went away.
+	Answered Outcome = iota
+	// TooLate: it stood still too long before a byte was written.
+	TooLate
+	// NotSent: no byte was written.
+	NotSent
+	// TurnedAway: the runner said that it did not run it.
+	TurnedAway
+	// NotHeld: another runner answered, or it does not hold what was asked.
+	NotHeld
+	// Failed: the runner ran it and failed; the answer is kept for the client.
+	Failed
+	// Lost: bytes were written and no whole answer came.
+	Lost
+	// Nonsense: what came is no answer to this request.
+	Nonsense
+	// Cut: a stream broke off after pieces of it were passed on.
+	Cut
+)
+
+// Answers of the machine beside wire.Dropped.
+type (
+	// Send tells the shell to send a request to a runner.
+	Send struct {
+		Go      Go
+		Address string
+		Route   *servicemap.Route
+		// Single asks for a stream of its own.
+		Single bool
+		// UntilMs is the last moment at which the first byte may be written,
+		// DeadlineMs when the client's time is over.
+		UntilMs, DeadlineMs int64
+	}
+	// Keep tells the shell to pass on the failed answer that it has.
+	Keep struct{}
+	// Break tells the shell to break the client's answer off.
+	Break struct{}
+)
+
+const (
+	// mapWaitMs is how long a request waits for a first map.
+	mapWaitMs = 300
+	// missMs is how long a miss waits before it counts as held.
+	missMs = 50
+	// againMs is when another controller is asked for a miss.
+	againMs = 300
+	// unknownMs ends what no one knows anything about.
+	unknownMs = 1500
+	// writeMs is how long after its choice a send may be written.
+	writeMs = 400
+	// brokenMs is how long a stream that broke midway waits for a runner; its
+	// client bears about two seconds of silence.
+	brokenMs = 1500
+	// plainMs is the time of a request for which nobody said one.
+	plainMs = 30_000
+	// turnSlackMs is by how much a turn may come late and still be hoped for.
+	turnSlackMs = 500
+	// unreachedMs is when a runner that could not be reached is tried again.
+	unreachedMs = 150
+	// dialsMost bounds runners that can't be reached, for one request.
+	dialsMost = 4
+)
+
+// request is one that is under way here.
+type request struct {
+	Request
+	cameMs, deadlineMs int64
+	route              *servicemap.Route
+	service            *servicemap.Service
+	key                key
+	affinity, draw     uint64
+	tokens             int64
+	// The look-up: its number, when and how often it was sent, and whether
+	// it was answered.
+	lookUp   uint64
+	lookedMs int64
+	lookedAt string
+	looks    int
+	answered bool
+	missed   bool
+	held     bool
+	// away says that a send is under way, to runner.
+	away   bool
+	runner string
+	goes   int
+	dials  int
+	earned bool
+	// crowds says that it waits for want of a place.
+	crowds bool
+	// refused are runners that turned it away; failed ones that it was lost at.
+	refused, failed []string
+	// unreached are those that could not be reached, until unreachedMs.
+	unreached   []string
+	unreachedMs int64
+	// mayHaveRun is set once a send was lost: from then on no answer promises
+	// that it has not run.
+	mayHaveRun bool
+	// passed says that the client has a part of the answer; kept that the
+	// shell has a failed answer to pass on.
+	passed, kept bool
+	after        string
+	version      int64
+	// sinceMs is since when it waits in this turn.
+	sinceMs int64
+	// last is the kind it gets when nothing more can be done.
+	last defect.Kind
+}
+
+func (m *Machine) take(in Request) {
+	m.Tally.Requests++
+	r := &request{Request: in, cameMs: m.nowMs, sinceMs: m.nowMs, deadlineMs: m.nowMs + plainMs, draw: hash(in.Asked.Try)}
+	m.requests[in.Id] = r
+	m.wait(r)
+	if !m.begin(r) {
+		return
+	}
+	// Others that wait for a place come first if they are more urgent.
+	if m.crowded[r.key.service] > 0 {
+		m.wake()
+		return
+	}
+	m.turn(r)
+}
+
+// begin finds the route and sends the one look-up; false says that it waits
+// for a map, or was dropped.
+func (m *Machine) begin(r *request) bool {
+	if r.route != nil {
+		return true
+	}
+	document := m.current.Load()
+	if document == nil {
+		return false
+	}
+	route, ok := document.Route(r.Host, r.Path)
+	if !ok {
+		// Without word the route may be there and this map an old one.
+		if m.silent() {
+			m.drop(r, defect.NoWord, 500)
+		} else {
+			m.drop(r, defect.UnknownPage, 0)
+		}
+		return false
+	}
+	r.service, ok = split(document, route, r.Asked, r.draw)
+	if !ok {
+		m.drop(r, defect.UnknownModel, 0)
+		return false
+	}
+	r.route = route
+	r.key = key{service: r.service.Name}
+	if r.service.Engine != nil {
+		r.key.model, r.key.adapter = r.Asked.Model, r.Asked.Adapter
+		r.tokens = r.Asked.PromptTokens + r.Asked.OutTokens
+	}
+	if route.Sticky || len(r.Asked.Parts) > 0 {
+		r.affinity = affinity(r.service.Name, r.Asked)
+	}
+	leftMs := int64(plainMs)
+	if route.GiveUpMs > 0 {
+		leftMs = route.GiveUpMs
+	}
+	if r.Asked.LeftMs > 0 {
+		leftMs = min(leftMs, r.Asked.LeftMs)
+	}
+	r.deadlineMs = r.cameMs + leftMs
+	m.Tally.LookUps++
+	m.asks++
+	r.lookUp = m.asks
+	if len(m.candidates(r)) > 0 || m.crowdedNow {
+		m.Tally.Hits++
+	} else {
+		r.missed = true
+		m.Tally.Misses++
+	}
+	m.lookUp(r, m.oracle())
+	return true
+}
+
+// split draws the service of a request. One that can't hold the model is not
+// drawn where another can.
+func split(document *servicemap.Map, route *servicemap.Route, a Asked, draw uint64) (*servicemap.Service, bool) {
+	var able []*servicemap.Service
+	var weights []int64
+	total := int64(0)
+	for _, share := range route.Split {
+		service, ok := document.Service(share.Service)
+		if !ok || share.Weight <= 0 {
+			continue
+		}
+		if e := service.Engine; e != nil && a.Model != "" {
+			if _, ok := e.Model(a.Model); !ok {
+				continue
+			}
+		}
+		able, weights, total = append(able, service), append(weights, share.Weight), total+share.Weight
+	}
+	if total == 0 {
+		return nil, false
+	}
+	at := int64(mix(draw^0x5f) % uint64(total))
+	for i, weight := range weights {
+		if at -= weight; at < 0 {
+			return able[i], true
+		}
+	}
+	return able[len(able)-1], true
+}
+
+func (m *Machine) lookUp(r *request, to string) {
+	place, ok := m.roster.Place(to)
+	if !ok || to == "" {
+		return
+	}
+	r.looks++
+	r.lookedMs, r.lookedAt = m.nowMs, to
+	m.send(place, wire.MapLookUp{
+		Id: r.lookUp, Service: r.key.service, Model: r.key.model, Adapter: r.key.adapter,
+		Tokens: r.tokens, Waits: r.missed,
+	})
+}
+
+// lookAgain sends a look-up that found no primary yet, and once another one
+// to the next controller where a miss got no answer.
+func (m *Machine) lookAgain(r *request) {
+	switch {
+	case r.looks == 0:
+		m.lookUp(r, m.oracle())
+	case r.looks == 1 && r.missed && !r.answered && m.nowMs-r.lookedMs >= againMs:
+		if next := m.nextController(r.lookedAt); next != "" {
+			m.Tally.LookUpsAgain++
+			m.lookUp(r, next)
+		}
+	}
+	if r.missed && !r.held && m.nowMs-r.cameMs >= missMs {
+		r.held = true
+		m.Tally.MissesHeld++
+	}
+}
+
+// turn sends a waiting request on, drops it, or leaves it waiting.
+func (m *Machine) turn(r *request) {
+	if r.away || m.requests[r.Id] == nil {
+		return
+	}
+	if m.nowMs >= r.deadlineMs {
+		m.drop(r, defect.DeadlinePassed, 0)
+		return
+	}
+	if r.route == nil {
+		if !m.begin(r) {
+			if m.requests[r.Id] != nil && m.nowMs-r.cameMs >= mapWaitMs {
+				m.drop(r, defect.NoWord, 500)
+			}
+			return
+		}
+	}
+	if m.leaving && m.nowMs >= m.leaveMs+m.set.Bounds.GraceMs/2 {
+		m.drop(r, defect.Stopping, 200)
+		return
+	}
+	// After standing still the map may be an old one, and the runners others.
+	if m.nowMs < m.thawUntilMs {
+		return
+	}
+	candidates := m.candidates(r)
+	if len(candidates) == 0 {
+		if m.crowdedNow {
+			m.full(r)
+		} else {
+			m.lacking(r)
+		}
+		return
+	}
+	if r.goes > 0 {
+		if r.goes >= max(1, r.route.Tries) || !m.budget(r.service.Name).spend() {
+			m.giveUp(r)
+			return
+		}
+	}
+	holder := m.offered[choose(candidates, wish{r.affinity, r.draw + uint64(r.goes+r.dials)})]
+	m.goTo(r, holder)
+}
+
+func (m *Machine) goTo(r *request, h wire.MapHolder) {
+	if !r.earned {
+		r.earned = true
+		m.budget(r.service.Name).earn(m.set.Bounds.RetryRatio)
+	}
+	if r.goes++; r.goes > 1 {
+		m.Tally.SecondGoes++
+	}
+	m.Tally.Goes++
+	if r.passed {
+		m.Tally.Resumes++
+	}
+	r.away, r.runner = true, h.Id
+	m.unwait(r)
+	m.runner(h.Id).change(m.nowMs, 1, r.tokens)
+	m.answer(r.Id, Send{
+		Go: Go{
+			Runner: h.Id, Urgency: urgency(r.route.Priority), After: r.after, Version: r.version,
+		},
+		Address: h.Address, Route: r.route, Single: !r.route.Repeatable(),
+		UntilMs: min(m.nowMs+writeMs, r.deadlineMs), DeadlineMs: r.deadlineMs,
+	})
+}
+
+// urgency maps a rank, nought first, to nought to nine.
+func urgency(priority int) int { return min(8, 3*max(0, priority)-max(0, priority-2)) }
+
+// candidates lists the runners that a request can be sent to now, and in
+// m.offered the holders behind them. Where there is none, m.crowdedNow says
+// that it is for want of places alone.
+func (m *Machine) candidates(r *request) []candidate {
+	m.offered, m.crowdedNow = m.offered[:0], false
+	m.chosen = m.chosen[:0]
+	e := m.entry(r.key)
+	if e == nil {
+		return nil
+	}
+	e.usedMs = m.nowMs
+	streams := m.streams(r.service)
+	// A runner that it was lost at is better than none.
+	for _, again := range []bool{false, true} {
+		for i := range e.holders {
+			h := &e.holders[i]
+			if m.isLeaving(h.Id) || !e.offers(m.nowMs, r.key, h) || slices.Contains(r.refused, h.Id) ||
+				slices.Contains(r.unreached, h.Id) && m.nowMs < r.unreachedMs || slices.Contains(r.failed, h.Id) != again {
+				continue
+			}
+			known := m.runner(h.Id)
+			if known.slots == 0 {
+				known.slots = h.Slots
+			}
+			if known.full(m.nowMs, r.tokens, streams) {
+				m.crowdedNow = true
+				continue
+			}
+			m.offered = append(m.offered, *h)
+			m.chosen = append(m.chosen, candidate{
+				id: h.Id, load: known.load(m.nowMs), slots: known.slots,
+				own: h.Zone == m.set.Self.Zone, suspect: known.suspectToMs > m.nowMs,
+			})
+		}
+		if len(m.chosen) > 0 || m.crowdedNow {
+			break
+		}
+	}
+	return m.chosen
+}
+
+// streams is how many requests this router may have under way at a runner.
+func (m *Machine) streams(s *servicemap.Service) int {
+	if s.MostStreams <= 0 {
+		return 1 << 20
+	}
+	return max(2, int(margin*float64(s.MostStreams))/max(1, m.routers))
+}
+
+// full holds a request whose runners have no place, for a quarter of its aim.
+func (m *Machine) full(r *request) {
+	m.crowd(r)
+	aimMs := r.route.AimMs
+	if aimMs <= 0 {
+		aimMs = 400
+	}
+	waitMs := aimMs / 4
+	if r.passed {
+		waitMs = brokenMs
+	}
+	if m.nowMs-r.sinceMs < waitMs {
+		return
+	}
+	if r.passed || r.kept || r.mayHaveRun {
+		m.giveUp(r)
+		return
+	}
+	m.drop(r, defect.NoTurn, m.placeMs(r))
+}
+
+// placeMs says when a place may be free for one that is refused, by the pace
+// at which requests of the service end here.
+func (m *Machine) placeMs(r *request) int64 {
+	waiting := int64(m.crowded[r.key.service])
+	pace := m.paces[r.key.service]
+	if pace == nil || pace.perSecond() <= 0 {
+		return max(100, r.route.AimMs)
+	}
+	return max(50, int64(float64(waiting*1000)/pace.perSecond()))
+}
+
+// lacking decides on a request for which no runner is known.
+func (m *Machine) lacking(r *request) {
+	m.lookAgain(r)
+	totalMs := r.deadlineMs - r.cameMs
+	waitedMs, usedMs := m.nowMs-r.sinceMs, m.nowMs-r.cameMs
+	// One that is held for over half of its time and then refused is worse
+	// than one refused before.
+	halfMs := totalMs * 45 / 100
+	switch e := m.entry(r.key); {
+	case r.passed:
+		if waitedMs >= brokenMs {
+			m.giveUp(r)
+		}
+	case r.kept:
+		m.giveUp(r)
+	case e == nil || len(e.holders) == 0 && e.turnMs < 0 && !e.loading && !r.answered:
+		if waitedMs >= unknownMs || usedMs >= halfMs {
+			m.drop(r, defect.NoWord, 500)
+		}
+	case e.turnMs >= 0:
+		// What can't be had in time is refused at once.
+		serviceMs := min(m.lasts(r.route.Name), totalMs/4)
+		turnMs := max(e.turnMs, m.nowMs)
+		if e.turnMs > r.deadlineMs-serviceMs || usedMs >= totalMs*3/4 || usedMs >= halfMs && m.nowMs > e.turnMs+turnSlackMs {
+			m.drop(r, defect.NoTurn, turnMs-m.nowMs+50)
+		}
+	case e.loading:
+		if usedMs >= halfMs {
+			m.drop(r, defect.NoTurn, 500)
+		}
+	case r.service.Engine == nil:
+		if waitedMs >= max(50, r.route.AimMs/4) {
+			m.drop(r, defect.NoRunner, 300)
+		}
+	default:
+		if waitedMs >= unknownMs || usedMs >= halfMs {
+			m.drop(r, defect.NoRunner, 500)
+		}
+	}
+}
+
+// giveUp ends a request after its sends, with what is true of them.
+func (m *Machine) giveUp(r *request) {
+	kind := r.last
+	if kind == "" {
+		kind = defect.NoRunner
+	}
+	m.drop(r, kind, 200)
+}
+
+// drop ends a request. What may have run is never answered with a promise.
+func (m *Machine) drop(r *request, kind defect.Kind, retryMs int64) {
+	m.unwait(r)
+	delete(m.requests, r.Id)
+	switch {
+	case r.passed:
+		m.Tally.Drops["stream broken off"]++
+		m.answer(r.Id, Break{})
+		return
+	case r.kept:
+		m.answer(r.Id, Keep{})
+		return
+	case r.mayHaveRun && kind.Reply().Drop:
+		kind, retryMs = defect.OutcomeUnknown, 0
+	}
+	m.Tally.Drops[kind]++
+	if retryMs > 0 {
+		// A longer wait than a third of what is left is not kept.
+		retryMs = max(20, min(retryMs, (r.deadlineMs-m.nowMs)*3/10))
+	}
+	m.answer(r.Id, wire.Dropped{Kind: kind, RetryMs: retryMs})
+}
+
+func (m *Machine) ended(in Ended) {
+	r := m.requests[in.Id]
+	if r == nil || !r.away {
+		return
+	}
+	m.release(r)
+	known := m.runner(r.runner)
+	r.passed = r.passed || in.Passed
+	if in.After != "" {
+		r.after = in.After
+	}
+	if in.Version > 0 {
+		r.version = in.Version
+	}
+	r.sinceMs = m.nowMs
+	switch in.Outcome {
+	case Answered:
+		known.succeed()
+		m.lasted(r.route.Name, m.nowMs-r.cameMs)
+		delete(m.requests, r.Id)
+		m.wake()
+		return
+	case TooLate:
+		// Nothing was tried, so nothing is used up.
+		m.unsent(r)
+	case NotSent:
+		known.fail(m.nowMs)
+		m.unsent(r)
+		r.unreached, r.unreachedMs = append(r.unreached, r.runner), m.nowMs+unreachedMs
+		r.last = defect.NoRunner
+		if r.dials++; r.dials >= dialsMost {
+			m.giveUp(r)
+		}
+	case TurnedAway:
+		known.fill(m.nowMs)
+		r.refused = append(r.refused, r.runner)
+		r.last = defect.RunnerDropped
+	case NotHeld:
+		if e := m.cache[r.key]; e != nil && !r.passed {
+			e.shun(m.nowMs, r.runner)
+		}
+		if in.Other {
+			// Another has its address, so that life is over.
+			m.leaves(r.runner)
+		}
+		r.refused = append(r.refused, r.runner)
+		r.last = defect.RunnerDropped
+	case Failed, Lost, Nonsense, Cut:
+		if in.Outcome != Failed {
+			known.fail(m.nowMs)
+		}
+		r.mayHaveRun = true
+		r.kept = in.Outcome == Failed
+		r.failed = append(r.failed, r.runner)
+		r.last = defect.OutcomeUnknown
+		if in.Outcome == Nonsense {
+			r.last = defect.BrokenAnswer
+		}
+		// What may have run goes on only if it may run twice.
+		if !r.route.Repeatable() || r.goes >= max(1, r.route.Tries) || r.passed && r.after == "" {
+			m.giveUp(r)
+		}
+	}
+	if m.requests[r.Id] != nil {
+		m.wait(r)
+		if r.goes >= max(1, r.route.Tries) {
+			m.giveUp(r)
+		}
+	}
+	m.wake()
+}
+
+// unsent takes back a send of which no byte was written.
+func (m *Machine) unsent(r *request) { r.goes-- }
+
+func (m *Machine) gone(id uint64) {
+	r := m.requests[id]
+	if r == nil {
+		return
+	}
+	if r.away {
+		m.release(r)
+	}
+	m.unwait(r)
+	delete(m.requests, id)
+	m.wake()
+}
+
+// release frees the place that a send took.
+func (m *Machine) release(r *request) {
+	r.away = false
+	m.runner(r.runner).change(m.nowMs, -1, -r.tokens)
+	pace := m.paces[r.key.service]
+	if pace == nil {
+		pace = &paced{}
+		m.paces[r.key.service] = pace
+	}
+	pace.note(m.nowMs)
+}
+
+func (m *Machine) wait(r *request) { m.waiting = append(m.waiting, r) }
+
+func (m *Machine) unwait(r *request) {
+	if r.service != nil && r.crowds {
+		r.crowds = false
+		m.crowded[r.key.service]--
+	}
+	if i := slices.Index(m.waiting, r); i >= 0 {
+		m.waiting = slices.Delete(m.waiting, i, i+1)
+	}
+}
+
+// crowd notes that a request waits for want of a place.
+func (m *Machine) crowd(r *request) {
+	if !r.crowds {
+		r.crowds = true
+		m.crowded[r.key.service]++
+	}
+}
+
+// wake gives every waiting request its turn: the most urgent first, and of
+// those the eldest.
+func (m *Machine) wake() {
+	if len(m.waiting) == 0 {
+		return
+	}
+	waiting := slices.Clone(m.waiting)
+	slices.SortStableFunc(waiting, func(a, b *request) int {
+		if d := a.rank() - b.rank(); d != 0 {
+			return d
+		}
+		return int(a.cameMs - b.cameMs)
+	})
+	for _, r := range waiting {
+		m.turn(r)
+	}
+}
+
+func (r *request) rank() int {
+	if r.route == nil {
+		return 0
+	}
+	return r.route.Priority
+}
--- /dev/null
+++ b/steward/office.go
@@ -0,0 +1,92 @@
+package steward
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"myrtlewinch/bounds"
+	"myrtlewinch/control"
+	"myrtlewinch/crew"
+	"myrtlewinch/daemon"
+	"myrtlewinch/disk"
+	"myrtlewinch/wire"
+)
+
+const (
+	tickMs    = 50
+	leaveWait = 300 * time.Millisecond
+	// awayFloorMs is the least time after which a silent witness's seat passes
+	// on: a moment's silence should not move it.
+	awayFloorMs = 1000
+	// showMs is how long a recorded copy has to show itself to a new primary:
+	// one that lives answers in a few ms.
+	showMs = 400
+)
+
+// OfficeSettings is the place of a controller process.
+type OfficeSettings struct {
+	Site  string
+	Self  wire.Place
+	Seeds []string
+	// Losses is how many disks may be lost at once.
+	Losses     int
+	FirstStart bool
+	Bounds     bounds.Bounds
+	// ListAddress is where the platform lists runners, ListPerSec how many
+	// calls a second it takes from all daemons.
+	ListAddress string
+	ListPerSec  float64
+	ControlPort string
+	Data        string
+}
+
+// Office is a controller as a process: its machine in a shell.
+type Office struct{ shell *daemon.Shell }
+
+// NewOffice opens the data folder and makes the controller; nothing runs yet.
+// Doors makes the pages that operators use.
+func NewOffice(set OfficeSettings, format Format, exchanger daemon.Exchanger, doors func(*daemon.Shell) http.Handler, fellows, web net.Listener, logger *log.Logger) (*Office, error) {
+	d, err := disk.Open(set.Data, set.Site)
+	if err != nil {
+		return nil, err
+	}
+	keys := d.Keys()
+	clock := daemon.NewClock()
+	set.Self.Part, set.Self.Incarnation = wire.Controller, keys["incarnation"]
+	tenant := New(Settings{
+		Self: set.Self, Bounds: set.Bounds, ListAddress: set.ListAddress, ListPerSec: set.ListPerSec, ControlPort: set.ControlPort,
+	}, format)
+	machine, err := control.New(control.Settings{
+		Site: set.Site, Self: set.Self, Seeds: set.Seeds, Tenant: tenant, Losses: set.Losses, Founds: set.FirstStart,
+		// A holder's order may be a moment on its way.
+		GapMs: set.Bounds.LeaseMs + set.Bounds.ThawMs,
+		// The next loss may come once a lost machine is back for this long.
+		AwayMs: max(awayFloorMs, set.Bounds.CatchUpMs/4),
+		ShowMs: showMs,
+	}, keys, clock.NowMs())
+	if err != nil {
+		d.Close()
+		return nil, err
+	}
+	o := &Office{}
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { doors(o.shell).ServeHTTP(w, r) })
+	o.shell = daemon.New(daemon.Settings{
+		Site: set.Site, Self: set.Self, Clock: clock, Log: logger, TickMs: tickMs, Exchanger: exchanger,
+	}, machine, d, fellows, web, handler)
+	return o, nil
+}
+
+// Join adds the controller's duties to a crew.
+func (o *Office) Join(c *crew.Crew) { o.shell.Join(c) }
+
+// Leave steps down before a planned stop, so that the next need not wait.
+func (o *Office) Leave() {
+	o.shell.Put(control.StepDown{})
+	time.Sleep(leaveWait)
+}
+
+// Reseed takes the seeds of changed settings.
+func (o *Office) Reseed(seeds []string) { o.shell.Put(control.Reseed{Seeds: seeds}) }
--- /dev/null
+++ b/steward/steward.go
@@ -0,0 +1,265 @@
+package steward
+
+import (
+	"net"
+	"slices"
+
+	"myrtlewinch/bounds"
+	"myrtlewinch/control"
+	"myrtlewinch/defect"
+	"myrtlewinch/holdings"
+	"myrtlewinch/wire"
+)
+
+const (
+	// softMs is how often the primary tells the other controllers what its
+	// ledger holds, so that they can answer look-ups too.
+	softMs = 500
+	// routerMs is how long a router counts for the budget of second tries
+	// after it was last heard of.
+	routerMs = 30_000
+	// demandMs is how often a follower tells the demand that it met.
+	demandMs = 500
+)
+
+// Settings is what a steward knows before it knows anyone.
+type Settings struct {
+	Self        wire.Place
+	Bounds      bounds.Bounds
+	ListAddress string
+	ListPerSec  float64
+	// ControlPort is the port at which every controller serves operators.
+	ControlPort string
+}
+
+// Steward is the tenant of a controller. It reads no clock and no socket.
+type Steward struct {
+	set    Settings
+	format Format
+	keeper *holdings.Keeper
+	maps   maps
+	// routers says when each router last asked.
+	routers  map[string]int64
+	softMs   int64
+	demandMs int64
+	serving  bool
+	// leaving is what was last told of leaving runners.
+	leaving []string
+}
+
+// New makes a steward that knows no map.
+func New(set Settings, format Format) *Steward {
+	return &Steward{
+		set: set, format: format, routers: map[string]int64{}, maps: newMaps(),
+		keeper: holdings.New(set.Bounds, set.Self.Name, set.ListAddress, set.ListPerSec),
+	}
+}
+
+// Changed reads the map in force anew; it may not be safe on all copies yet, so
+// only a follower, which answers nobody, goes by it.
+func (s *Steward) Changed(h control.Host) {
+	if !s.serving {
+		s.maps.load(h, s.format)
+		s.keeper.SetMap(s.maps.current.document)
+	}
+}
+
+// Began is the start of this daemon's primacy.
+func (s *Steward) Began(h control.Host) {
+	s.serving = true
+	s.maps.load(h, s.format)
+	s.keeper.SetMap(s.maps.current.document)
+	s.keeper.Begin(h.NowMs(), h.Epoch(), h.OrdersFromMs())
+	// Routers hear at once who is primary now.
+	s.tellRouters(h)
+	s.maps.next(s, h)
+}
+
+// Ended is the end of this daemon's primacy.
+func (s *Steward) Ended(h control.Host) {
+	s.serving = false
+	s.keeper.End()
+	s.maps.end(h, s)
+	s.routers = map[string]int64{}
+}
+
+// Receive takes a message of a router or of a fellow.
+func (s *Steward) Receive(h control.Host, e wire.Envelope) bool {
+	switch body := e.Body.(type) {
+	case wire.MapAsk:
+		s.asked(h, e.From, body)
+	case wire.MapLookUp:
+		h.Send(e.From, s.keeper.LookUp(h.NowMs(), e.From, body))
+		// Someone waits, so the next tick is too late.
+		if body.Waits {
+			s.hurry(h)
+		}
+	case Soft:
+		if !s.serving && body.Epoch >= h.Epoch() {
+			s.keeper.TakeSoft(h.NowMs(), body.Ledger)
+		}
+	case Demand:
+		if s.serving {
+			s.keeper.TakeDemand(h.NowMs(), body.Counts)
+		}
+	default:
+		return false
+	}
+	return true
+}
+
+// Input takes what operators ask and what calls outward brought.
+func (s *Steward) Input(h control.Host, input any) bool {
+	switch in := input.(type) {
+	case HandOver:
+		s.maps.handOver(s, h, in)
+	case Read:
+		if !s.serving || !h.Active() {
+			s.notPrimary(h, in.Id)
+		} else if s.maps.current.version == 0 {
+			h.Answer(in.Id, wire.Dropped{Kind: defect.NotTaken, Detail: "no map is in force yet"})
+		} else {
+			h.Answer(in.Id, Text{Version: s.maps.current.version, Text: s.maps.current.text})
+		}
+	case Look:
+		h.Answer(in.Id, s.status(h))
+	case wire.Fleet:
+		if s.serving && s.keeper.Fleet(h.NowMs(), in) {
+			s.tellRouters(h)
+		}
+	case wire.StateSaid:
+		if s.serving {
+			s.keeper.State(h.NowMs(), in)
+			s.hurry(h)
+		}
+	case wire.CommandSaid:
+		if s.serving {
+			s.keeper.Commanded(h.NowMs(), in)
+			s.hurry(h)
+		}
+	default:
+		return false
+	}
+	return true
+}
+
+// Tick goes on with what time brings.
+func (s *Steward) Tick(h control.Host) {
+	if s.serving {
+		s.tickPrimary(h)
+		return
+	}
+	if h.NowMs()-s.demandMs >= demandMs {
+		s.tellDemand(h)
+	}
+}
+
+// hurry goes on with the ledger without waiting for the next tick; a follower
+// tells the primary at once of those who wait.
+func (s *Steward) hurry(h control.Host) {
+	switch {
+	case !s.serving:
+		if s.keeper.Waits() {
+			s.tellDemand(h)
+		}
+	case h.Active():
+		s.goOn(h)
+	}
+}
+
+// goOn carries out what the ledger has due.
+func (s *Steward) goOn(h control.Host) {
+	calls, tells := s.keeper.Tick(h.NowMs(), h.HoldUntilMs())
+	for _, call := range calls {
+		h.Call(call.Address, call.Body)
+	}
+	for _, tell := range tells {
+		h.Send(tell.To, tell.Index)
+	}
+}
+
+func (s *Steward) tellDemand(h control.Host) {
+	s.demandMs = h.NowMs()
+	if counts := s.keeper.DrainDemand(); len(counts) > 0 && h.Primary().Name != "" {
+		h.Send(h.Primary(), Demand{Counts: counts})
+	}
+}
+
+func (s *Steward) tickPrimary(h control.Host) {
+	if !h.Active() {
+		return
+	}
+	s.maps.next(s, h)
+	s.keeper.SetFence(h.Epoch())
+	s.goOn(h)
+	if h.NowMs()-s.softMs >= softMs {
+		s.softMs = h.NowMs()
+		for _, place := range h.Controllers() {
+			h.Send(place, Soft{Epoch: h.Epoch(), Ledger: s.keeper.Soft()})
+		}
+	}
+}
+
+// asked answers a router's constant question.
+func (s *Steward) asked(h control.Host, from wire.Place, ask wire.MapAsk) {
+	if !s.serving || !h.Active() {
+		return
+	}
+	s.routers[from.Name] = h.NowMs()
+	word := s.word(h)
+	word.EchoMs = ask.EchoMs
+	// A map that it has already is not sent again.
+	if ask.Version == word.Version {
+		word.Text = ""
+	}
+	h.Send(from, word)
+}
+
+// word is what routers are told now, with the whole map.
+func (s *Steward) word(h control.Host) wire.MapWord {
+	return wire.MapWord{
+		Epoch: h.Epoch(), Version: s.maps.current.version, Sum: s.maps.current.sum, Text: s.maps.current.text,
+		Leaving: s.keeper.Leaving(), AgeMs: s.keeper.ListAgeMs(h.NowMs()),
+		Routers: s.countRouters(h), Controllers: append(h.Controllers(), h.Self()),
+	}
+}
+
+// tellRouters tells every router at once what changed.
+func (s *Steward) tellRouters(h control.Host) {
+	if !h.Active() {
+		return
+	}
+	word := s.word(h)
+	leavingOnly := slices.Equal(s.maps.told, []uint64{word.Version, word.Epoch})
+	s.maps.told = []uint64{word.Version, word.Epoch}
+	if leavingOnly {
+		word.Text = ""
+	}
+	for _, place := range h.Routers() {
+		h.Send(place, word)
+	}
+}
+
+// countRouters is how many routers may spend the budget of second tries.
+func (s *Steward) countRouters(h control.Host) int {
+	for _, place := range h.Routers() {
+		s.routers[place.Name] = max(s.routers[place.Name], h.NowMs())
+	}
+	for name, atMs := range s.routers {
+		if h.NowMs()-atMs > routerMs {
+			delete(s.routers, name)
+		}
+	}
+	return max(1, len(s.routers))
+}
+
+// notPrimary sends an operator to the primary, where one is known to live.
+func (s *Steward) notPrimary(h control.Host, id uint64) {
+	said := wire.Dropped{Kind: defect.NotPrimary, Detail: "the primary answers this"}
+	primary := h.Primary()
+	alive := slices.ContainsFunc(h.Controllers(), func(p wire.Place) bool { return p.Name == primary.Name })
+	if host, _, err := net.SplitHostPort(primary.Address); err == nil && alive {
+		said.Primary = net.JoinHostPort(host, s.set.ControlPort)
+	}
+	h.Answer(id, said)
+}
