--- /dev/null
+++ b/drill/format.go
@@ -0,0 +1,59 @@
+package drill
+
+import (
+	"encoding/json"
+	"slices"
+
+	"myrtlewinch/servicemap"
+)
+
+// format is the drill's own writing of service maps, plain JSON.
+type format struct{}
+
+// change is a change of named items in that writing.
+type change struct {
+	Version uint64
+	Put     []servicemap.Route
+	Remove  []string
+}
+
+// Read gives the map, or every fault found.
+func (format) Read(text []byte) (*servicemap.Map, []string) {
+	var m servicemap.Map
+	if err := json.Unmarshal(text, &m); err != nil {
+		return nil, []string{err.Error()}
+	}
+	if faults := m.Faults(); len(faults) > 0 {
+		return nil, faults
+	}
+	m.Index()
+	return &m, nil
+}
+
+// Change brings a change into a whole text.
+func (format) Change(text, part []byte) ([]byte, []string) {
+	var m servicemap.Map
+	var c change
+	if err := json.Unmarshal(text, &m); err != nil {
+		return nil, []string{"there is no map to change"}
+	}
+	if err := json.Unmarshal(part, &c); err != nil {
+		return nil, []string{err.Error()}
+	}
+	m.Version = c.Version
+	for _, put := range c.Put {
+		m.Routes = slices.DeleteFunc(m.Routes, func(r servicemap.Route) bool { return r.Name == put.Name })
+		m.Routes = append(m.Routes, put)
+	}
+	m.Routes = slices.DeleteFunc(m.Routes, func(r servicemap.Route) bool { return slices.Contains(c.Remove, r.Name) })
+	return written(m), nil
+}
+
+// written writes a map.
+func written(m servicemap.Map) []byte {
+	text, err := json.Marshal(m)
+	if err != nil {
+		panic("drill: a map can't be written: " + err.Error())
+	}
+	return text
+}
--- /dev/null
+++ b/drill/maps.go
@@ -0,0 +1,112 @@
+package drill
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"myrtlewinch/servicemap"
+)
+
+// The services of a drill: one whose runners hold models, and two plain ones.
+const (
+	plain = "plain"
+	other = "other"
+	llm   = "llm"
+	host  = "drill.example"
+)
+
+const (
+	models      = 8
+	adapters    = 6
+	loadMs      = 1500
+	loadAgainMs = 300
+	roomMb      = 100.0
+	adapterRoom = 4
+	loadsPerSec = 2.0
+	slots       = 8
+	cacheTokens = 50_000
+)
+
+func modelName(i int) string { return fmt.Sprintf("m%d", i) }
+
+// modelMb is the size of a model; every third one is larger.
+func modelMb(name string) float64 {
+	if i, err := strconv.Atoi(name[1:]); err == nil && i%3 == 2 {
+		return 40
+	}
+	return 30
+}
+
+const adapterMb = 2.0
+
+// marks are the routes that tell one version from another: the first goes to
+// another service with each version, the second stands in this one only.
+func marks(version uint64) []servicemap.Route {
+	to := plain
+	if version%2 == 1 {
+		to = other
+	}
+	mark := servicemap.Route{
+		Name: fmt.Sprintf("mark@%d", version), Host: host, Prefix: "/mark/", Kind: servicemap.Safe, GiveUpMs: 2000, AimMs: 400, Priority: 1,
+		Split: []servicemap.Share{{Service: to, Weight: 1}}, Tries: 2,
+	}
+	only := mark
+	only.Name, only.Prefix = fmt.Sprintf("only@%d", version), fmt.Sprintf("/only-%d/", version)
+	return []servicemap.Route{mark, only}
+}
+
+// versionOf reads the version off a mark's name; nought where it is none.
+func versionOf(route string) uint64 {
+	_, text, _ := strings.Cut(route, "@")
+	version, _ := strconv.ParseUint(text, 10, 64)
+	return version
+}
+
+// newMap is the whole map of a version.
+func (w *World) newMap(version uint64) servicemap.Map {
+	engine := &servicemap.Engine{
+		Slots: slots, CacheTokens: cacheTokens, Stride: 1, RoomMb: roomMb, AdapterRoom: adapterRoom, LoadsPerSec: loadsPerSec,
+	}
+	if w.Breaks.LieRoom {
+		engine.RoomMb = 2 * roomMb
+	}
+	if w.Breaks.FastStore {
+		engine.LoadsPerSec = 20
+	}
+	for i := range models {
+		m := servicemap.Model{Name: modelName(i), Mb: modelMb(modelName(i)), LoadMs: loadMs, AdapterMb: adapterMb}
+		if i == 0 {
+			m.Adapters = adapters
+		}
+		engine.Models = append(engine.Models, m)
+	}
+	route := func(name, service string, kind servicemap.Kind, priority int) servicemap.Route {
+		return servicemap.Route{
+			Name: name, Host: host, Prefix: "/" + name + "/", Kind: kind, GiveUpMs: 3000, AimMs: 400, Priority: priority,
+			Split: []servicemap.Share{{Service: service, Weight: 1}}, Tries: 2, GapMs: 300,
+		}
+	}
+	resumable, once := route("resume", llm, servicemap.Stream, 1), route("once", llm, servicemap.Stream, 2)
+	resumable.Resume, resumable.Sticky, resumable.Tries = true, true, 3
+	resumable.GiveUpMs, once.GiveUpMs = 6000, 6000
+	m := servicemap.Map{
+		Version: version,
+		Routes: append([]servicemap.Route{
+			route("safe", plain, servicemap.Safe, 1), route("unsafe", plain, servicemap.Unsafe, 0), resumable, once,
+		}, marks(version)...),
+		Services: []servicemap.Service{{Name: plain, MostStreams: 90}, {Name: other, MostStreams: 90}, {Name: llm, MostStreams: 60, Engine: engine}},
+	}
+	return m
+}
+
+// newChange changes the marks of one version into those of another.
+func newChange(from, version uint64) []byte {
+	c := change{Version: version, Put: marks(version)}
+	for _, r := range marks(from) {
+		c.Remove = append(c.Remove, r.Name)
+	}
+	text, _ := json.Marshal(c)
+	return text
+}
--- /dev/null
+++ b/drill/node.go
@@ -0,0 +1,277 @@
+package drill
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"myrtlewinch/control"
+	"myrtlewinch/relay"
+	"myrtlewinch/steward"
+	"myrtlewinch/wire"
+)
+
+// node is one daemon on a machine of its own.
+type node struct {
+	name, zone, part, address string
+	machine                   interface {
+		Step(nowMs int64, input any) wire.Effects
+	}
+	up, frozen, removed bool
+	// leaving says that a planned stop has begun.
+	leaving  bool
+	frozenMs int64
+	// life tells one run of the process from the next; bornMs is its start.
+	life           int
+	bornMs, offset int64
+	backlog        []func()
+	disk           *simDisk
+	passages       map[uint64]*passage
+	ids            uint64
+}
+
+// simDisk is a disk: what is synced, and how it behaves.
+type simDisk struct {
+	keys          map[string]string
+	incarnation   string
+	slowMs        int64
+	stalled, full bool
+	wipes         int
+	// pending was asked for and is not synced yet.
+	pending []wire.Save
+}
+
+func (n *node) core() bool { return n.part == wire.Controller }
+
+// well says that it runs and nothing is the matter with it.
+func (n *node) well() bool {
+	return n.up && !n.frozen && !n.leaving && (n.disk == nil || !n.disk.full && !n.disk.stalled && n.disk.slowMs == 0)
+}
+
+// clock is the daemon's own: monotonic, with a start of its own.
+func (n *node) clock(nowMs int64) int64 { return nowMs - n.bornMs + n.offset }
+
+func (n *node) place() wire.Place {
+	p := wire.Place{Name: n.name, Address: n.address + ":7", Zone: n.zone, Part: n.part, Incarnation: fmt.Sprintf("%s-life-%d", n.name, n.life)}
+	if n.core() {
+		p.Incarnation = n.disk.incarnation
+	}
+	return p
+}
+
+func (w *World) addNode(name, address, zone, part string) *node {
+	n := &node{name: name, address: address, zone: zone, part: part, passages: map[uint64]*passage{}}
+	if part == wire.Controller {
+		n.disk = &simDisk{keys: map[string]string{}, incarnation: name + "-disk-0"}
+	}
+	w.nodes[name] = n
+	return n
+}
+
+// names lists the daemons that are there, of one part or all, in order.
+func (w *World) names(part ...string) []string {
+	var out []string
+	for _, name := range slices.Sorted(maps.Keys(w.nodes)) {
+		if n := w.nodes[name]; !n.removed && (len(part) == 0 || slices.Contains(part, n.part)) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// start starts a daemon from what its disk holds.
+func (w *World) start(n *node, first bool) {
+	if n.up || n.removed {
+		return
+	}
+	n.up, n.frozen, n.leaving, n.backlog = true, false, false, nil
+	n.life++
+	n.bornMs, n.offset = w.NowMs, 3_600_000+w.random.Int63n(1_000_000)
+	n.passages = map[uint64]*passage{}
+	self := n.place()
+	if n.core() {
+		tenant := steward.New(steward.Settings{
+			Self: self, Bounds: w.Bounds, ListAddress: listAddress, ListPerSec: listPerSec, ControlPort: "80",
+		}, format{})
+		machine, err := control.New(control.Settings{
+			Site: site, Self: self, Seeds: slices.Clone(w.seeds), Tenant: tenant, Losses: 1, Founds: first,
+			GapMs: w.Bounds.LeaseMs + w.Bounds.ThawMs, AwayMs: max(1000, w.Bounds.CatchUpMs/4), ShowMs: 400,
+		}, maps.Clone(n.disk.keys), n.clock(w.NowMs))
+		if err != nil {
+			panic(fmt.Sprintf("drill: %s does not start: %v", n.name, err))
+		}
+		n.machine = machine
+	} else {
+		n.machine = relay.New(relay.Settings{
+			Site: site, Self: self, Seeds: slices.Clone(w.seeds), Bounds: w.Bounds, ListAddress: listAddress,
+		}, format{}, n.clock(w.NowMs))
+	}
+	w.note("%s starts", n.name)
+	w.touch.upset(n)
+	life := n.life
+	w.after(w.random.Int63n(tickMs), func() { w.tick(n, life) })
+}
+
+const tickMs = 50
+
+func (w *World) tick(n *node, life int) {
+	if !n.up || n.life != life {
+		return
+	}
+	if !n.frozen {
+		w.put(n, life, wire.Tick{})
+	}
+	w.after(tickMs, func() { w.tick(n, life) })
+}
+
+// put brings an input before a daemon; a frozen one takes it when it wakes.
+func (w *World) put(n *node, life int, input any) {
+	switch {
+	case !n.up || n.life != life:
+	case n.frozen:
+		if len(n.backlog) < 4096 {
+			n.backlog = append(n.backlog, func() { w.put(n, life, input) })
+		}
+	default:
+		w.perform(n, n.machine.Step(n.clock(w.NowMs), input))
+	}
+}
+
+// perform carries a daemon's effects out.
+func (w *World) perform(n *node, effects wire.Effects) {
+	life := n.life
+	for _, text := range effects.Notes {
+		w.note("%s: %s", n.name, text)
+	}
+	for _, save := range effects.Saves {
+		n.disk.pending = append(n.disk.pending, save)
+		if len(n.disk.pending) == 1 {
+			w.saveNext(n, life)
+		}
+	}
+	for _, send := range effects.Sends {
+		w.send(n, send)
+	}
+	for _, call := range effects.Calls {
+		w.call(n, life, call)
+	}
+	for _, answer := range effects.Answers {
+		if n.core() {
+			w.operators.answered(w, n, answer)
+		} else if p := n.passages[answer.Id]; p != nil {
+			p.told(answer.Body)
+		} else {
+			w.Book.breach("ANSWER", w.NowMs, "%s answered a request that has ended: %T", n.name, answer.Body)
+		}
+	}
+}
+
+// saveNext brings the first save that waits to the platter, one after the
+// other, as on the disk's own thread.
+func (w *World) saveNext(n *node, life int) {
+	d := n.disk
+	w.after(1+w.random.Int63n(4)+d.slowMs, func() {
+		// What a power cut left was settled when it happened.
+		if !n.up || n.life != life {
+			return
+		}
+		if d.stalled || n.frozen {
+			w.saveNext(n, life)
+			return
+		}
+		save := d.pending[0]
+		d.pending = d.pending[1:]
+		if !d.full && !w.Breaks.UnsyncedDisk {
+			save.Write.Apply(d.keys)
+		}
+		if len(d.pending) > 0 {
+			w.saveNext(n, life)
+		}
+		w.put(n, life, wire.Saved{Number: save.Number, Ok: !d.full})
+	})
+}
+
+// kill ends a daemon at once.
+func (w *World) kill(n *node) {
+	if !n.up {
+		return
+	}
+	w.note("%s is killed", n.name)
+	w.touch.upset(n)
+	n.up = false
+	if n.disk != nil {
+		// A power cut leaves some first part of what was not synced yet.
+		for _, save := range n.disk.pending[:w.random.Intn(len(n.disk.pending)+1)] {
+			if !w.Breaks.UnsyncedDisk {
+				save.Write.Apply(n.disk.keys)
+			}
+		}
+		n.disk.pending = nil
+	}
+	for _, id := range slices.Sorted(maps.Keys(n.passages)) {
+		n.passages[id].broke()
+	}
+	w.operators.broke(w, n)
+}
+
+// leave begins a planned stop and ends the daemon when its grace is nearly
+// over; then it starts anew.
+func (w *World) leave(n *node) {
+	if !n.up || n.frozen || n.leaving {
+		return
+	}
+	w.note("%s is told to stop", n.name)
+	life := n.life
+	endMs := int64(300)
+	if n.core() {
+		w.put(n, life, control.StepDown{})
+	} else {
+		w.put(n, life, relay.Leave{})
+		endMs = w.Bounds.GraceMs - 700
+	}
+	n.leaving = true
+	w.touch.upset(n)
+	w.after(endMs, func() {
+		if n.life == life {
+			w.kill(n)
+		}
+	})
+	w.after(endMs+500, func() { w.start(n, false) })
+}
+
+// freeze stops a daemon where it stands; thaw lets it go on.
+func (w *World) freeze(n *node) {
+	if n.up && !n.frozen {
+		w.note("%s freezes", n.name)
+		n.frozen, n.frozenMs = true, w.NowMs
+		w.touch.upset(n)
+	}
+}
+
+// thaw wakes a frozen daemon. Its clock went on.
+func (w *World) thaw(n *node) {
+	if !n.frozen {
+		return
+	}
+	w.note("%s wakes", n.name)
+	n.frozen = false
+	w.touch.upset(n)
+	w.thawedMs[n.name] = w.NowMs
+	if w.Breaks.ForgetHold {
+		n.bornMs += w.NowMs - n.frozenMs
+	}
+	backlog := n.backlog
+	n.backlog = nil
+	for _, do := range backlog {
+		do()
+	}
+}
+
+// wipe empties a disk; the daemon must be down.
+func (w *World) wipe(n *node) {
+	d := n.disk
+	d.wipes++
+	*d = simDisk{keys: map[string]string{}, incarnation: fmt.Sprintf("%s-disk-%d", n.name, d.wipes), wipes: d.wipes}
+	w.note("%s loses its disk", n.name)
+}
+
--- /dev/null
+++ b/drill/operators.go
@@ -0,0 +1,285 @@
+package drill
+
+import (
+	"fmt"
+	"strings"
+
+	"myrtlewinch/defect"
+	"myrtlewinch/steward"
+	"myrtlewinch/wire"
+)
+
+const (
+	callerMs  = 1000
+	callerEnd = 20_000
+)
+
+// operators hand maps over and read them back.
+type operators struct {
+	ids   uint64
+	calls map[uint64]*attempt
+	// version counts what was given out; newest is the newest accepted, handed
+	// the newest that was handed over, and base what operators think in force.
+	version, newest, handed, base uint64
+	texts                         map[uint64]string
+	open                          int
+	// doubt says that some order got no clear answer.
+	doubt    bool
+	outcomes []string
+	read     *steward.Text
+}
+
+func newOperators() operators {
+	return operators{calls: map[uint64]*attempt{}, texts: map[uint64]string{}}
+}
+
+// handing is one order of an operator until its end.
+type handing struct {
+	builtOn, version uint64
+	text             string
+	part, proper     bool
+	sentMs           int64
+	pauseMs          int64
+	done             bool
+	// read says that it only reads the map in force.
+	read bool
+}
+
+// attempt is one call of it.
+type attempt struct {
+	h    *handing
+	n    *node
+	over bool
+}
+
+// next takes the number of the next map; they rise by uneven steps.
+func (o *operators) next(w *World) uint64 {
+	o.version += 1 + uint64(w.random.Intn(3))
+	return o.version
+}
+
+// replace hands a whole map over, change one of named items.
+func (w *World) replaceMap(at *node) *handing {
+	o := &w.operators
+	version := o.next(w)
+	return w.hand(at, &handing{builtOn: o.base, version: version, text: string(written(w.newMap(version))), proper: o.base == o.newest})
+}
+
+func (w *World) changeMap(at *node) *handing {
+	o := &w.operators
+	if o.base == 0 {
+		return w.replaceMap(at)
+	}
+	version := o.next(w)
+	return w.hand(at, &handing{builtOn: o.base, version: version, text: string(newChange(o.base, version)), part: true, proper: o.base == o.newest})
+}
+
+// faultyMap hands over a map that can't be.
+func (w *World) faultyMap(at *node) {
+	o := &w.operators
+	version := o.next(w)
+	text := string(written(w.newMap(version)))
+	switch w.random.Intn(3) {
+	case 0:
+		text = strings.Replace(text, `"Service":"plain"`, `"Service":"nowhere"`, 1)
+	case 1:
+		text = strings.Replace(text, `"GiveUpMs":3000`, `"GiveUpMs":0`, 1)
+	default:
+		text = text[:len(text)/2]
+	}
+	w.hand(at, &handing{builtOn: o.base, version: version, text: text})
+}
+
+func (w *World) someCore() *node {
+	names := w.names(wire.Controller)
+	return w.nodes[names[w.random.Intn(len(names))]]
+}
+
+func (w *World) hand(at *node, h *handing) *handing {
+	o := &w.operators
+	h.sentMs, h.pauseMs = w.NowMs, 100
+	o.open++
+	if h.open() && o.open > 1 {
+		h.proper = false
+	}
+	o.handed = max(o.handed, h.version)
+	o.texts[h.version] = h.text
+	if h.part {
+		o.texts[h.version] = ""
+	}
+	w.note("operator hands version %d on top of %d to %s, part: %v", h.version, h.builtOn, at.name, h.part)
+	w.callCore(at, h)
+	if h.proper && !o.doubt {
+		w.after(w.Bounds.AckMs, func() {
+			calm := w.touch.settled(h.sentMs) && w.NowMs-w.touch.linksMs >= w.Bounds.AckMs+w.Bounds.InTouchMs
+			if !h.done && calm {
+				w.Book.breach("ACK", w.NowMs, "version %d is not acknowledged in time", h.version)
+			}
+		})
+	}
+	return h
+}
+
+func (h *handing) open() bool { return !h.read }
+
+// callCore makes one call, and another elsewhere where it brings nothing.
+func (w *World) callCore(at *node, h *handing) {
+	o := &w.operators
+	if h.done {
+		return
+	}
+	if w.NowMs-h.sentMs > callerEnd {
+		o.end(w, h, "no clear answer")
+		return
+	}
+	if at == nil || at.removed {
+		at = w.someCore()
+	}
+	o.ids++
+	a := &attempt{h: h, n: at}
+	o.calls[o.ids] = a
+	id := o.ids
+	if w.Breaks.EagerAnswer && !h.read {
+		o.take(w, h)
+	}
+	w.pass("operator", at.name, func() {
+		if at.up {
+			if h.read {
+				w.put(at, at.life, steward.Read{Id: id})
+			} else {
+				w.put(at, at.life, steward.HandOver{Id: id, BuiltOn: h.builtOn, Text: h.text, Part: h.part})
+			}
+		} else {
+			w.after(5, func() { o.again(w, a, nil) })
+		}
+	}, nil)
+	w.after(callerMs, func() { o.again(w, a, nil) })
+}
+
+// again goes to another daemon after a pause that grows.
+func (o *operators) again(w *World, a *attempt, to *node) {
+	if a.over || a.h.done {
+		return
+	}
+	a.over = true
+	pauseMs := a.h.pauseMs
+	if to != nil {
+		pauseMs = 1
+	} else {
+		a.h.pauseMs = min(1000, 2*pauseMs)
+	}
+	w.after(pauseMs, func() { w.callCore(to, a.h) })
+}
+
+// broke ends the calls at a daemon that died.
+func (o *operators) broke(w *World, n *node) {
+	for id, a := range o.calls {
+		if a.n == n {
+			delete(o.calls, id)
+		}
+	}
+}
+
+// answered takes the answer of a controller; it may get lost on its way.
+func (o *operators) answered(w *World, n *node, answer wire.Answer) {
+	a := o.calls[answer.Id]
+	if a == nil {
+		return
+	}
+	delete(o.calls, answer.Id)
+	w.pass(n.name, "operator", func() {
+		if !a.h.done {
+			o.hear(w, a, answer.Body)
+		}
+	}, nil)
+}
+
+func (o *operators) hear(w *World, a *attempt, body any) {
+	h := a.h
+	switch said := body.(type) {
+	case steward.Taken:
+		if said.Version != h.version {
+			w.Book.breach("CONFIG", w.NowMs, "version %d is acknowledged as %d", h.version, said.Version)
+		}
+		o.take(w, h)
+	case steward.Text:
+		h.done = true
+		o.read = &said
+	case wire.Dropped:
+		switch said.Kind {
+		case defect.NotPrimary:
+			var to *node
+			for _, name := range w.names(wire.Controller) {
+				if w.nodes[name].address+":80" == said.Primary && w.nodes[name] != a.n {
+					to = w.nodes[name]
+				}
+			}
+			o.again(w, a, to)
+		case defect.StaleBase, defect.FaultyDescription:
+			if h.proper && !o.doubt && h.builtOn == o.newest {
+				w.Book.breach("CONFIG", w.NowMs, "version %d, proper, is refused: %s %v", h.version, said.Kind, said.Faults)
+			}
+			if said.Kind == defect.StaleBase {
+				o.base = max(o.base, said.Revision)
+			}
+			w.Book.notTaken(h.version, string(said.Kind))
+			o.end(w, h, string(said.Kind))
+		default:
+			o.again(w, a, nil)
+		}
+	}
+}
+
+func (o *operators) take(w *World, h *handing) {
+	if h.done {
+		return
+	}
+	w.Book.taken(h.version, h.builtOn)
+	o.newest = max(o.newest, h.version)
+	o.base = max(o.base, h.version)
+	o.end(w, h, "taken")
+}
+
+func (o *operators) end(w *World, h *handing, how string) {
+	if h.done {
+		return
+	}
+	h.done = true
+	if h.read {
+		return
+	}
+	o.open--
+	o.doubt = o.doubt || how == "no clear answer"
+	o.outcomes = append(o.outcomes, fmt.Sprintf("%d: %s", h.version, how))
+	w.note("operator: version %d: %s", h.version, how)
+}
+
+// CheckMaps reads the map back: what was accepted must be there, as it was
+// sent, and what was refused must not.
+func (w *World) CheckMaps() {
+	o := &w.operators
+	for range 3 {
+		o.read = nil
+		h := &handing{read: true, sentMs: w.NowMs, pauseMs: 100}
+		w.callCore(nil, h)
+		for range 60 {
+			if w.Run(100); o.read != nil {
+				break
+			}
+		}
+		h.done = true
+		if o.read == nil {
+			w.Book.breach("CONFIG", w.NowMs, "the map can't be read back")
+			return
+		}
+		if o.read.Version < o.newest {
+			w.Book.breach("CONFIG", w.NowMs, "version %d is read back and %d was accepted", o.read.Version, o.newest)
+		}
+		if why, not := w.Book.ineffect[o.read.Version]; not {
+			w.Book.breach("CONFIG", w.NowMs, "version %d is read back and was answered with %q", o.read.Version, why)
+		}
+		if text := o.texts[o.read.Version]; text != "" && text != o.read.Text {
+			w.Book.breach("CONFIG", w.NowMs, "version %d is read back with another text", o.read.Version)
+		}
+	}
+}
--- a/holdings/index.go
+++ b/holdings/index.go
@@ -94,6 +94,8 @@
 		if in.Waits {
 			waits = 1
 		}
+		m.readCost(in.ReadMs)
+		m.prompts += promptShare * (float64(in.Prompt) - m.prompts)
 		if k.active {
 			k.count(nowMs, key, 1, float64(in.Tokens), float64(waits))
 		} else {
--- a/holdings/model.go
+++ b/holdings/model.go
@@ -32,6 +32,9 @@
 	dirty bool
 	// warmMs is how long it takes from a runner's own disk, as learnt.
 	warmMs int64
+	// readMs is how long a runner takes to read 1,000 tokens of a prompt for it,
+	// as routers told; prompts is how many tokens a prompt has, smoothed.
+	readMs, prompts float64
 	// peak is the highest rate seen, forgotten slowly.
 	peak   float64
 	peakMs int64
@@ -112,6 +115,24 @@
 	return a
 }
 
+const (
+	// readDrift lets the cost of reading rise where it was once told too low.
+	readDrift   = 0.02
+	promptShare = 0.05
+)
+
+// readCost takes a router's word of what reading costs. The least counts,
+// since all else that a runner does only adds to it; it rises slowly.
+func (m *model) readCost(ms float64) {
+	switch {
+	case ms <= 0:
+	case m.readMs == 0 || ms < m.readMs:
+		m.readMs = ms
+	default:
+		m.readMs += readDrift * (ms - m.readMs)
+	}
+}
+
 // warm is how long a load from the runner's own disk takes.
 func (m *model) warm() int64 {
 	if m.warmMs > 0 {
--- a/holdings/planner.go
+++ b/holdings/planner.go
@@ -28,6 +28,12 @@
 	// slotsARequest: a copy takes a request a second for so many slots, as
 	// long as nothing is known of how long its requests run.
 	slotsARequest = 3.0
+	// readShare is the part of a copy's time that the reading of prompts may
+	// take: while one is read, all streams of the runner stand still.
+	readShare = 0.12
+	// riseAhead is by how much the need of a model is put ahead of its rate
+	// while it rises: a load takes seconds.
+	riseAhead = 2.0
 	// busyAdapterRate earns an adapter a second copy.
 	busyAdapterRate = 3.0
 	adapterCopyRate = 8.0
@@ -190,7 +196,10 @@
 	if m.rate > 0.02 {
 		// Slots show only part of the work: prompts are read one after the
 		// other. So the guess stays a floor also where little runs at once.
-		m.need = max(m.rate*slotsARequest/slots, m.atOnce/(copyShare*slots))
+		m.need = max(m.rate*slotsARequest/slots, m.atOnce/(copyShare*slots), m.rate*m.prompts*m.readMs/1e6/readShare)
+		if m.want.rising() {
+			m.need *= riseAhead
+		}
 	}
 	m.wanted = int(math.Ceil(m.need))
 	if m.rate >= safeRate {
--- a/relay/chooser.go
+++ b/relay/chooser.go
@@ -7,14 +7,19 @@
 	id string
 	// load is how many requests are thought to run or wait there.
 	load, slots int
-	own         bool
-	suspect     bool
+	// reading is how many tokens of prompts are known to wait there.
+	reading int64
+	own     bool
+	suspect bool
 }
 
 // wish is what a choice depends on beside the candidates.
 type wish struct {
 	// affinity names the parts of the prompt that others share; nought is none.
 	affinity uint64
+	// strong says that most of the prompt is shared, so that reading it anew
+	// costs more than waiting behind others.
+	strong bool
 	// draw is a number that differs for each request.
 	draw uint64
 }
@@ -43,8 +48,10 @@
 	switch {
 	case len(sound) == 0:
 		return -1
-	case w.affinity != 0:
+	case w.affinity != 0 && w.strong:
 		return byAffinity(candidates, sound, w.affinity)
+	case w.affinity != 0:
+		return byRank(candidates, sound, w.affinity)
 	}
 	return byLoad(candidates, sound, w.draw)
 }
@@ -76,13 +83,47 @@
 	return best
 }
 
+// byRank takes the less busy of the two that come first in the order of the
+// parts' own hash: what little they share is mostly kept there, and no runner
+// gets much more than its part.
+func byRank(candidates []candidate, of []int, affinity uint64) int {
+	first, second := -1, -1
+	var firstRank, secondRank uint64
+	for _, i := range of {
+		rank := mix(affinity ^ hash(candidates[i].id))
+		switch {
+		case first < 0 || rank > firstRank:
+			second, secondRank = first, firstRank
+			first, firstRank = i, rank
+		case second < 0 || rank > secondRank:
+			second, secondRank = i, rank
+		}
+	}
+	if second >= 0 && candidates[second].busier(candidates[first]) < 0 {
+		return second
+	}
+	return first
+}
+
+// busier compares two runners: prompts that wait to be read hold up all that
+// runs there, so they count before the number of requests.
+func (c candidate) busier(than candidate) int {
+	if d := c.reading/readStep - than.reading/readStep; d != 0 {
+		return int(d)
+	}
+	return c.load - than.load
+}
+
+// readStep is how many tokens of prompts make a difference.
+const readStep = 512
+
 // byLoad draws two and takes the less busy one, since the loads are known a
 // little late; one of the own zone goes first where it is hardly busier.
 func byLoad(candidates []candidate, of []int, draw uint64) int {
 	pick := func(from []int, draw uint64) int {
 		a := from[draw%uint64(len(from))]
 		b := from[mix(draw)%uint64(len(from))]
-		if candidates[b].load < candidates[a].load {
+		if candidates[b].busier(candidates[a]) < 0 {
 			return b
 		}
 		return a
@@ -133,3 +174,12 @@
 	}
 	return max(1, sum.Sum64())
 }
+
+// shared says whether most of a prompt is shared with others.
+func shared(a Asked) bool {
+	common := int64(0)
+	for _, part := range a.Parts[:max(0, len(a.Parts)-1)] {
+		common += part.Tokens
+	}
+	return 2*common > a.PromptTokens
+}
--- a/relay/load.go
+++ b/relay/load.go
@@ -29,13 +29,16 @@
 // runner is what this router knows of a runner's load.
 type runner struct {
 	// The runner's own word, as it was at toldMs; toldMs is nought without one.
-	toldMs      int64
-	told        int
-	slots       int
-	cacheMs     int64
-	cacheUsed   int64
-	cacheTotal  int64
-	own         int
+	toldMs     int64
+	told       int
+	slots      int
+	cacheMs    int64
+	cacheUsed  int64
+	cacheTotal int64
+	own        int
+	// reading is how many tokens of prompts this router sent are still to be
+	// read there.
+	reading     int64
 	ownTokens   int64
 	changes     []change
 	suspectToMs int64
--- a/relay/machine.go
+++ b/relay/machine.go
@@ -94,6 +94,7 @@
 	crowded map[string]int
 	budgets map[string]*budget
 	paces   map[string]*paced
+	pricing pricing
 	// times is about how long a request of a route takes.
 	times map[string]float64
 	asks  uint64
@@ -133,7 +134,7 @@
 		set: set, format: format, nowMs: nowMs, stepMs: nowMs, roster: watch.New(set.Self, nil, nil), seeds: set.Seeds,
 		heardMs: nowMs - silentMs - 1, askedMs: nowMs - askMs, helloMs: nowMs - helloMs, readMs: nowMs, sweptMs: nowMs,
 		leavers: map[string]int64{}, cache: cache{}, runners: map[string]*runner{}, requests: map[uint64]*request{},
-		crowded: map[string]int{}, budgets: map[string]*budget{}, paces: map[string]*paced{}, times: map[string]float64{},
+		crowded: map[string]int{}, budgets: map[string]*budget{}, paces: map[string]*paced{}, pricing: pricing{}, times: map[string]float64{},
 		Tally: Tally{Drops: map[defect.Kind]uint64{}},
 	}
 }
@@ -431,6 +432,13 @@
 
 // told takes what a runner says of its load in the head of an answer.
 func (m *Machine) told(in Told) {
+	if r := m.requests[in.Id]; r != nil && r.reads && r.runner == in.Runner {
+		m.read(r)
+		// The first piece is there once the prompt has been read.
+		if r.service.Engine != nil && !in.Heard.NotRun {
+			m.pricing.note(r.key.service, r.key.model, r.Asked.PromptTokens, m.nowMs-r.goneMs)
+		}
+	}
 	if in.Heard.HasLoad {
 		m.runner(in.Runner).tell(m.nowMs, in.Heard.Running+in.Heard.Waiting, in.Heard.Slots)
 	}
--- a/relay/passage.go
+++ b/relay/passage.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"myrtlewinch/outward"
+	"myrtlewinch/servicemap"
 )
 
 const (
@@ -95,8 +95,8 @@
 		g.shell.Count("answers that are none")
 		return p.ended(p.broken(Nonsense))
 	}
-	if heard.HasLoad {
-		g.shell.Put(Told{Runner: s.Go.Runner, Heard: heard})
+	if heard.HasLoad || s.Route.Kind == servicemap.Stream {
+		g.shell.Put(Told{Id: p.id, Runner: s.Go.Runner, Heard: heard})
 	}
 	switch status := answer.StatusCode; {
 	case status == http.StatusMisdirectedRequest:
--- /dev/null
+++ b/relay/pricing_test.go
@@ -0,0 +1,22 @@
+package relay
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestPricing(t *testing.T) {
+	c := qt.New(t)
+	p := pricing{}
+	c.Assert(p.take("s", "m"), qt.Equals, 0.0)
+	p.note("s", "m", 1000, 40)
+	p.note("s", "m", 2000, 60)
+	p.note("s", "m", 1000, 300)
+	p.note("s", "m", 100, 1)
+	p.note("s", "other", 1000, 7)
+	c.Assert(p.take("s", "m"), qt.Equals, 30.0)
+	// It is told once, so that an old figure does not stay for ever.
+	c.Assert(p.take("s", "m"), qt.Equals, 0.0)
+	c.Assert(p.take("s", "other"), qt.Equals, 7.0)
+}
--- a/relay/request.go
+++ b/relay/request.go
@@ -18,6 +18,8 @@
 	}
 	// Told brings what the head of an answer says of a runner's load.
 	Told struct {
+		// Id is the request whose answer began.
+		Id     uint64
 		Runner string
 		Heard  Heard
 	}
@@ -133,6 +135,10 @@
 	// away says that a send is under way, to runner.
 	away   bool
 	runner string
+	// goneMs is when it was sent on; reads says that its prompt is still to be
+	// read there, as far as this router knows.
+	goneMs int64
+	reads  bool
 	goes   int
 	dials  int
 	earned bool
@@ -267,7 +273,7 @@
 	r.lookedMs, r.lookedAt = m.nowMs, to
 	m.send(place, wire.MapLookUp{
 		Id: r.lookUp, Service: r.key.service, Model: r.key.model, Adapter: r.key.adapter,
-		Tokens: r.tokens, Waits: r.missed,
+		Tokens: r.tokens, Waits: r.missed, Prompt: r.Asked.PromptTokens, ReadMs: m.pricing.take(r.key.service, r.key.model),
 	})
 }
 
@@ -329,7 +335,7 @@
 			return
 		}
 	}
-	holder := m.offered[choose(candidates, wish{r.affinity, r.draw + uint64(r.goes+r.dials)})]
+	holder := m.offered[choose(candidates, wish{r.affinity, shared(r.Asked), r.draw + uint64(r.goes+r.dials)})]
 	m.goTo(r, holder)
 }
 
@@ -348,6 +354,8 @@
 	r.away, r.runner = true, h.Id
 	m.unwait(r)
 	m.runner(h.Id).change(m.nowMs, 1, r.tokens)
+	r.goneMs, r.reads = m.nowMs, true
+	m.runner(h.Id).reading += r.Asked.PromptTokens
 	m.answer(r.Id, Send{
 		Go: Go{
 			Runner: h.Id, Urgency: urgency(r.route.Priority), After: r.after, Version: r.version,
@@ -390,7 +398,7 @@
 			}
 			m.offered = append(m.offered, *h)
 			m.chosen = append(m.chosen, candidate{
-				id: h.Id, load: known.load(m.nowMs), slots: known.slots,
+				id: h.Id, load: known.load(m.nowMs), slots: known.slots, reading: known.reading,
 				own: h.Zone == m.set.Self.Zone, suspect: known.suspectToMs > m.nowMs,
 			})
 		}
@@ -586,6 +594,14 @@
 	m.wake()
 }
 
+// read notes that a prompt is not being read any more.
+func (m *Machine) read(r *request) {
+	if r.reads {
+		r.reads = false
+		m.runner(r.runner).reading -= r.Asked.PromptTokens
+	}
+}
+
 // unsent takes back a send of which no byte was written.
 func (m *Machine) unsent(r *request) { r.goes-- }
 
@@ -605,6 +621,7 @@
 // release frees the place that a send took.
 func (m *Machine) release(r *request) {
 	r.away = false
+	m.read(r)
 	m.runner(r.runner).change(m.nowMs, -1, -r.tokens)
 	pace := m.paces[r.key.service]
 	if pace == nil {
--- a/wire/fleet.go
+++ b/wire/fleet.go
@@ -136,6 +136,11 @@
 		Tokens int64
 		// Waits says that the request can't go on without a holder.
 		Waits bool
+		// Prompt is the part of the work that is reading the prompt, in tokens.
+		Prompt int64
+		// ReadMs is about how long a runner that had little else to do lately
+		// took to read 1,000 tokens of a prompt for the model; 0 is unknown.
+		ReadMs float64
 	}
 	// MapHolder is a runner that a choice table offers.
 	MapHolder struct {
