--- a/holdings/planner.go
+++ b/holdings/planner.go
@@ -31,6 +31,12 @@
 	// readShare is the part of a copy's time that the reading of prompts may
 	// take: while one is read, all streams of the runner stand still.
 	readShare = 0.18
+	// crowdValue is what a request on a crowded copy counts against one that
+	// waits for a load: it is only slowed.
+	crowdValue = 0.5
+	// coldCost and waitCost are what a load from the store counts against one
+	// from the runner's own disk, and more where someone waits for it.
+	coldCost, waitCost = 0.8, 0.8
 	// riseAhead is by how much the need of a model is put ahead of its rate
 	// while it rises: a load takes seconds.
 	riseAhead = 1.5
@@ -239,7 +245,8 @@
 		// A copy keeps its worth until the load is clearly below it, so that
 		// chance in the rate doesn't send it away and back.
 		part := min(1, max(0, m.need-float64(k-1)+0.5))
-		v = part * m.rate / max(1, m.need)
+		// The fewer there are, the more each relieves.
+		v = crowdValue * part * m.rate / max(1, min(float64(k), m.need))
 	}
 	if k <= m.adapterCopies {
 		v = max(v, 0.1*m.rate/float64(m.adapterCopies))
@@ -499,9 +506,9 @@
 		default:
 			// A load from the store takes longer, and counts; most for those who
 			// wait for it.
-			score += 0.4
+			score += coldCost
 			if l.waiting {
-				score += 0.4
+				score += waitCost
 			}
 		}
 		if r.entry.SlowMs > 0 {
@@ -518,7 +525,8 @@
 				continue
 			}
 			first = out
-			score += cost + 0.5*running + 0.05
+			// An unload waits until its runs have finished.
+			score += cost + running + 0.05
 		} else if left < m.spec.AdapterMb*float64(p.service.engine.AdapterRoom) && m.spec.Adapters > 0 {
 			score += 0.05
 		}
