--- a/control/seat.go
+++ b/control/seat.go
@@ -111,8 +111,9 @@
 	case asking:
 		if m.nowMs-s.sinceMs >= opinionMs {
 			if s.opposed {
+				// They may miss it a moment later, and each moment counts.
 				m.note("fellows still hear the primary; no take-over")
-				m.retreat(missMs)
+				m.retreat(opinionMs)
 				return
 			}
 			m.askPromises(false)
--- a/holdings/index.go
+++ b/holdings/index.go
@@ -139,12 +139,11 @@
 		if in.Waits {
 			waits = 1
 		}
-		m.readCost(in.ReadMs)
-		m.prompts += promptShare * (float64(in.Prompt) - m.prompts)
 		if k.active {
+			m.reading(float64(in.Prompt), in.ReadMs, 1)
 			k.count(nowMs, key, 1, float64(in.Tokens), float64(waits))
 		} else {
-			k.pend(key, in.Tokens, waits)
+			k.pend(key, in, waits)
 		}
 	}
 	out := k.index(nowMs, in.Service, in.Model, in.Adapter)
--- a/holdings/model.go
+++ b/holdings/model.go
@@ -1,6 +1,10 @@
 package holdings
 
-import "myrtlewinch/servicemap"
+import (
+	"math"
+
+	"myrtlewinch/servicemap"
+)
 
 // service is what the keeper knows of one service of the map, or of runners
 // whose service the map does not name.
@@ -123,6 +127,15 @@
 	promptShare = 0.05
 )
 
+// reading takes the mean prompt of some requests and what reading cost.
+func (m *model) reading(prompt, readMs float64, requests int) {
+	m.readCost(readMs)
+	if m.prompts == 0 {
+		m.prompts = prompt
+	}
+	m.prompts += (1 - math.Pow(1-promptShare, float64(requests))) * (prompt - m.prompts)
+}
+
 // readCost takes a router's word of what reading costs. The least counts,
 // since all else that a runner does only adds to it; it rises slowly.
 func (m *model) readCost(ms float64) {
--- a/holdings/planner.go
+++ b/holdings/planner.go
@@ -30,7 +30,7 @@
 	slotsARequest = 3.0
 	// readShare is the part of a copy's time that the reading of prompts may
 	// take: while one is read, all streams of the runner stand still.
-	readShare = 0.18
+	readShare = 0.22
 	// crowdValue is what a request on a crowded copy counts against one that
 	// waits for a load: it is only slowed.
 	crowdValue = 0.5
@@ -45,7 +45,7 @@
 	needHalfMs = 5_000
 	// spareRunners is for how many runners one place is kept free, so that what
 	// nobody holds need not wait for another to go first.
-	spareRunners = 8
+	spareRunners = 800
 	// spareValue is the most that a model may be worth that goes for that.
 	spareValue = 0.9
 	// busyAdapterRate earns an adapter a second copy.
--- a/holdings/soft.go
+++ b/holdings/soft.go
@@ -52,6 +52,10 @@
 type DemandCount struct {
 	Service, Model, Adapter string
 	Requests, Tokens, Waits int64
+	// Prompt sums the tokens of prompts; ReadMs is the least that 1,000 of them
+	// took to be read, or 0.
+	Prompt int64
+	ReadMs float64
 }
 
 // Counts is the demand that a follower tells the primary.
@@ -173,7 +177,7 @@
 }
 
 // pend counts a look-up at a follower.
-func (k *Keeper) pend(key demandKey, tokens int64, waits int) {
+func (k *Keeper) pend(key demandKey, in wire.MapLookUp, waits int) {
 	c := k.pending[key]
 	if c == nil {
 		if len(k.pending) >= pendingMost {
@@ -183,7 +187,11 @@
 		k.pending[key] = c
 	}
 	c.Requests++
-	c.Tokens += tokens
+	c.Tokens += in.Tokens
+	c.Prompt += in.Prompt
+	if in.ReadMs > 0 && (c.ReadMs == 0 || in.ReadMs < c.ReadMs) {
+		c.ReadMs = in.ReadMs
+	}
 	c.Waits += int64(waits)
 }
 
@@ -220,6 +228,9 @@
 		return
 	}
 	for _, c := range demand {
+		if m := k.lookedUp(c.Service, c.Model); m != nil && c.Requests > 0 {
+			m.reading(float64(c.Prompt)/float64(c.Requests), c.ReadMs, int(c.Requests))
+		}
 		k.count(nowMs, demandKey{c.Service, c.Model, c.Adapter}, float64(c.Requests), float64(c.Tokens), float64(c.Waits))
 	}
 }
--- a/relay/machine.go
+++ b/relay/machine.go
@@ -507,12 +507,17 @@
 	return m.primary
 }
 
+// spreadRouters is from how many routers on look-ups are spread.
+const spreadRouters = 32
+
 // lookUpAt names whom a look-up goes to. What a request can't go on without is
 // asked of the primary, which loads it. Else a controller of the own zone
 // answers from the primary's image and tells it of the demand, so that look-ups
 // are spread over all of them.
 func (m *Machine) lookUpAt(missed bool) string {
-	if !missed && m.near != "" && !m.silent() {
+	// The primary knows all that is asked at once; that is given up only where
+	// there are so many routers that it could not answer them all.
+	if !missed && m.near != "" && m.routers > spreadRouters && !m.silent() {
 		return m.near
 	}
 	return m.oracle()
--- a/relay/machine_test.go
+++ b/relay/machine_test.go
@@ -290,23 +290,25 @@
 	near := wire.Place{Name: "core-3", Address: "c:3", Zone: "z1", Part: wire.Controller}
 	far := wire.Place{Name: "core-4", Address: "c:4", Zone: "z2", Part: wire.Controller}
 	cases := []struct {
-		about  string
-		live   []wire.Place
-		missed bool
-		silent bool
-		want   string
+		about   string
+		live    []wire.Place
+		missed  bool
+		silent  bool
+		routers int
+		want    string
 	}{
-		{"of the own zone", []wire.Place{far, near, primaryPlace}, false, false, "core-3"},
-		{"a miss", []wire.Place{far, near, primaryPlace}, true, false, "core-1"},
-		{"none is in the own zone", []wire.Place{far}, false, false, "core-4"},
-		{"none was told", nil, false, false, "core-1"},
-		{"the primary is silent", []wire.Place{far, near, primaryPlace}, false, true, "core-1"},
+		{"of the own zone", []wire.Place{far, near, primaryPlace}, false, false, 89, "core-3"},
+		{"a miss", []wire.Place{far, near, primaryPlace}, true, false, 89, "core-1"},
+		{"none is in the own zone", []wire.Place{far}, false, false, 89, "core-4"},
+		{"none was told", nil, false, false, 89, "core-1"},
+		{"few routers", []wire.Place{far, near, primaryPlace}, false, false, 9, "core-1"},
+		{"the primary is silent", []wire.Place{far, near, primaryPlace}, false, true, 89, "core-1"},
 	}
 	for _, test := range cases {
 		t.Run(test.about, func(t *testing.T) {
 			c := qt.New(t)
 			b := newBed(c)
-			b.word(1, func(w *wire.MapWord) { w.Controllers = test.live })
+			b.word(1, func(w *wire.MapWord) { w.Controllers, w.Routers = test.live, test.routers })
 			if test.silent {
 				b.nowMs += silentMs + 1
 				b.m.nowMs = b.nowMs
--- a/relay/request.go
+++ b/relay/request.go
@@ -234,7 +234,7 @@
 		r.missed = true
 		m.Tally.Misses++
 	}
-	m.lookUp(r, m.oracle())
+	m.lookUp(r, m.lookUpAt(r.missed))
 	return true
 }
 
@@ -286,7 +286,7 @@
 func (m *Machine) lookAgain(r *request) {
 	switch {
 	case r.looks == 0:
-		m.lookUp(r, m.oracle())
+		m.lookUp(r, m.lookUpAt(r.missed))
 	case r.looks == 1 && r.missed && !r.answered && m.nowMs-r.lookedMs >= againMs:
 		if next := m.nextController(r.lookedAt); next != "" {
 			m.Tally.LookUpsAgain++
