--- a/holdings/index.go
+++ b/holdings/index.go
@@ -146,7 +146,7 @@
 			k.pend(key, in, waits)
 		}
 	}
-	out := k.index(nowMs, in.Service, in.Model, in.Adapter)
+	out := k.indexIn(nil, nowMs, from, in.Service, in.Model, in.Adapter)
 	out.Id = in.Id
 	if m != nil {
 		k.askers.note(nowMs, m, from, &out)
@@ -196,13 +196,14 @@
 	return s.models[name]
 }
 
-// index makes the answer for a key.
+// index makes the answer for a key as a router without a name gets it.
 func (k *Keeper) index(nowMs int64, service, name, adapter string) wire.MapIndex {
-	return k.indexIn(nil, nowMs, service, name, adapter)
+	return k.indexIn(nil, nowMs, wire.Place{}, service, name, adapter)
 }
 
-// indexIn makes it with its holders in the given room.
-func (k *Keeper) indexIn(room []wire.MapHolder, nowMs int64, service, name, adapter string) wire.MapIndex {
+// indexIn makes the answer for a key, with its holders in the given room. Of
+// very many holders a router is offered some.
+func (k *Keeper) indexIn(room []wire.MapHolder, nowMs int64, to wire.Place, service, name, adapter string) wire.MapIndex {
 	out := wire.MapIndex{
 		Service: service, Model: name, Adapter: adapter, Epoch: k.epoch, Change: k.change, Known: k.known, TurnMs: -1, Holders: room,
 	}
@@ -215,6 +216,13 @@
 		runners = m.service.runners
 	}
 	x := thing{name, adapter}
+	all := runners
+	if len(all) > offeredMost {
+		may := func(r *runner) bool { return !r.away() && !r.suspect && (m == m.service.plain || r.offers(x)) }
+		if some := k.sample(all, to, may); len(some) > 0 {
+			runners = some
+		}
+	}
 	add := func(suspect bool) {
 		for _, r := range runners {
 			if r.away() || r.suspect != suspect || m != m.service.plain && !r.offers(thing{Model: name}) {
@@ -232,6 +240,7 @@
 	add(false)
 	if len(out.Holders) == 0 {
 		// A silent runner is better than none.
+		runners = all
 		add(true)
 	}
 	if m != m.service.plain {
@@ -313,8 +322,14 @@
 	for _, m := range k.dirty {
 		m.dirty = false
 		for _, adapter := range sortedKeys(m.asks) {
-			index := k.indexIn(k.room[:0], nowMs, m.service.name, m.name, adapter)
+			index := k.indexIn(k.room[:0], nowMs, wire.Place{}, m.service.name, m.name, adapter)
 			k.room = index.Holders[:0]
+			// Of so many holders each router is offered others. That one of them
+			// comes or goes makes little difference, and so much is looked up all
+			// the while: the next answer brings it.
+			if len(index.Holders) >= offeredMost {
+				continue
+			}
 			now, kept := sum(&index), false
 			asks := m.asks[adapter]
 			asks.see(&index)
--- a/holdings/keeper.go
+++ b/holdings/keeper.go
@@ -26,12 +26,20 @@
 	// is open, while nothing is asked of them, and when they may be dead.
 	stateMs, openStateMs, idleStateMs, deadStateMs = 400, 100, 800, 900
 	// stateShareMs slows the usual pace for each runner there is, so that the
-	// questions of a large fleet don't take up the primary.
-	stateShareMs = 3
+	// questions of a large fleet don't take up the primary, and stateTurnMs
+	// bounds them to 500 a second however large it is.
+	stateShareMs, stateTurnMs = 3, 2
 	// stateLagMs is how old a state is about when it is told.
 	stateLagMs = 110
-	// asksATick bounds the questions to runners in one tick.
-	asksATick = 25
+	// asksATick bounds the questions to runners in one tick, with one more for
+	// each so many runners.
+	asksATick, askMoreEach = 25, 200
+	// scanShare runners may be looked through in each ms: inputs come as often as
+	// there are runners, and must not each cost as much as there are runners.
+	scanShare = 100
+	// planFree runners may be planned for at each change; of more, planShare in
+	// each ms.
+	planFree, planShare = 200, 20
 	// suspectFails is how many questions in a row must fail.
 	suspectFails = 3
 	// assumeMs is how long after it was taken an adapter's load counts as done.
@@ -81,17 +89,22 @@
 	listPauseMs             int64
 	listOkMs                int64
 	// known says that there is something to answer from.
-	known   bool
-	change  uint64
-	turnAt  int
-	dirty   []*model
-	planned int64
-	replan  bool
-	fillMs  int64
-	cleanMs int64
-	askers  askers
+	known  bool
+	change uint64
+	turnAt int
+	// scannedMs is when all runners were last looked at.
+	scannedMs int64
+	dirty     []*model
+	planned   int64
+	replan    bool
+	fillMs    int64
+	cleanMs   int64
+	askers    askers
 	// room is for answers that are only looked at.
-	room    []wire.MapHolder
+	room []wire.MapHolder
+	// ranks and sampled are room for picking what a router is offered.
+	ranks   []ranked
+	sampled []*runner
 	pending map[demandKey]*DemandCount
 	counts  figures
 	calls   []wire.Call
@@ -500,9 +513,14 @@
 func (k *Keeper) silentMs(r *runner) int64 { return max(1_500, 2*k.usualMs()+300) }
 
 func (k *Keeper) usualMs() int64 {
-	return min(900, stateMs+stateShareMs*int64(len(k.sorted)))
+	count := int64(len(k.sorted))
+	return max(stateTurnMs*count, min(900, stateMs+stateShareMs*count))
 }
 
+// planEachMs is the least time between two plans. A plan goes through all
+// runners, and changes come the more often the more there are.
+func (k *Keeper) planEachMs() int64 { return int64(max(0, len(k.sorted)-planFree) / planShare) }
+
 // fit says whether loads may go to a runner.
 func (k *Keeper) fit(nowMs int64, r *runner) bool {
 	return !r.away() && !r.suspect && r.fails == 0 && nowMs-r.okMs <= k.silentMs(r)
@@ -520,15 +538,11 @@
 	k.nowMs = nowMs
 	if k.active {
 		k.tickList(nowMs)
-		// Questions to a large fleet are spread over the ticks, in turn.
-		asks := asksATick
-		for i := range k.sorted {
-			at := (k.turnAt + i) % len(k.sorted)
-			if asks -= k.tickRunner(nowMs, holdUntilMs, k.sorted[at], asks > 0); asks == 0 {
-				k.turnAt, asks = at+1, -1
-			}
+		if count := len(k.sorted); nowMs-k.scannedMs >= int64(min(50, count/scanShare)) {
+			k.scannedMs = nowMs
+			k.scan(nowMs, holdUntilMs)
 		}
-		if k.mayOrder(nowMs, holdUntilMs) && (k.replan || nowMs-k.planned >= planMs) {
+		if k.mayOrder(nowMs, holdUntilMs) && (k.replan && nowMs-k.planned >= k.planEachMs() || nowMs-k.planned >= max(planMs, k.planEachMs())) {
 			k.plan(nowMs, holdUntilMs)
 		}
 		calls, k.calls = k.calls, nil
@@ -540,6 +554,18 @@
 	return calls, k.tells(nowMs)
 }
 
+// scan looks at every runner. Questions to a large fleet are spread over the
+// ticks, in turn.
+func (k *Keeper) scan(nowMs, holdUntilMs int64) {
+	asks := asksATick + len(k.sorted)/askMoreEach
+	for i := range k.sorted {
+		at := (k.turnAt + i) % len(k.sorted)
+		if asks -= k.tickRunner(nowMs, holdUntilMs, k.sorted[at], asks > 0); asks == 0 {
+			k.turnAt, asks = at+1, -1
+		}
+	}
+}
+
 func (k *Keeper) tickList(nowMs int64) {
 	if k.reading && nowMs-k.listAskedMs > lostCallMs {
 		k.reading = false
--- a/holdings/runner.go
+++ b/holdings/runner.go
@@ -61,7 +61,9 @@
 
 // runner is the ledger of one life of a runner.
 type runner struct {
-	entry   wire.RunnerEntry
+	entry wire.RunnerEntry
+	// seed gives it its place among the holders that a router is offered.
+	seed    uint64
 	service *service
 	held    map[string]*heldModel
 	// disk lists what it has held in this life: it comes back from there
@@ -98,7 +100,7 @@
 type touched interface{ touch(m *model) }
 
 func newRunner(e wire.RunnerEntry, s *service) *runner {
-	return &runner{entry: e, service: s, held: map[string]*heldModel{}, disk: map[string]bool{}}
+	return &runner{entry: e, seed: seedOf(e.Id), service: s, held: map[string]*heldModel{}, disk: map[string]bool{}}
 }
 
 // away says that it may not be sent new requests.
