--- a/holdings/offer.go
+++ b/holdings/offer.go
@@ -45,10 +45,11 @@
 			break
 		}
 		// Too few of those that came first may be offered.
-		if limit > math.MaxUint64/8 {
+		more := uint64(max(2, 2*offeredMost/(len(k.ranks)+1)))
+		if limit > math.MaxUint64/more {
 			limit = math.MaxUint64
 		} else {
-			limit *= 8
+			limit *= more
 		}
 	}
 	slices.SortFunc(k.ranks, func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) })
--- a/holdings/planner.go
+++ b/holdings/planner.go
@@ -30,10 +30,11 @@
 	slotsARequest = 3.0
 	// readShare is the part of a copy's time that the reading of prompts may
 	// take: while one is read, all streams of the runner stand still.
-	readShare = 0.22
-	// crowdValue is what a request on a crowded copy counts against one that
-	// waits for a load: it is only slowed.
-	crowdValue = 0.5
+	readShare = 0.15
+	// idleShare is the part of a copy's time that reading may take without harm,
+	// and crowdValue what a request on a busy copy counts, as long as it is busy,
+	// against one that waits for a load once.
+	idleShare, crowdValue = 0.1, 0.8
 	// coldCost and waitCost are what a load from the store counts against one
 	// from the runner's own disk, and more where someone waits for it.
 	coldCost, waitCost = 0.8, 0.8
@@ -43,11 +44,6 @@
 	// needHalfMs is how slowly a need comes down: copies that go with a chance
 	// in the rate come back for seconds of a runner's time.
 	needHalfMs = 5_000
-	// spareRunners is for how many runners one place is kept free, so that what
-	// nobody holds need not wait for another to go first.
-	spareRunners = 800
-	// spareValue is the most that a model may be worth that goes for that.
-	spareValue = 0.9
 	// busyAdapterRate earns an adapter a second copy.
 	busyAdapterRate = 3.0
 	adapterCopyRate = 8.0
@@ -242,11 +238,10 @@
 func (p *planner) value(m *model, k int) float64 {
 	v := 0.0
 	if m.need > 0 {
-		// A copy keeps its worth until the load is clearly below it, so that
-		// chance in the rate doesn't send it away and back.
-		part := min(1, max(0, m.need-float64(k-1)+0.5))
-		// The fewer there are, the more each relieves.
-		v = crowdValue * part * m.rate / max(1, min(float64(k), m.need))
+		// What a request loses grows with the part of a copy's time that reading
+		// takes; a little of it harms nobody.
+		busy := readShare * m.need / (float64(k) - 0.5)
+		v = crowdValue * m.rate * max(0, busy-idleShare)
 	}
 	if k <= m.adapterCopies {
 		v = max(v, 0.1*m.rate/float64(m.adapterCopies))
@@ -358,7 +353,7 @@
 
 // models gives each model that lacks a copy its best runner, dearest first.
 func (p *planner) models() {
-	free := p.anyFree() && p.places(p.largestMb()) > p.spares()
+	free := p.roomToFill()
 	for _, m := range p.service.names {
 		have := m.copies + m.coming
 		m.queueMs = -1
@@ -392,7 +387,6 @@
 			filled = true
 		}
 	}
-	p.spare()
 	if p.service.engine.LoadsPerSec <= 0 {
 		return
 	}
@@ -403,76 +397,27 @@
 	}
 }
 
-// spare keeps a few places free ahead, where all else has its turn.
-func (p *planner) spare() {
-	largestMb := p.largestMb()
-	if p.places(largestMb) >= p.spares() {
-		return
-	}
-	var best *runner
-	var victim thing
-	lowest := spareValue
-	for _, r := range p.service.runners {
-		if p.used[r] || !p.fit(r) || p.kept(r, thing{}) || !r.idle(p.nowMs, true) {
-			continue
-		}
-		cost, running, first, ok := p.evict(r, largestMb-(p.service.engine.RoomMb-r.takenMb()), nil, lack{})
-		if ok && running < 0.2 && cost < lowest {
-			best, victim, lowest = r, first, cost
-		}
-	}
-	if best != nil {
-		p.unload(best, victim, thing{})
-	}
-}
-
-// spares is how many places to keep free: none where every model has one.
-func (p *planner) spares() int {
-	for _, m := range p.service.names {
-		if m.copies+m.coming == 0 {
-			return len(p.service.runners) / spareRunners
-		}
-	}
-	return 0
-}
-
-// places counts the places that are free or about to be.
-func (p *planner) places(largestMb float64) int {
-	count := 0
-	for _, r := range p.service.runners {
-		if p.fit(r) && !p.kept(r, thing{}) &&
-			(p.service.engine.RoomMb-r.takenMb() >= largestMb || r.order != nil && !r.order.load && r.order.Adapter == "") {
-			count++
-		}
-	}
-	return count
-}
-
-func (p *planner) largestMb() float64 {
-	largestMb := 0.0
+// roomToFill says whether what nobody asks for may take free room: one of the
+// runners must have room for it, and one for the largest model, or it will once
+// what it unloads is gone.
+func (p *planner) roomToFill() bool {
+	smallestMb, largestMb := math.Inf(1), 0.0
 	for _, m := range p.service.names {
 		largestMb = max(largestMb, m.spec.Mb)
-	}
-	return largestMb
-}
-
-// anyFree says whether some runner has room for the smallest model.
-func (p *planner) anyFree() bool {
-	smallest := math.Inf(1)
-	for _, m := range p.service.names {
 		if m.copies+m.coming == 0 {
-			smallest = min(smallest, m.spec.Mb)
+			smallestMb = min(smallestMb, m.spec.Mb)
 		}
 	}
-	if math.IsInf(smallest, 1) {
-		return false
-	}
+	small, large := false, false
 	for _, r := range p.service.runners {
-		if p.fit(r) && p.service.engine.RoomMb-r.takenMb() >= smallest && !p.kept(r, thing{}) {
-			return true
+		if !p.fit(r) || p.kept(r, thing{}) {
+			continue
 		}
+		freeMb := p.service.engine.RoomMb - r.takenMb()
+		small = small || freeMb >= smallestMb
+		large = large || freeMb >= largestMb || r.order != nil && !r.order.load && r.order.Adapter == ""
 	}
-	return false
+	return small && large
 }
 
 // placeModel loads a model where it fits, or makes room for it where least is
--- a/holdings/planner_test.go
+++ b/holdings/planner_test.go
@@ -43,7 +43,7 @@
 const sceneMs = 100_000
 
 func TestPlannerChooses(t *testing.T) {
-	full := budget{left: 10, atOnce: 8}
+	full, one := budget{left: 10, atOnce: 8}, budget{left: 1, atOnce: 1}
 	for _, test := range []struct {
 		name   string
 		held   [][]string
@@ -53,6 +53,9 @@
 	}{
 		{"nothing is asked: nothing moves", [][]string{{"m001"}, {"m002"}}, func(*service) {}, full, nil},
 		{"a fill takes free room, slowly", [][]string{{"m001"}, {"m000"}}, func(*service) {}, budget{left: 10, atOnce: 8, fill: true}, []string{"load m002"}},
+		{"a fill leaves the last room that a larger one would need", [][]string{{"m001", "m003"}}, func(s *service) {
+			s.engine.RoomMb = 215_000
+		}, budget{left: 10, atOnce: 8, fill: true}, nil},
 		{"what someone waits for is loaded into free room", [][]string{{"m001", "m002", "m000"}, {"m003"}}, func(s *service) {
 			s.models["m004"].want.add(sceneMs, 1, 1, 1)
 		}, full, []string{"r2 load m004"}},
@@ -103,6 +106,40 @@
 			s.asks(sceneMs, "m002", 1)
 			s.runners[0].leaving = true
 		}, full, []string{"r2 load m002"}},
+		{"a crowd on one copy goes before the first copy of a rare one that someone waits for", [][]string{{"m001", "m003", "m005"}, {"m003", "m005"}}, func(s *service) {
+			s.models["m004"].want.add(sceneMs, 1, 1, 1)
+			s.asks(sceneMs, "m001", 40)
+		}, one, []string{"r2 load m001"}},
+		{"who waits for a load goes before a small crowd, which is only slowed", [][]string{{"m001", "m003", "m005"}, {"m003", "m005"}}, func(s *service) {
+			s.models["m004"].want.add(sceneMs, 2, 1, 2)
+			s.asks(sceneMs, "m001", 16)
+		}, one, []string{"r2 load m004"}},
+		{"the second copy of a rising model goes before the fifth of a busy one", [][]string{{"m001", "m000", "m002"}, {"m001", "m000", "m002"}, {"m001", "m000", "m002"}, {"m001", "m000", "m002"}, {"m003"}, {"m000"}}, func(s *service) {
+			for atMs := int64(sceneMs - 30_000); atMs < sceneMs; atMs += 10 {
+				s.models["m001"].want.add(atMs, 1, 1000, 0)
+			}
+			s.asks(sceneMs, "m003", 50)
+		}, one, []string{"r6 load m003"}},
+		{"a busy runner's own disk goes before the store", [][]string{{}, {}}, func(s *service) {
+			s.models["m004"].want.add(sceneMs, 1, 1, 0)
+			s.runners[1].disk["m004"] = true
+			s.runners[1].state.Active = 64
+		}, full, []string{"r2 load m004"}},
+		{"most of all where someone waits", [][]string{{}, {}}, func(s *service) {
+			s.models["m004"].want.add(sceneMs, 1, 1, 1)
+			s.runners[1].disk["m004"] = true
+			s.runners[1].state.Active, s.runners[1].state.Queued = 64, 115
+		}, full, []string{"r2 load m004"}},
+		{"a last copy that is silent goes before a spare one that has runs to finish", [][]string{{"m001", "m002", "m003"}, {"m005", "m006", "m007"}, {"m001"}}, func(s *service) {
+			s.models["m004"].want.add(sceneMs, 1, 1, 1)
+			s.models["m005"].want.add(sceneMs-20_000, 1, 1, 0)
+			s.asks(sceneMs, "m001", 1)
+			for _, name := range []string{"m002", "m003", "m006", "m007"} {
+				s.asks(sceneMs, name, 2)
+			}
+			// It takes no order now.
+			s.runners[2].clean = false
+		}, full, []string{"r2 unload m005"}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
--- a/hollow/site.go
+++ b/hollow/site.go
@@ -27,6 +27,8 @@
 	firstMs   = 150
 	startMs   = 1_000_000
 	foundedMs = 20_000
+	// longLine holders and more are not told whole.
+	longLine = 30
 )
 
 var usualBounds = bounds.Bounds{
@@ -555,17 +557,27 @@
 	out.Router, out.Follower, out.Primary = role(s.routers), role(followers), role(leaders)
 }
 
-// offered counts the runners that the primary's index offers for any model.
+// offered counts the runners that the primary's index offers to any router for
+// any model. Of models that many hold each router is offered others.
 func (s *Site) offered(leader *node) int {
 	offered := map[string]bool{}
 	for i := range s.size.Models {
-		e := wire.Envelope{Site: siteName, From: s.routers[0].place, Body: wire.MapLookUp{Service: service, Model: modelName(i)}}
-		for _, send := range leader.machine.Step(s.nowMs, e).Sends {
-			if index, is := send.Body.(wire.MapIndex); is {
+		for _, router := range s.routers {
+			e := wire.Envelope{Site: siteName, From: router.place, Body: wire.MapLookUp{Service: service, Model: modelName(i)}}
+			long := false
+			for _, send := range leader.machine.Step(s.nowMs, e).Sends {
+				index, is := send.Body.(wire.MapIndex)
+				if !is {
+					continue
+				}
+				long = len(index.Holders) >= longLine
 				for j := range index.Holders {
 					offered[index.Holders[j].Id] = true
 				}
 			}
+			if !long {
+				break
+			}
 		}
 	}
 	return len(offered)
--- /dev/null
+++ b/steward/host_test.go
@@ -0,0 +1,73 @@
+package steward
+
+import (
+	"fmt"
+
+	"myrtlewinch/wire"
+)
+
+// heldHost is a machine whose writes wait until the test says how they end.
+type heldHost struct {
+	*wordHost
+	active   bool
+	primary  wire.Place
+	ordersMs int64
+	writes   []heldWrite
+	calls    []wire.Call
+	// told are the answers to each id, in words.
+	told map[uint64][]string
+}
+
+type heldWrite struct {
+	keys []string
+	then func(ok bool)
+}
+
+func newHeldHost() *heldHost {
+	return &heldHost{
+		wordHost: &wordHost{nowMs: 10_000, rows: map[string]string{}}, active: true, primary: wordSelf,
+		ordersMs: 10_000, told: map[uint64][]string{},
+	}
+}
+
+func (h *heldHost) Active() bool        { return h.active }
+func (h *heldHost) Primary() wire.Place { return h.primary }
+func (h *heldHost) OrdersFromMs() int64 { return h.ordersMs }
+
+func (h *heldHost) Call(address string, body any) {
+	h.calls = append(h.calls, wire.Call{Address: address, Body: body})
+}
+
+// Submit shows the rows at once, as a primary's own state does.
+func (h *heldHost) Submit(rows map[string]string, then func(ok bool)) {
+	var keys []string
+	for key, text := range rows {
+		h.rows[key] = text
+		keys = append(keys, key)
+	}
+	h.writes = append(h.writes, heldWrite{keys, then})
+}
+
+// end ends the first write that waits.
+func (h *heldHost) end(ok bool) {
+	write := h.writes[0]
+	h.writes = h.writes[1:]
+	write.then(ok)
+}
+
+func (h *heldHost) Answer(id uint64, body any) {
+	text := fmt.Sprintf("%T", body)
+	switch said := body.(type) {
+	case Taken:
+		text = fmt.Sprintf("taken %d", said.Version)
+	case wire.Dropped:
+		text = string(said.Kind)
+		if said.Revision > 0 {
+			text += fmt.Sprintf(" %d", said.Revision)
+		}
+		if said.Primary != "" {
+			text += " " + said.Primary
+		}
+	}
+	h.told[id] = append(h.told[id], text)
+}
--- /dev/null
+++ b/steward/maps_test.go
@@ -0,0 +1,172 @@
+package steward
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"myrtlewinch/bounds"
+	"myrtlewinch/defect"
+	"myrtlewinch/wire"
+)
+
+// Each order has one answer, and yes only once the copies have the map.
+func TestMapsAreTaken(t *testing.T) {
+	const (
+		stale   = string(defect.StaleBase)
+		faulty  = string(defect.FaultyDescription)
+		gone    = string(defect.NotPrimary)
+		unknown = string(defect.AcceptanceUnknown)
+	)
+	type told = map[uint64][]string
+	put := func(id, builtOn uint64, text string) HandOver { return HandOver{Id: id, BuiltOn: builtOn, Text: text} }
+	type scene struct {
+		h *heldHost
+		s *Steward
+	}
+	give := func(x scene, orders ...HandOver) {
+		for _, order := range orders {
+			x.s.Input(x.h, order)
+		}
+	}
+	inForce := func(x scene, text string) {
+		give(x, put(100, x.s.maps.current.version, text))
+		x.h.end(true)
+		delete(x.h.told, 100)
+	}
+	for _, test := range []struct {
+		name string
+		do   func(x scene)
+		want told
+		// version is the one in force at the end, writes how many wait then.
+		version uint64
+		writes  int
+	}{
+		{"not before it is safe", func(x scene) { give(x, put(1, 0, "version 1")) }, told{}, 0, 1},
+		{"taken", func(x scene) { give(x, put(1, 0, "version 1")); x.h.end(true) }, told{1: {"taken 1"}}, 1, 0},
+		{"a change is taken", func(x scene) {
+			inForce(x, "version 1")
+			give(x, HandOver{Id: 1, BuiltOn: 1, Text: "version 4", Part: true})
+			x.h.end(true)
+		}, told{1: {"taken 4"}}, 4, 0},
+		{"the same again while it is written", func(x scene) {
+			give(x, put(1, 0, "version 1"), put(2, 0, "version 1"))
+			x.h.end(true)
+		}, told{1: {"taken 1"}, 2: {"taken 1"}}, 1, 0},
+		{"the same again, with others in force since", func(x scene) {
+			inForce(x, "version 1")
+			inForce(x, "version 2")
+			give(x, put(1, 0, "version 1"))
+		}, told{1: {"taken 1"}}, 2, 0},
+		{"the same again at the next primary", func(x scene) {
+			inForce(x, "version 1")
+			inForce(x, "version 2")
+			next := New(Settings{Self: wordSelf}, wordFormat{})
+			next.Began(x.h)
+			give(scene{x.h, next}, put(1, 1, "version 2"))
+		}, told{1: {"taken 2"}}, 2, 0},
+		{"the same text on top of another version is another order", func(x scene) {
+			inForce(x, "version 1")
+			give(x, put(1, 1, "version 1"))
+		}, told{1: {faulty}}, 1, 0},
+		{"stale base", func(x scene) {
+			inForce(x, "version 3")
+			give(x, put(1, 0, "version 5"))
+		}, told{1: {stale + " 3"}}, 3, 0},
+		{"a base that never was", func(x scene) { give(x, put(1, 7, "version 9")) }, told{1: {stale}}, 0, 0},
+		{"faulty", func(x scene) { give(x, put(1, 0, "nonsense")) }, told{1: {faulty}}, 0, 0},
+		{"version not above", func(x scene) {
+			inForce(x, "version 3")
+			give(x, put(1, 3, "version 3 other"), put(2, 3, "version 2"))
+		}, told{1: {faulty}, 2: {faulty}}, 3, 0},
+		{"of two on one version the second loses", func(x scene) {
+			give(x, put(1, 0, "version 1"), put(2, 0, "version 2"))
+			x.h.end(true)
+		}, told{1: {"taken 1"}, 2: {stale + " 1"}}, 1, 0},
+		{"a refused one holds up nobody behind it", func(x scene) {
+			give(x, put(1, 0, "version 1"), put(2, 1, "nonsense"), put(3, 1, "version 2"))
+			x.h.end(true)
+			x.h.end(true)
+		}, told{1: {"taken 1"}, 2: {faulty}, 3: {"taken 2"}}, 2, 0},
+		{"one is written at a time", func(x scene) {
+			give(x, put(1, 0, "version 1"), put(2, 1, "version 2"))
+		}, told{}, 0, 1},
+		{"a write of unknown end", func(x scene) {
+			give(x, put(1, 0, "version 1"))
+			x.h.end(false)
+		}, told{1: {unknown}}, 0, 0},
+		{"the end of a primacy answers all", func(x scene) {
+			give(x, put(1, 0, "version 1"), put(2, 1, "version 2"), put(3, 0, "version 1"))
+			// The machine ends the writes first.
+			x.h.end(false)
+			x.s.Ended(x.h)
+		}, told{1: {unknown}, 2: {gone}, 3: {gone}}, 0, 0},
+		{"after it none is taken", func(x scene) {
+			x.s.Ended(x.h)
+			give(x, put(1, 0, "version 1"))
+		}, told{1: {gone}}, 0, 0},
+		{"elsewhere", func(x scene) {
+			x.s.Ended(x.h)
+			x.h.primary = wire.Place{Name: "core-2", Address: "10.0.0.2:7", Part: wire.Controller}
+			x.h.controllers = []wire.Place{x.h.primary}
+			give(x, put(1, 0, "version 1"))
+		}, told{1: {gone + " 10.0.0.2:80"}}, 0, 0},
+		{"elsewhere, and dead as far as is known", func(x scene) {
+			x.s.Ended(x.h)
+			x.h.primary = wire.Place{Name: "core-2", Address: "10.0.0.2:7", Part: wire.Controller}
+			give(x, put(1, 0, "version 1"))
+		}, told{1: {gone}}, 0, 0},
+		{"a primary that may not speak takes none", func(x scene) {
+			x.h.active = false
+			give(x, put(1, 0, "version 1"))
+		}, told{1: {gone}}, 0, 0},
+		{"one that may not speak for a while goes on later", func(x scene) {
+			give(x, put(1, 0, "version 1"), put(2, 1, "version 2"))
+			x.h.active = false
+			x.h.end(true)
+			x.h.active = true
+			x.s.Tick(x.h)
+			for len(x.h.writes) > 0 {
+				x.h.end(true)
+			}
+		}, told{1: {"taken 1"}, 2: {"taken 2"}}, 2, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			h := newHeldHost()
+			// No order to runners is at stake here.
+			h.rows[ordererRow] = wordSelf.Name
+			s := New(Settings{Self: wordSelf, Bounds: bounds.Bounds{}, ControlPort: "80"}, wordFormat{})
+			s.Began(h)
+			test.do(scene{h, s})
+			c.Check(h.told, qt.DeepEquals, test.want)
+			c.Check(s.maps.current.version, qt.Equals, test.version)
+			c.Check(h.writes, qt.HasLen, test.writes)
+		})
+	}
+}
+
+// More than a bounded number can't wait, and what was taken longest ago is
+// forgotten.
+func TestMapsAreBounded(t *testing.T) {
+	c := qt.New(t)
+	h := newHeldHost()
+	h.rows[ordererRow] = wordSelf.Name
+	s := New(Settings{Self: wordSelf}, wordFormat{})
+	s.Began(h)
+	for id := range uint64(lineMost + 2) {
+		s.Input(h, HandOver{Id: id, Text: "version 1"})
+	}
+	c.Assert(h.told, qt.DeepEquals, map[uint64][]string{lineMost + 1: {string(defect.NotTaken)}})
+	h.end(true)
+	for id := range uint64(lineMost + 1) {
+		c.Assert(h.told[id], qt.DeepEquals, []string{"taken 1"})
+	}
+	for version := uint64(1); version < takenMost+1; version++ {
+		s.Input(h, HandOver{Id: 1000 + version, BuiltOn: version, Text: fmt.Sprintf("version %d", version+1)})
+		h.end(true)
+	}
+	s.Input(h, HandOver{Id: 1, Text: "version 1"})
+	c.Assert(h.told[1][1:], qt.DeepEquals, []string{string(defect.StaleBase) + " 129"})
+}
