Take a line that the index has not told of for long as a miss

A line older than 3.5 s is a miss now: its request waits for the answer of the same look-up, 50 ms at most; while no controller answers, old lines serve as before. A router that only wants to be sure does not count as one that waits for a load. The thaw test now wants a moment more before the send, the follower's test a key that nobody holds; one test is new.

--- a/drill/broken_test.go
+++ b/drill/broken_test.go
@@ -30,6 +30,8 @@
 		{"LOOKUP", Breaks{DoubleLookUp: true}, nil},
 		{"RECOVER", Breaks{NoMend: true}, []string{"all killed"}},
 		{"ORDER", Breaks{SkipPiece: true}, []string{"runners reset"}},
+		{"ROUTE", Breaks{OtherService: true}, nil},
+		{"DENIED", Breaks{DenyKnown: true}, []string{"crowd for rare models", "release"}},
 		{"ANSWER", Breaks{NoRetryTime: true}, []string{"crowd for rare models", "release"}},
 		{"ANSWER", Breaks{TwoAnswers: true}, []string{"crowd for rare models", "release"}},
 	} {
--- a/drill/faults.go
+++ b/drill/faults.go
@@ -320,9 +320,8 @@
 	}},
 }
 
-// disk spoils a disk for some seconds. What a failed write left is known only
-// after a restart, so a process that met one ends once the disk takes writes
-// again, and is started anew.
+// disk spoils a disk for some seconds. A process whose write failed begins anew
+// from it by itself.
 func (w *World) disk(n *node, spoil func(d *simDisk)) {
 	w.note("the disk of %s is in trouble", n.name)
 	spoil(n.disk)
@@ -331,9 +330,6 @@
 		w.note("the disk of %s is well again", n.name)
 		w.touch.upset(n)
 		n.disk.full, n.disk.stalled, n.disk.slowMs = false, false, 0
-		if n.disk.failed && !w.Breaks.DeafDisk {
-			w.killFor(n, 500)
-		}
 	})
 }
 
--- a/drill/node.go
+++ b/drill/node.go
@@ -23,10 +23,13 @@
 	// life tells one run of the process from the next; bornMs is its start.
 	life           int
 	bornMs, offset int64
-	backlog        []func()
-	disk           *simDisk
-	passages       map[uint64]*passage
-	ids            uint64
+	// made counts the machines of all lives: one that begins anew from its disk
+	// is another machine of the same process.
+	made     int
+	backlog  []func()
+	disk     *simDisk
+	passages map[uint64]*passage
+	ids      uint64
 }
 
 // simDisk is a disk: what is synced, and how it behaves.
@@ -35,8 +38,10 @@
 	incarnation   string
 	slowMs        int64
 	stalled, full bool
-	// failed says that a save failed: the process takes none from then on.
+	// failed says that a save failed: the machine takes none from then on. torn
+	// is what that save left, if it left anything.
 	failed bool
+	torn   *wire.Save
 	wipes  int
 	// pending was asked for and is not synced yet.
 	pending []wire.Save
@@ -89,9 +94,19 @@
 	n.life++
 	n.bornMs, n.offset = w.NowMs, 3_600_000+w.random.Int63n(1_000_000)
 	n.passages = map[uint64]*passage{}
+	w.make(n, first)
+	w.note("%s starts", n.name)
+	w.touch.upset(n)
+	life := n.life
+	w.after(w.random.Int63n(tickMs), func() { w.tick(n, life) })
+}
+
+// make gives a daemon its machine, of a controller from what its disk holds.
+func (w *World) make(n *node, first bool) {
+	n.made++
 	self := n.place()
 	if n.core() {
-		n.disk.failed = false
+		n.disk.reopen()
 		tenant := steward.New(steward.Settings{
 			Self: self, Bounds: w.Bounds, ListAddress: listAddress, ListPerSec: listPerSec, ControlPort: "80",
 		}, format{})
@@ -108,10 +123,30 @@
 			Site: site, Self: self, Seeds: slices.Clone(w.seeds), Bounds: w.Bounds, ListAddress: listAddress,
 		}, format{}, n.clock(w.NowMs))
 	}
-	w.note("%s starts", n.name)
-	w.touch.upset(n)
-	life := n.life
-	w.after(w.random.Int63n(tickMs), func() { w.tick(n, life) })
+}
+
+// probeMs is how often a shell looks at a disk that failed.
+const probeMs = 250
+
+// renew begins anew in place from a disk that failed, as soon as it takes
+// writes again. What comes for the machine before comes to the new one.
+func (w *World) renew(n *node, life int) {
+	switch {
+	case !n.up || n.life != life || w.Breaks.DeafDisk:
+	case n.frozen || n.disk.full || n.disk.stalled:
+		w.after(probeMs, func() { w.renew(n, life) })
+	default:
+		w.note("%s begins anew from its disk", n.name)
+		w.make(n, false)
+	}
+}
+
+// reopen reads a disk anew, with what a failed save may have left.
+func (d *simDisk) reopen() {
+	if d.torn != nil {
+		d.torn.Write.Apply(d.keys)
+	}
+	d.failed, d.torn, d.pending = false, nil, nil
 }
 
 const tickMs = 50
@@ -148,7 +183,7 @@
 	for _, save := range effects.Saves {
 		n.disk.pending = append(n.disk.pending, save)
 		if len(n.disk.pending) == 1 {
-			w.saveNext(n, life)
+			w.saveNext(n, n.made)
 		}
 	}
 	for _, send := range effects.Sends {
@@ -170,25 +205,32 @@
 
 // saveNext brings the first save that waits to the platter, one after the
 // other, as on the disk's own thread.
-func (w *World) saveNext(n *node, life int) {
-	d := n.disk
+func (w *World) saveNext(n *node, made int) {
+	d, life := n.disk, n.life
 	w.after(1+w.random.Int63n(4)+d.slowMs, func() {
 		// What a power cut left was settled when it happened.
-		if !n.up || n.life != life {
+		if !n.up || n.made != made {
 			return
 		}
 		if d.stalled || n.frozen {
-			w.saveNext(n, life)
+			w.saveNext(n, made)
 			return
 		}
 		save := d.pending[0]
 		d.pending = d.pending[1:]
-		d.failed = d.failed || d.full
+		if d.full && !d.failed {
+			d.failed = true
+			// Whether it reached the platter nobody knows until it is read again.
+			if w.random.Intn(2) == 0 {
+				d.torn = &save
+			}
+			w.after(probeMs, func() { w.renew(n, life) })
+		}
 		if !d.failed && !w.Breaks.UnsyncedDisk {
 			save.Write.Apply(d.keys)
 		}
 		if len(d.pending) > 0 {
-			w.saveNext(n, life)
+			w.saveNext(n, made)
 		}
 		w.put(n, life, wire.Saved{Number: save.Number, Ok: !d.failed})
 	})
@@ -203,9 +245,10 @@
 	w.touch.upset(n)
 	n.up = false
 	if n.disk != nil {
-		// A power cut leaves some first part of what was not synced yet.
+		// A power cut leaves some first part of what was not synced yet; nothing
+		// was written after a defect.
 		for _, save := range n.disk.pending[:w.random.Intn(len(n.disk.pending)+1)] {
-			if !w.Breaks.UnsyncedDisk {
+			if !w.Breaks.UnsyncedDisk && !n.disk.failed {
 				save.Write.Apply(n.disk.keys)
 			}
 		}
--- a/drill/passage.go
+++ b/drill/passage.go
@@ -61,6 +61,9 @@
 		if w.Breaks.NoRetryTime {
 			said.RetryMs = 0
 		}
+		if w.Breaks.DenyKnown {
+			said.Kind = defect.UnknownPage
+		}
 		p.finish()
 		p.c.hear(p.n.name, func() { p.c.refused(said.Kind, said.RetryMs) })
 		if w.Breaks.TwoAnswers {
@@ -85,6 +88,13 @@
 			older.Name = "mark@1"
 			said.Route = &older
 		}
+		if w.Breaks.OtherService && w.random.Intn(10) == 0 {
+			for _, r := range w.fleet.living("") {
+				if r.entry.Service != said.Route.Split[0].Service {
+					said.Address, said.Go.Runner = r.entry.Address, r.entry.Id
+				}
+			}
+		}
 		w.atSocket(p.n, p.life, said.UntilMs, func() { p.send(said) }, func() { p.ended(relay.Ended{Outcome: relay.TooLate}) })
 	}
 }
--- a/drill/world.go
+++ b/drill/world.go
@@ -79,6 +79,9 @@
 	SkipPiece bool
 	// DeafDisk makes a process go on without its disk once a save failed.
 	DeafDisk bool
+	// OtherService sends some requests to a runner of another service; DenyKnown
+	// says of what the map and its models have that they have it not.
+	OtherService, DenyKnown bool
 	// NoRetryTime leaves out of refusals when to come back; TwoAnswers gives
 	// some requests a second answer.
 	NoRetryTime, TwoAnswers bool
--- a/holdings/index.go
+++ b/holdings/index.go
@@ -135,8 +135,9 @@
 	m := k.lookedUp(in.Service, in.Model)
 	if m != nil {
 		key := demandKey{in.Service, in.Model, in.Adapter}
+		// A router that only wants to be sure waits for no load.
 		waits := 0
-		if in.Waits {
+		if in.Waits && !k.offered(m, in.Adapter) {
 			waits = 1
 		}
 		if k.active {
@@ -154,6 +155,14 @@
 	return out
 }
 
+// offered says whether some runner can be asked for a model and an adapter.
+func (k *Keeper) offered(m *model, adapter string) bool {
+	if m == m.service.plain {
+		return len(m.service.runners) > 0
+	}
+	return slices.ContainsFunc(m.holders, func(r *runner) bool { return !r.away() && r.offers(thing{m.name, adapter}) })
+}
+
 // sum names what a router does by an answer: which runners it may choose, or
 // whether there is hope of one. Loads and times change all the while; they come
 // with the next answer.
--- a/holdings/index_test.go
+++ b/holdings/index_test.go
@@ -204,9 +204,12 @@
 		c.Assert(index.Change, qt.Equals, k.Change())
 		c.Assert(ids(index), qt.DeepEquals, ids(k.index(s.nowMs, llm, "m000", in.Adapter)))
 	}
+	// Those who only want to be sure of a holder wait for no load.
+	c.Assert(follower.Waits(), qt.IsFalse)
+	follower.LookUp(s.nowMs, from, wire.MapLookUp{Service: llm, Model: "m000", Adapter: "a30", Waits: true})
 	c.Assert(follower.Waits(), qt.IsTrue)
 	demand := follower.DrainDemand()
-	c.Assert(demand, qt.HasLen, 9)
+	c.Assert(demand, qt.HasLen, 10)
 	c.Assert(follower.DrainDemand(), qt.HasLen, 0)
 	before := k.services[llm].models["m000"].want.fast
 	k.TakeDemand(s.nowMs, demand)
@@ -219,7 +222,7 @@
 	}
 	follower.TakeSoft(s.nowMs, image)
 	_, tells := follower.Tick(s.nowMs, 0)
-	c.Assert(tells, qt.HasLen, 9)
+	c.Assert(tells, qt.HasLen, 10)
 	c.Assert(tells[0].Index.Holders, qt.HasLen, 0)
 	_, err := json.Marshal(k.Status())
 	c.Assert(err, qt.IsNil)
--- a/holdings/keeper.go
+++ b/holdings/keeper.go
@@ -39,7 +39,7 @@
 	scanShare = 100
 	// planFree runners may be planned for at each change; of more, planShare in
 	// each ms.
-	planFree, planShare = 200, 20
+	planFree, planShare = 20, 10
 	// suspectFails is how many questions in a row must fail.
 	suspectFails = 3
 	// assumeMs is how long after it was taken an adapter's load counts as done.
--- a/relay/cache.go
+++ b/relay/cache.go
@@ -17,6 +17,8 @@
 	turnMs  int64
 	loading bool
 	usedMs  int64
+	// toldMs is when the index last told of it.
+	toldMs int64
 	// shunned are runners that said that they don't hold it after all, until
 	// when they are left out.
 	shunned map[string]int64
@@ -24,7 +26,10 @@
 
 const (
 	cacheMost = 2048
-	shunMs    = 1000
+	// staleMs is how old a line may be and still be a hit: a router that has not
+	// asked for longer is not told when a holder goes.
+	staleMs = 3500
+	shunMs  = 1000
 	// shunAnywayMs is for how long it is shunned whatever the index tells.
 	shunAnywayMs = 150
 )
@@ -42,7 +47,7 @@
 	if old == nil && len(c) >= cacheMost {
 		c.evict()
 	}
-	e := &entry{epoch: in.Epoch, change: in.Change, holders: in.Holders, turnMs: -1, loading: in.Loading, usedMs: nowMs}
+	e := &entry{epoch: in.Epoch, change: in.Change, holders: in.Holders, turnMs: -1, loading: in.Loading, usedMs: nowMs, toldMs: nowMs}
 	if in.TurnMs >= 0 {
 		e.turnMs = nowMs + in.TurnMs
 	}
--- a/relay/machine_test.go
+++ b/relay/machine_test.go
@@ -547,6 +547,26 @@
 	}
 }
 
+// A line that the index has not told of for long is no hit: the request waits
+// for its look-up's answer, but no longer than a miss does at first.
+func TestAnOldLineIsAMiss(t *testing.T) {
+	c := qt.New(t)
+	b := ready(c)
+	for b.m.nowMs = b.nowMs; b.m.nowMs < b.nowMs+staleMs+100; b.m.nowMs += 100 {
+		b.m.stepMs = b.m.nowMs
+	}
+	b.nowMs = b.m.nowMs
+	b.m.heardMs = b.nowMs
+	out := b.ask("/safe/")
+	c.Assert(out.Answers, qt.HasLen, 0)
+	c.Assert(lookUps(out), qt.HasLen, 1)
+	// The answer says that another holds it now.
+	out = b.index(wire.MapIndex{Id: lookUps(out)[0].Id, Service: "pages", Change: 9, Holders: []wire.MapHolder{{Id: "p9", Address: "p9:80", Adapter: true, Slots: 4}}})
+	c.Assert(answered[Send](c, out).Go.Runner, qt.Equals, "p9")
+	// Now it is young again.
+	answered[Send](c, b.ask("/safe/"))
+}
+
 // After standing still nothing is sent on before the primary gave its word,
 // or a while has passed.
 func TestAThawedRouterAsksFirst(t *testing.T) {
@@ -559,7 +579,9 @@
 	c.Assert(slices.ContainsFunc(out.Sends, func(s wire.Send) bool { _, ok := s.Body.(wire.MapAsk); return ok }), qt.IsTrue)
 	// An answer from before it stood still tells nothing of what was missed.
 	c.Assert(b.from(primaryPlace, wire.MapWord{EchoMs: askedMs, Epoch: 3, Version: 1}).Answers, qt.HasLen, 0)
-	answered[Send](c, b.word(2))
+	// The line is from before it stood still too; its look-up may renew it.
+	c.Assert(b.word(2).Answers, qt.HasLen, 0)
+	answered[Send](c, b.later(missMs))
 
 	b = ready(c)
 	b.nowMs += 5000
--- a/relay/request.go
+++ b/relay/request.go
@@ -379,7 +379,7 @@
 	m.offered, m.crowdedNow = m.offered[:0], false
 	m.chosen = m.chosen[:0]
 	e := m.entry(r.key)
-	if e == nil {
+	if e == nil || m.stale(r, e) {
 		return nil
 	}
 	e.usedMs = m.nowMs
@@ -428,6 +428,13 @@
 	return aheadMs > max(r.route.AimMs, m.patienceMs(r)/2)
 }
 
+// stale says that a line is too old for a hit: its request waits for the
+// look-up's answer as a miss does. An old line is better than none after that,
+// or while no controller answers.
+func (m *Machine) stale(r *request, e *entry) bool {
+	return m.nowMs-e.toldMs > staleMs && r.goes == 0 && !r.answered && !m.silent() && m.nowMs-r.cameMs < missMs
+}
+
 // streams is how many requests this router may have under way at a runner.
 func (m *Machine) streams(s *servicemap.Service) int {
 	if s.MostStreams <= 0 {
--- a/steward/office.go
+++ b/steward/office.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -48,6 +49,8 @@
 	shell *daemon.Shell
 	// doors are the pages that operators use.
 	doors http.Handler
+	// seeds are those of the settings as they are now.
+	seeds atomic.Pointer[[]string]
 }
 
 // NewOffice opens the data folder and makes the controller; nothing runs yet.
@@ -60,19 +63,26 @@
 	}
 	set.Self.Part, set.Self.Incarnation = wire.Controller, d.Keys()["incarnation"]
 	o := &Office{}
+	o.seeds.Store(&set.Seeds)
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { o.doors.ServeHTTP(w, r) })
 	o.shell = daemon.New(daemon.Settings{
 		Site: set.Site, Self: set.Self, Clock: clock, Log: logger, TickMs: tickMs, Exchanger: exchanger,
 		Renew: func() (daemon.Machine, *disk.Disk, error) {
-			// A site is founded at its first start alone.
-			set.FirstStart = false
-			return set.machine(disk.Reopen, format, clock)
+			return o.anew(set).machine(disk.Reopen, format, clock)
 		},
 	}, machine, d, fellows, web, handler)
 	o.doors = doors(o.shell)
 	return o, nil
 }
 
+// anew is what a machine knows that begins anew in the same process.
+func (o *Office) anew(set OfficeSettings) OfficeSettings {
+	// A site is founded at its first start alone.
+	set.FirstStart = false
+	set.Seeds = *o.seeds.Load()
+	return set
+}
+
 // machine opens the data folder and makes a controller from what it holds.
 func (set OfficeSettings) machine(open func(folder, site string) (*disk.Disk, error), format Format, clock daemon.Clock) (daemon.Machine, *disk.Disk, error) {
 	d, err := open(set.Data, set.Site)
@@ -109,4 +119,7 @@
 }
 
 // Reseed takes the seeds of changed settings.
-func (o *Office) Reseed(seeds []string) { o.shell.Put(control.Reseed{Seeds: seeds}) }
+func (o *Office) Reseed(seeds []string) {
+	o.seeds.Store(&seeds)
+	o.shell.Put(control.Reseed{Seeds: seeds})
+}
