--- a/holdings/index.go
+++ b/holdings/index.go
@@ -227,8 +227,13 @@
 	x := thing{name, adapter}
 	all := runners
 	if len(all) > offeredMost {
+		if with := m.with[adapter]; len(with) > 0 {
+			runners = with
+		}
 		may := func(r *runner) bool { return !r.away() && !r.suspect && (m == m.service.plain || r.offers(x)) }
-		if some := k.sample(all, to, may); len(some) > 0 {
+		if some := k.sample(runners, to, may); len(some) > 0 {
+			runners = some
+		} else if some := k.sample(all, to, func(r *runner) bool { return !r.away() && !r.suspect }); len(some) > 0 {
 			runners = some
 		}
 	}
--- a/holdings/model.go
+++ b/holdings/model.go
@@ -31,6 +31,8 @@
 	holders  []*runner
 	want     demand
 	adapters map[string]*adapter
+	// with lists the holders of each adapter that any has.
+	with map[string][]*runner
 	// asks lists the routers that asked lately, by adapter.
 	asks  map[string]*asked
 	dirty bool
--- a/holdings/offer.go
+++ b/holdings/offer.go
@@ -27,13 +27,17 @@
 func (k *Keeper) sample(runners []*runner, to wire.Place, may func(r *runner) bool) []*runner {
 	salt := seedOf(to.Name)
 	limit := uint64(math.MaxUint64)
-	if part := float64(3*offeredMost) / float64(len(runners)); part < 1 {
+	// Those beyond a part of all ranks hardly ever are among the first.
+	if part := 1.5 * offeredMost / float64(len(runners)); part < 1 {
 		limit = uint64(part * float64(1<<63) * 2)
 	}
 	for {
 		k.ranks = k.ranks[:0]
 		for _, r := range runners {
 			rank := mixed(r.seed ^ salt)
+			if rank/ownZone > limit {
+				continue
+			}
 			if r.entry.Zone == to.Zone {
 				rank /= ownZone
 			}
--- a/holdings/offer_test.go
+++ b/holdings/offer_test.go
@@ -155,3 +155,49 @@
 		}
 	}
 }
+
+// The lists of the holders of adapters agree with what the runners hold,
+// whatever came and went.
+func TestHoldersOfAdapters(t *testing.T) {
+	s := newStand(t, 3, newMap(8, 16, 4.2), 6)
+	s.fill(0)
+	s.lossIn, s.lossOut = 0.1, 0.1
+	k := s.keeper("one")
+	k.Begin(s.nowMs, 1, s.nowMs)
+	load := newTraffic(s, k)
+	seen := 0
+	play(s, load, 20, func(ms int64) {
+		if s.poisson(30) {
+			load.ask("m000", fmt.Sprintf("a%d", 1+s.rnd.IntN(16)))
+		}
+		if s.poisson(5) {
+			load.ask(fmt.Sprintf("m%03d", s.rnd.IntN(8)), "")
+		}
+		if ms%5000 == 0 {
+			// One ends, and its place is taken anew.
+			delete(s.runners, sortedKeys(s.runners)[0])
+			s.start(fmt.Sprintf("10.0.9.%d:80", ms/1000), "a")
+			s.noteList()
+		}
+		for _, m := range k.services[llm].models {
+			want := map[string][]string{}
+			for _, r := range k.sorted {
+				if h := r.held[m.name]; h != nil {
+					for a := range h.adapters {
+						want[a] = append(want[a], r.entry.Id)
+					}
+				}
+			}
+			got := map[string][]string{}
+			for a, with := range m.with {
+				seen++
+				for _, r := range with {
+					got[a] = append(got[a], r.entry.Id)
+				}
+				slices.Sort(got[a])
+			}
+			qt.Assert(t, got, qt.DeepEquals, want)
+		}
+	})
+	qt.Assert(t, seen > 1000, qt.IsTrue, qt.Commentf("%d", seen))
+}
--- a/holdings/planner.go
+++ b/holdings/planner.go
@@ -34,7 +34,7 @@
 	// idleShare is the part of a copy's time that reading may take without harm,
 	// and crowdValue what a request on a busy copy counts, as long as it is busy,
 	// against one that waits for a load once.
-	idleShare, crowdValue = 0.1, 0.8
+	idleShare, crowdValue = 0.1, 0.4
 	// coldCost and waitCost are what a load from the store counts against one
 	// from the runner's own disk, and more where someone waits for it.
 	coldCost, waitCost = 0.8, 0.8
--- a/holdings/runner.go
+++ b/holdings/runner.go
@@ -186,13 +186,13 @@
 		h.version = m.Version
 		for _, a := range m.Adapters {
 			if h.adapters[a] == nil {
-				h.adapters[a] = &heldAdapter{sinceMs: nowMs}
+				r.take(nowMs, h, a)
 				t.touch(h.model)
 			}
 		}
 		for a := range h.adapters {
 			if !slices.Contains(m.Adapters, a) && !r.assumes(thing{m.Name, a}) {
-				delete(h.adapters, a)
+				r.leave(h, a)
 				t.touch(h.model)
 			}
 		}
@@ -225,12 +225,35 @@
 	return r.order != nil && !r.order.load && r.order.thing == x
 }
 
+// take notes that it holds an adapter, and leave that it does no more.
+func (r *runner) take(nowMs int64, h *heldModel, adapter string) {
+	h.adapters[adapter] = &heldAdapter{sinceMs: nowMs}
+	if h.model.with == nil {
+		h.model.with = map[string][]*runner{}
+	}
+	h.model.with[adapter] = append(h.model.with[adapter], r)
+}
+
+func (r *runner) leave(h *heldModel, adapter string) {
+	delete(h.adapters, adapter)
+	with := h.model.with[adapter]
+	if i := slices.Index(with, r); i >= 0 {
+		with = slices.Delete(with, i, i+1)
+	}
+	if h.model.with[adapter] = with; len(with) == 0 {
+		delete(h.model.with, adapter)
+	}
+}
+
 func (r *runner) forget(name string, t touched) {
 	h := r.held[name]
 	if h == nil {
 		return
 	}
 	delete(r.held, name)
+	for a := range h.adapters {
+		r.leave(h, a)
+	}
 	if i := slices.Index(h.model.holders, r); i >= 0 {
 		h.model.holders = slices.Delete(h.model.holders, i, i+1)
 	}
@@ -270,7 +293,7 @@
 	h := r.held[o.Model]
 	o.assumed = true
 	if h != nil && h.adapters[o.Adapter] == nil {
-		h.adapters[o.Adapter] = &heldAdapter{sinceMs: nowMs}
+		r.take(nowMs, h, o.Adapter)
 		t.touch(h.model)
 	}
 }
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -210,8 +210,9 @@
 	s.goOn(h)
 	if h.NowMs()-s.softMs >= softMs {
 		s.softMs = h.NowMs()
+		image := Soft{Epoch: h.Epoch(), Ledger: s.keeper.Soft()}
 		for _, place := range h.Controllers() {
-			h.Send(place, Soft{Epoch: h.Epoch(), Ledger: s.keeper.Soft()})
+			h.Send(place, image)
 		}
 	}
 }
