--- a/relay/passage.go
+++ b/relay/passage.go
@@ -129,7 +129,9 @@
 	}
 	defer p.limit(s.DeadlineMs - nowMs + 5*lateMs)()
 	p.pass(got)
-	return p.ended(Answered)
+	ended := p.ended(Answered)
+	ended.Ill = got.status >= http.StatusInternalServerError
+	return ended
 }
 
 // promises says whether a status tells a client that its request has not run.
