--- a/holdings/index.go
+++ b/holdings/index.go
@@ -132,7 +132,6 @@
 
 // LookUp answers a router's look-up, and counts it as demand.
 func (k *Keeper) LookUp(nowMs int64, from wire.Place, in wire.MapLookUp) wire.MapIndex {
-	k.meet(nowMs, in.Well, in.Ill)
 	m := k.lookedUp(in.Service, in.Model)
 	if m != nil {
 		key := demandKey{in.Service, in.Model, in.Adapter}
@@ -248,8 +247,7 @@
 				Adapter: adapter == "" || r.offers(x),
 				Active:  r.state.Active, Queued: r.state.Queued,
 				CacheUsed: r.state.CacheUsed, CacheTotal: r.state.CacheTotal,
-				AgeMs:   max(0, nowMs-r.stateMs),
-				Outlier: int(r.outlier(nowMs, k.active)),
+				AgeMs: max(0, nowMs-r.stateMs),
 			})
 		}
 	}
--- a/holdings/model.go
+++ b/holdings/model.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 
-	"myrtlewinch/outlier"
 	"myrtlewinch/servicemap"
 )
 
@@ -20,8 +19,6 @@
 	// plain stands for requests that need no model.
 	plain   *model
 	runners []*runner
-	// met is what requests met at all its runners.
-	met outlier.Count
 }
 
 // model is a model of a service: who holds it, and who asks.
--- a/holdings/runner.go
+++ b/holdings/runner.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 
-	"myrtlewinch/outlier"
 	"myrtlewinch/wire"
 )
 
@@ -93,10 +92,6 @@
 	// plan is what room is kept for here until planMs.
 	plan   thing
 	planMs int64
-	// met is what routers tell that their requests met there.
-	met outlier.Record
-	// word is, at a follower, what the primary makes of all that was met.
-	word outlier.State
 	// coolMs holds off orders after one that was refused.
 	coolMs int64
 }
--- a/holdings/soft.go
+++ b/holdings/soft.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"slices"
 
-	"myrtlewinch/outlier"
 	"myrtlewinch/wire"
 )
 
@@ -30,9 +29,7 @@
 	Active, Queued             int
 	CacheUsed, CacheTotal      int64
 	AgeMs                      int64
-	// Outlier is its outlier.State.
-	Outlier int
-	Models  []SoftModel
+	Models                     []SoftModel
 	// Disk lists what it has held beside the models.
 	Disk []string
 }
@@ -59,8 +56,6 @@
 	// took to be read, or 0.
 	Prompt int64
 	ReadMs float64
-	// Well and Ill name the runners where requests ended well, or failed.
-	Well, Ill []string
 }
 
 // Counts is the demand that a follower tells the primary.
@@ -81,7 +76,6 @@
 			Id: r.entry.Id, Service: r.service.name, Address: r.entry.Address, Zone: r.entry.Zone, Slots: r.entry.Slots,
 			Leaving: r.leaving, Suspect: r.suspect, Active: r.state.Active, Queued: r.state.Queued,
 			CacheUsed: r.state.CacheUsed, CacheTotal: r.state.CacheTotal, AgeMs: nowMs - r.stateMs,
-			Outlier: int(r.met.State(nowMs)),
 		}
 		for _, name := range sortedKeys(r.held) {
 			h := r.held[name]
@@ -172,7 +166,6 @@
 	}
 	r.state.Active, r.state.Queued, r.state.CacheUsed, r.state.CacheTotal = s.Active, s.Queued, s.CacheUsed, s.CacheTotal
 	r.stateMs = nowMs - s.AgeMs
-	r.word = outlier.State(s.Outlier)
 	models := make([]wire.HeldModel, 0, len(s.Models))
 	for _, m := range s.Models {
 		models = append(models, wire.HeldModel{Name: m.Name, Adapters: m.Adapters})
@@ -200,9 +193,6 @@
 		c.ReadMs = in.ReadMs
 	}
 	c.Waits += int64(waits)
-	if len(c.Well)+len(c.Ill) < metMost {
-		c.Well, c.Ill = append(c.Well, in.Well...), append(c.Ill, in.Ill...)
-	}
 }
 
 // Waits says whether a follower was asked for what nobody holds since it last
@@ -238,7 +228,6 @@
 		return
 	}
 	for _, c := range demand {
-		k.meet(nowMs, c.Well, c.Ill)
 		if m := k.lookedUp(c.Service, c.Model); m != nil && c.Requests > 0 {
 			m.reading(float64(c.Prompt)/float64(c.Requests), c.ReadMs, int(c.Requests))
 		}
--- a/relay/chooser.go
+++ b/relay/chooser.go
@@ -11,24 +11,6 @@
 	reading int64
 	own     bool
 	suspect bool
-	// resting says that it is an outlier that gets this request only for want
-	// of another.
-	resting bool
-}
-
-// restingPart is the part of a key's runners that may rest at once, one at
-// least: a fault that many share must not leave all to a few.
-const restingPart = 3
-
-// bound lets no more of the candidates rest than that part of the holders.
-func bound(candidates []candidate, holders int) {
-	left := max(1, holders/restingPart)
-	for i := range candidates {
-		if candidates[i].resting {
-			candidates[i].resting = left > 0
-			left--
-		}
-	}
 }
 
 // wish is what a choice depends on beside the candidates.
@@ -54,7 +36,7 @@
 func choose(candidates []candidate, w wish) int {
 	sound := make([]int, 0, len(candidates))
 	for i := range candidates {
-		if !candidates[i].suspect && !candidates[i].resting {
+		if !candidates[i].suspect {
 			sound = append(sound, i)
 		}
 	}
--- a/relay/load.go
+++ b/relay/load.go
@@ -1,10 +1,6 @@
 package relay
 
-import (
-	"slices"
-
-	"myrtlewinch/outlier"
-)
+import "slices"
 
 const (
 	// changesMs is how long own sends are remembered against what is told: no
@@ -19,14 +15,6 @@
 	// awayMs is how long a runner that turned a request away counts as full,
 	// if it does not tell otherwise before.
 	awayMs = 250
-	// flapMs is for how long after a failure successes do not end the row.
-	flapMs = 4000
-	// wordForMs is how long the index's word of an outlier is believed, and
-	// ownLeast from how many requests of its own on a router needs none.
-	wordForMs = 6000
-	ownLeast  = 12
-	// probeEach is of how many requests one may go to a runner that is probed.
-	probeEach = 8
 	// idleMs is when an unused runner is forgotten.
 	idleMs = 60_000
 )
@@ -57,14 +45,8 @@
 	changes     []change
 	suspectToMs int64
 	fullToMs    int64
-	failedMs    int64
 	failures    int
 	usedMs      int64
-	// met is what requests of this router met there; word what the index tells
-	// that those of all met, as of wordMs.
-	met    outlier.Record
-	word   outlier.State
-	wordMs int64
 }
 
 // tell takes a count of running and waiting requests as of atMs.
@@ -149,39 +131,7 @@
 		return
 	}
 	r.suspectToMs = nowMs + min(suspectMostMs, int64(suspectMs)<<min(r.failures, 3))
-	r.failedMs = nowMs
 	r.failures++
 }
 
-// succeed ends the suspicion. Its failures in a row are forgotten only later:
-// one that goes down and up by turns has its successes between.
-func (r *runner) succeed(nowMs int64) {
-	r.suspectToMs = 0
-	if nowMs-r.failedMs > flapMs {
-		r.failures = 0
-	}
-}
-
-// outlier is what it may be given: by own experience where there is some, since
-// it may be ill for some callers only, else by the word of all.
-func (r *runner) outlier(nowMs int64) outlier.State {
-	if own := r.met.State(nowMs); own != outlier.Sound || r.met.Requests >= ownLeast {
-		return own
-	}
-	if nowMs-r.wordMs > wordForMs {
-		return outlier.Sound
-	}
-	return r.word
-}
-
-// rest says that it is left out for this request where another can take it. Of
-// one that is probed, a few go there one at a time, which may run twice.
-func (r *runner) rest(nowMs int64, repeatable bool, draw uint64) bool {
-	switch r.outlier(nowMs) {
-	case outlier.Ejected:
-		return true
-	case outlier.Probed:
-		return !repeatable || r.own > 0 || draw%probeEach != 0
-	}
-	return false
-}
+func (r *runner) succeed() { r.failures, r.suspectToMs = 0, 0 }
--- a/relay/load_test.go
+++ b/relay/load_test.go
@@ -61,7 +61,7 @@
 		c.Assert(r.suspectToMs-nowMs, qt.Equals, wantMs)
 		nowMs = r.suspectToMs
 	}
-	r.succeed(nowMs + flapMs + 1)
+	r.succeed()
 	r.fail(nowMs)
 	c.Assert(r.suspectToMs-nowMs, qt.Equals, int64(1000))
 }
--- a/relay/machine.go
+++ b/relay/machine.go
@@ -7,7 +7,6 @@
 
 	"myrtlewinch/bounds"
 	"myrtlewinch/defect"
-	"myrtlewinch/outlier"
 	"myrtlewinch/servicemap"
 	"myrtlewinch/watch"
 	"myrtlewinch/wire"
@@ -102,10 +101,6 @@
 	budgets map[string]*budget
 	paces   map[string]*paced
 	pricing pricing
-	// met counts what requests met at all runners of a service; well and ill are
-	// runners to be told of with the next look-up.
-	met       map[string]*outlier.Count
-	well, ill []string
 	// reads is about how long 1,000 tokens of a prompt take, by model.
 	reads map[modelOf]float64
 	// times is about how long a request of a route takes.
@@ -147,7 +142,7 @@
 		set: set, format: format, nowMs: nowMs, stepMs: nowMs, roster: watch.New(set.Self, nil, nil), seeds: set.Seeds,
 		heardMs: nowMs - silentMs - 1, askedMs: nowMs - askMs, helloMs: nowMs - helloMs, readMs: nowMs, sweptMs: nowMs,
 		leavers: map[string]int64{}, cache: cache{}, runners: map[string]*runner{}, requests: map[uint64]*request{},
-		crowded: map[string]int{}, budgets: map[string]*budget{}, paces: map[string]*paced{}, pricing: pricing{}, met: map[string]*outlier.Count{}, reads: map[modelOf]float64{}, times: map[string]float64{},
+		crowded: map[string]int{}, budgets: map[string]*budget{}, paces: map[string]*paced{}, pricing: pricing{}, reads: map[modelOf]float64{}, times: map[string]float64{},
 		Tally: Tally{Drops: map[defect.Kind]uint64{}},
 	}
 }
@@ -455,7 +450,6 @@
 	if known.slots == 0 {
 		known.slots = h.Slots
 	}
-	known.word, known.wordMs = outlier.State(h.Outlier), m.nowMs
 	if h.AgeMs < 0 {
 		return
 	}
@@ -469,7 +463,6 @@
 		m.read(r)
 		// The first piece is there once the prompt has been read.
 		if r.service.Engine != nil && !in.Heard.NotRun {
-			r.slow = m.late(r)
 			m.priced(modelOf{r.key.service, r.key.model}, r.Asked.PromptTokens, m.nowMs-r.goneMs)
 		}
 	}
--- a/relay/passage.go
+++ b/relay/passage.go
@@ -129,9 +129,7 @@
 	}
 	defer p.limit(s.DeadlineMs - nowMs + 5*lateMs)()
 	p.pass(got)
-	ended := p.ended(Answered)
-	ended.Ill = got.status >= http.StatusInternalServerError
-	return ended
+	return p.ended(Answered)
 }
 
 // promises says whether a status tells a client that its request has not run.
--- a/relay/request.go
+++ b/relay/request.go
@@ -33,8 +33,6 @@
 		Passed bool
 		// Other says that a runner with another id answered.
 		Other bool
-		// Ill says that the answer passed on is a failure of the runner.
-		Ill bool
 		// Version is that of the weights that answered so far, or 0.
 		Version int64
 	}
@@ -139,11 +137,7 @@
 	missed   bool
 	held     bool
 	// away says that a send is under way, to runner.
-	away bool
-	// slow says that the first piece came far later than is usual.
-	slow bool
-	// calm says that its runner had little else to do when it was sent.
-	calm   bool
+	away   bool
 	runner string
 	// goneMs is when it was sent on; reads says that its prompt is still to be
 	// read there, as far as this router knows.
@@ -284,9 +278,7 @@
 	m.send(place, wire.MapLookUp{
 		Id: r.lookUp, Service: r.key.service, Model: r.key.model, Adapter: r.key.adapter,
 		Tokens: r.tokens, Waits: r.missed, Prompt: r.Asked.PromptTokens, ReadMs: m.pricing.take(r.key.service, r.key.model),
-		Well: m.well, Ill: m.ill,
 	})
-	m.well, m.ill = nil, nil
 }
 
 // lookAgain sends a look-up that found no primary yet, and once another one
@@ -365,9 +357,8 @@
 	}
 	r.away, r.runner = true, h.Id
 	m.unwait(r)
-	r.calm = m.calm(m.runner(h.Id), r)
 	m.runner(h.Id).change(m.nowMs, 1, r.tokens)
-	r.goneMs, r.reads, r.slow = m.nowMs, true, false
+	r.goneMs, r.reads = m.nowMs, true
 	m.runner(h.Id).reading += r.Asked.PromptTokens
 	m.answer(r.Id, Send{
 		Go: Go{
@@ -413,14 +404,12 @@
 			m.chosen = append(m.chosen, candidate{
 				id: h.Id, load: known.load(m.nowMs), slots: known.slots, reading: known.reading,
 				own: h.Zone == m.set.Self.Zone, suspect: known.suspectToMs > m.nowMs,
-				resting: known.rest(m.nowMs, r.route.Repeatable(), mix(r.draw^hash(h.Id))),
 			})
 		}
 		if len(m.chosen) > 0 || m.crowdedNow {
 			break
 		}
 	}
-	bound(m.chosen, len(e.holders))
 	return m.chosen
 }
 
@@ -588,10 +577,9 @@
 		r.version = in.Version
 	}
 	r.sinceMs = m.nowMs
-	m.meet(r, in.Outcome, in.Ill)
 	switch in.Outcome {
 	case Answered:
-		known.succeed(m.nowMs)
+		known.succeed()
 		m.lasted(r.route.Name, m.nowMs-r.cameMs)
 		delete(m.requests, r.Id)
 		m.wake()
@@ -663,10 +651,6 @@
 		return
 	}
 	if r.away {
-		// One that is given up before its first piece tells of the runner.
-		if r.reads && m.late(r) {
-			m.meet(r, Lost, false)
-		}
 		m.release(r)
 	}
 	m.unwait(r)
--- a/wire/fleet.go
+++ b/wire/fleet.go
@@ -148,9 +148,6 @@
 		// ReadMs is about how long a runner that had little else to do lately
 		// took to read 1,000 tokens of a prompt for the model; 0 is unknown.
 		ReadMs float64
-		// Well and Ill name runners where requests of this router ended well, or
-		// failed, since it last told.
-		Well, Ill []string
 	}
 	// MapHolder is a runner that a choice table offers.
 	MapHolder struct {
@@ -162,9 +159,6 @@
 		Active, Queued        int
 		CacheUsed, CacheTotal int64
 		AgeMs                 int64
-		// Outlier is an outlier.State: what it may be given, by what requests of
-		// all routers met there.
-		Outlier int
 	}
 	// MapIndex answers a MapLookUp, or tells a router that asked lately of a
 	// change (Id is nought).
