--- a/holdings/planner.go
+++ b/holdings/planner.go
@@ -30,11 +30,10 @@
 	slotsARequest = 3.0
 	// readShare is the part of a copy's time that the reading of prompts may
 	// take: while one is read, all streams of the runner stand still.
-	readShare = 0.15
-	// idleShare is the part of a copy's time that reading may take without harm,
-	// and crowdValue what a request on a busy copy counts, as long as it is busy,
-	// against one that waits for a load once.
-	idleShare, crowdValue = 0.1, 0.4
+	readShare = 0.22
+	// crowdValue is what a request on a crowded copy counts against one that
+	// waits for a load: it is only slowed.
+	crowdValue = 0.5
 	// coldCost and waitCost are what a load from the store counts against one
 	// from the runner's own disk, and more where someone waits for it.
 	coldCost, waitCost = 0.8, 0.8
@@ -238,10 +237,11 @@
 func (p *planner) value(m *model, k int) float64 {
 	v := 0.0
 	if m.need > 0 {
-		// What a request loses grows with the part of a copy's time that reading
-		// takes; a little of it harms nobody.
-		busy := readShare * m.need / (float64(k) - 0.5)
-		v = crowdValue * m.rate * max(0, busy-idleShare)
+		// A copy keeps its worth until the load is clearly below it, so that
+		// chance in the rate doesn't send it away and back. The fewer there are,
+		// the more each relieves.
+		part := min(1, max(0, m.need-float64(k-1)+0.5))
+		v = crowdValue * part * m.rate / max(1, min(float64(k), m.need))
 	}
 	if k <= m.adapterCopies {
 		v = max(v, 0.1*m.rate/float64(m.adapterCopies))
