Tell a newer epoch record to whoever asks by an older one

Cause: the primary dies in the middle of a change of copies. The new record reached two members that hold no copy in it; those that are entitled knew the one before, and asked for opinions by it.

Ruled out: a lost majority (the witnesses answered), a lease that was never given back (no witness held one).

Mend: an answer to `Opinion` carries the complete record that its sender holds and its true hearing; who asked adopts a newer one and asks anew by it. A controller that is not entitled by what it knows asks too while the primary is missing, since a newer record may entitle it. That only witnesses know a record needs no message of its own: a candidate finds it when it asks for promises.

--- a/control/seat.go
+++ b/control/seat.go
@@ -64,6 +64,8 @@
 	// quietMs is until when a recovered site says nothing.
 	quietMs  int64
 	founding *Founding
+	// learnMs is when peers were last asked for a newer record.
+	learnMs int64
 	// first is the record that the founding under way would make.
 	first wire.Record
 }
@@ -97,7 +99,11 @@
 	s := &m.seat
 	switch s.role {
 	case follower:
-		if !m.mayStand() || m.nowMs < s.nextMs {
+		if !m.mayStand() {
+			m.tickLearn()
+			return
+		}
+		if m.nowMs < s.nextMs {
 			return
 		}
 		// After a restart the recorded primary need not miss itself.
@@ -178,18 +184,41 @@
 	// What counts is the primary's serving, not that its daemon lives: it may
 	// have lost its disk or stepped down.
 	heardMs := m.nowMs - max(m.seat.heardMs, m.seat.servedMs)
-	if m.isPrimary() || ask.Epoch < m.record.Epoch {
+	if m.isPrimary() {
 		heardMs = 0
 	}
-	m.reply(e, wire.Opined{Epoch: ask.Epoch, HeardMs: heardMs})
+	m.reply(e, wire.Opined{Epoch: ask.Epoch, HeardMs: heardMs, Record: m.record})
 }
 
+// opined takes what a peer knows. One that asked by an older record goes by the
+// newer one from then on, and asks anew: those who know the newest record may
+// hold no copy, and then only those who don't know it can take over.
 func (m *Machine) opined(_ wire.Place, said wire.Opined) {
+	if len(said.Record.Pair) > 0 && said.Record.Epoch > m.record.Epoch && !m.isPrimary() {
+		m.adopt(said.Record, wire.Ballot{})
+		if m.seat.role == asking {
+			m.retreat(0)
+		}
+		return
+	}
 	if m.seat.role == asking && said.Epoch == m.record.Epoch && said.HeardMs < missMs {
 		m.seat.opposed = true
 	}
 }
 
+// tickLearn asks the other controllers for a newer record while the primary is
+// missing: this daemon may be one that it entitles.
+func (m *Machine) tickLearn() {
+	s := &m.seat
+	if m.record.Epoch == 0 || m.nowMs-s.heardMs <= missMs || m.nowMs-s.learnMs < opinionMs {
+		return
+	}
+	s.learnMs = m.nowMs
+	for _, place := range m.roster.Part(wire.Controller) {
+		m.send(place, wire.Opinion{Epoch: m.record.Epoch})
+	}
+}
+
 func (m *Machine) yielded(from wire.Place, said wire.Yield) {
 	if said.Epoch == m.record.Epoch && from.Name == m.record.Primary && m.entitled(m.record) && m.seat.role == follower {
 		m.askPromises(false)
--- a/control/seat_test.go
+++ b/control/seat_test.go
@@ -84,3 +84,74 @@
 		})
 	}
 }
+
+// The newest record reached only members that hold no copy in it. Those who
+// hold one learn of it from them, and take over.
+func TestNewerRecordIsToldToWhomItEntitles(t *testing.T) {
+	cases := []struct {
+		about string
+		// kept says that witnesses alone keep the record, as after a primary that
+		// was lost before it told anyone; else members hold it as complete.
+		kept bool
+	}{{"members hold it as complete", false}, {"only witnesses keep it", true}}
+	for _, test := range cases {
+		t.Run(test.about, func(t *testing.T) {
+			w := served(qt.New(t), 2, 5)
+			w.write("kept")
+			primary := w.primary()
+			m := w.nodes[primary].machine
+			next := m.record
+			next.Epoch++
+			ballot := m.seat.ballot
+			w.kill(primary)
+			for name, n := range w.nodes {
+				if n.down || next.Pairs(wire.Seat{Name: name, Incarnation: n.place.Incarnation}) {
+					continue
+				}
+				n.machine.witness.Record, n.machine.witness.Kept = next, ballot
+				if !test.kept {
+					n.machine.record = next
+				}
+			}
+			w.until(6000, "a take-over", w.serves)
+			w.c.Assert(w.record().Epoch > next.Epoch, qt.IsTrue)
+			w.c.Assert(w.nodes[w.primary()].tenant.row, qt.Equals, "kept")
+		})
+	}
+}
+
+// A copy that was recruited by a record which no one told it of is the only one
+// left that is entitled by it.
+func TestRecruitThatWasNeverToldTakesOver(t *testing.T) {
+	w := served(qt.New(t), 2, 5)
+	w.write("kept")
+	primary := w.primary()
+	m := w.nodes[primary].machine
+	var spare string
+	for name, n := range w.nodes {
+		if !m.record.Pairs(wire.Seat{Name: name, Incarnation: n.place.Incarnation}) {
+			spare = name
+		}
+	}
+	next := m.record
+	next.Epoch++
+	var replaced string
+	for i, seat := range next.Pair {
+		if seat.Name != primary {
+			replaced = seat.Name
+			next.Pair = append(append([]wire.Seat{}, next.Pair[:i]...), next.Pair[i+1:]...)
+			break
+		}
+	}
+	next.Pair = append(next.Pair, wire.Seat{Name: spare, Incarnation: w.nodes[spare].place.Incarnation})
+	for name, n := range w.nodes {
+		if name != spare {
+			n.machine.witness.Record, n.machine.witness.Kept = next, m.seat.ballot
+		}
+	}
+	w.kill(primary)
+	w.kill(replaced)
+	// The third copy holds everything too, but knows the record before only.
+	w.until(6000, "a take-over", w.serves)
+	w.c.Assert(w.nodes[w.primary()].tenant.row, qt.Equals, "kept")
+}
--- a/wire/bodies.go
+++ b/wire/bodies.go
@@ -100,6 +100,9 @@
 type Opined struct {
 	Epoch   uint64
 	HeardMs int64
+	// Record is the complete epoch record that the sender knows; a router sends
+	// none. Whoever asked may be the only one entitled by it.
+	Record Record
 }
 
 // Position is the last change a disk holds.
