Let no late message take a copy back, and send what was lost on its way again

Four causes, all in the copying of the state: - A follower took any image of its epoch, also one older than what it had taken and acknowledged (it comes late when a new connection overtook the old one). If the primary was lost right then, an acknowledged row was gone: got "", want "after". A follower now refuses an image that is not further than what it took: positions (epoch, number) grow along every lawful history, so this holds by construction, whatever way a message came. Messages of a primary bear a sequence; of one that was overtaken only changes count, which chain. The primary in its turn ignores an acknowledgement of less than that disk once acknowledged. - A change that was lost was sent again after 900 ms counted from the last change sent, so never while changes kept coming faster: a backup hung, and with it all writes; a spare could not be recruited. A follower now says what it took once it heard which message, and a gap is sent again at once. - A spare was recruited only if it held every change, also those still on their way. It need hold those that may have been answered: what is answered from then on needs it as well. - 256 changes of a large configuration are more than one message may have (8 MiB), and such a message was sent again for ever. Kept are 1 MiB now.

Ruled out: an image from another chain (the epoch is in the position).

TestLateMessagesTakeNothingBack, TestLateAcknowledgements, TestLostChangeIsSentAgainInAStorm, TestContact, TestContactEndsBehindACut and TestRecentChangesAreBounded; each of the first four was seen failing with its check taken out.

--- a/control/copy.go
+++ b/control/copy.go
@@ -5,6 +5,7 @@
 	"myrtlewinch/disk"
 	"myrtlewinch/ledger"
 	"myrtlewinch/wire"
+	"myrtlewinch/witness"
 )
 
 const (
@@ -12,6 +13,10 @@
 	resendMs   = 900
 	stallMs    = 1500
 	recentMost = 256
+	// recentBytesMost bounds the changes that are kept for followers which lack
+	// them, and so the message that brings them. Changes of a large row are soon
+	// more bytes than an image, which holds each row once.
+	recentBytesMost = 1 << 20
 )
 
 var beginCommand ledger.Command = ledger.Begin{}
@@ -25,17 +30,44 @@
 	writeMs       int64
 	line          []batch
 	waiting       []waiter
-	committed     uint64
-	base          wire.Position
-	recent        []wire.Change
-	fellows       map[string]*fellowCopy
-	soft          wire.Soft
-	sentMs        int64
-	beganMs       int64
+	// committed is the last change that all copies have; at the start of a
+	// primacy it is all that this disk held, since any of it may have been
+	// answered by the one before.
+	committed uint64
+	base      wire.Position
+	recent    []wire.Change
+	// recentBytes is the size of the rows in recent.
+	recentBytes int
+	fellows     map[string]*fellowCopy
+	soft        wire.Soft
+	sentMs      int64
+	beganMs     int64
 	// away is the witness that was last said to stay away for good.
 	away string
 	// fellowsSum names, at a follower, the list of fellows that it took.
 	fellowsSum uint64
+	// sequence counts, at the primary, the messages of this epoch to followers;
+	// heard is, at a follower, the newest that it took.
+	sequence uint64
+	heard    heardWord
+	// contactMs is, at a follower, its own time at which a majority is known to
+	// have stood behind the primary.
+	contactMs int64
+}
+
+// heardWord orders the messages of primaries, whatever way they came.
+type heardWord struct {
+	epoch, sequence uint64
+}
+
+// overtaken says whether a later message of a primary was heard before this
+// one. It notes the message otherwise.
+func (c *copies) overtaken(epoch, sequence uint64) bool {
+	if epoch == c.heard.epoch && sequence <= c.heard.sequence || epoch < c.heard.epoch {
+		return true
+	}
+	c.heard = heardWord{epoch, sequence}
+	return false
 }
 
 type batch struct {
@@ -52,14 +84,20 @@
 type fellowCopy struct {
 	incarnation string
 	heardMs     int64
-	acked       uint64
-	sent        uint64
-	sentMs      int64
-	needsImage  bool
+	// at is the furthest position that the disk was said to hold.
+	at    wire.Position
+	acked uint64
+	// sentSequence is the message that brought the newest changes.
+	sentSequence uint64
+	sent         uint64
+	sentMs       int64
+	needsImage   bool
 	// fellowsSum names the list of fellows that it has.
 	fellowsSum uint64
 	// behindMs is since when it lacks changes without taking any, or nought.
 	behindMs int64
+	// contact is the follower's clock as it was last told.
+	contact wire.Contact
 }
 
 // live says whether the very disk answered lately.
@@ -92,10 +130,11 @@
 func (m *Machine) beginCopies() {
 	c := &m.copies
 	c.fellows = map[string]*fellowCopy{}
-	c.base, c.recent = m.state.Position, nil
+	c.base, c.recent, c.recentBytes = m.state.Position, nil, 0
 	c.writing = false
-	c.committed = 0
+	c.committed = m.state.Position.Number
 	c.sentMs, c.beganMs = m.nowMs-followMs, m.nowMs
+	c.sequence = 0
 	// A recorded fellow has a time to show itself; the one before may be lost.
 	for _, seat := range m.record.Pair {
 		c.fellows[seat.Name] = &fellowCopy{incarnation: seat.Incarnation, heardMs: m.nowMs - missMs + m.set.ShowMs}
@@ -106,7 +145,7 @@
 func (m *Machine) endCopies() {
 	c := &m.copies
 	waiting, line := c.waiting, c.line
-	c.waiting, c.line, c.fellows, c.recent = nil, nil, nil, nil
+	c.waiting, c.line, c.fellows, c.recent, c.recentBytes = nil, nil, nil, nil, 0
 	c.writing = false
 	for _, w := range waiting {
 		w.then(false)
@@ -138,11 +177,7 @@
 	change := wire.Change{Before: m.state.Position, At: wire.Position{Epoch: m.record.Epoch, Number: number}}
 	change.Rows = m.state.Do(change.At, commands)
 	m.stateChanged(change.Rows)
-	c.recent = append(c.recent, change)
-	if len(c.recent) > recentMost {
-		c.base = c.recent[0].At
-		c.recent = c.recent[1:]
-	}
+	c.keepRecent(change)
 	c.writing, c.writeMs = true, m.nowMs
 	m.keepRows(disk.Write{Sets: change.Rows}, change.At, func() {
 		if m.isPrimary() {
@@ -156,6 +191,27 @@
 	}
 }
 
+// keepRecent keeps a change for followers that lack it, and forgets the oldest
+// beyond the bounds: who lacks one of those gets an image.
+func (c *copies) keepRecent(change wire.Change) {
+	c.recent = append(c.recent, change)
+	c.recentBytes += rowBytes(change.Rows)
+	for len(c.recent) > recentMost || c.recentBytes > recentBytesMost && len(c.recent) > 1 {
+		c.base = c.recent[0].At
+		c.recentBytes -= rowBytes(c.recent[0].Rows)
+		c.recent = c.recent[1:]
+	}
+}
+
+// rowBytes is the size of rows.
+func rowBytes(rows map[string]string) int {
+	bytes := 0
+	for key, value := range rows {
+		bytes += len(key) + len(value)
+	}
+	return bytes
+}
+
 // keepRows saves state rows; saves end in the order they were asked for.
 func (m *Machine) keepRows(w disk.Write, at wire.Position, then func()) {
 	m.copies.taken = at
@@ -228,14 +284,25 @@
 		// One image is on its way at a time.
 		if m.nowMs-f.sentMs >= resendMs {
 			f.sentMs, f.sent = m.nowMs, m.state.Position.Number
-			m.send(to, wire.Image{Record: m.record, At: m.state.Position, Rows: m.state.Rowset()})
+			c.sequence++
+			m.send(to, wire.Image{Sequence: c.sequence, Record: m.record, At: m.state.Position, Rows: m.state.Rowset()})
 		}
 		return
 	}
+	// The time runs from the last change that came through, not from the last
+	// that was sent: a storm of changes would put it off for ever.
 	if f.acked < f.sent && m.nowMs-f.sentMs >= resendMs {
-		f.sent = f.acked
+		f.sent, f.sentMs = f.acked, m.nowMs
+	}
+	c.sequence++
+	follow := wire.Follow{
+		Record: m.record, Ballot: m.seat.ballot, Last: m.state.Position, Soft: c.soft, FellowsSum: m.roster.Sum(),
+		Sequence: c.sequence,
+	}
+	// Without the lease a majority may stand behind another by now.
+	if m.nowMs < m.seat.holdUntilMs {
+		follow.Contact = f.contact
 	}
-	follow := wire.Follow{Record: m.record, Ballot: m.seat.ballot, Last: m.state.Position, Soft: c.soft, FellowsSum: m.roster.Sum()}
 	if f.fellowsSum != follow.FellowsSum {
 		follow.Fellows = m.roster.Places()
 	}
@@ -245,7 +312,10 @@
 		}
 	}
 	if len(follow.Changes) > 0 {
-		f.sent, f.sentMs = m.state.Position.Number, m.nowMs
+		if f.sent == f.acked {
+			f.sentMs = m.nowMs
+		}
+		f.sent, f.sentSequence = m.state.Position.Number, c.sequence
 	}
 	m.send(to, follow)
 }
@@ -273,7 +343,13 @@
 		f = &fellowCopy{incarnation: from.Incarnation}
 		c.fellows[from.Name] = f
 	}
-	f.heardMs, f.fellowsSum = m.nowMs, said.FellowsSum
+	// A disk never goes back, so what tells of less was overtaken on its way.
+	if said.At.Less(f.at) {
+		m.count(defect.Overtaken)
+		return
+	}
+	f.at = said.At
+	f.heardMs, f.fellowsSum, f.contact = m.nowMs, said.FellowsSum, said.Contact
 	if !c.onChain(said.At) {
 		f.counted(m.nowMs, 0, m.state.Position.Number)
 		if !f.needsImage {
@@ -283,11 +359,23 @@
 		return
 	}
 	f.needsImage = false
+	if said.At.Number > f.acked {
+		f.sentMs = m.nowMs
+	}
 	f.counted(m.nowMs, said.At.Number, m.state.Position.Number)
 	f.sent = max(f.sent, f.acked)
+	f.resendGap(said)
 	m.advance()
 }
 
+// resendGap has changes sent again that the follower lacks although it heard
+// the message that brought them or a later one.
+func (f *fellowCopy) resendGap(said wire.Followed) {
+	if said.Heard >= f.sentSequence && said.Taken.Number < f.sent {
+		f.sent = max(f.acked, said.Taken.Number)
+	}
+}
+
 // heedPrimary says whether a message of a primary counts.
 func (m *Machine) heedPrimary(from wire.Place, record wire.Record, ballot wire.Ballot) bool {
 	if record.Epoch < m.record.Epoch || record.Primary != from.Name || record.Epoch == 0 {
@@ -298,26 +386,30 @@
 		m.loseSeat("a higher epoch serves")
 	}
 	m.adopt(record, ballot)
+	return true
+}
+
+// hearPrimary notes that the primary lives.
+func (m *Machine) hearPrimary() {
 	m.seat.heardMs = m.nowMs
 	// A candidate that hears the primary after all has no more cause.
 	if m.seat.role == asking {
 		m.retreat(0)
 	}
-	return true
 }
 
 func (m *Machine) follow(e wire.Envelope, said wire.Follow) {
 	if m.isPrimary() && said.Record.Epoch == m.record.Epoch || !m.heedPrimary(e.From, said.Record, said.Ballot) {
 		return
 	}
-	if len(said.Fellows) > 0 {
-		m.copies.fellowsSum = 0
-		if m.roster.Learn(m.nowMs, said.Fellows) {
-			m.copies.fellowsSum = said.FellowsSum
-		}
+	// Changes chain, so that of a message that was overtaken they still count;
+	// all else in it is older than what is known here.
+	if m.copies.overtaken(said.Record.Epoch, said.Sequence) {
+		m.count(defect.Overtaken)
+	} else {
+		m.hearPrimary()
+		m.heedWord(said)
 	}
-	m.copies.soft = said.Soft
-	m.table.Forget()
 	took := false
 	for _, change := range said.Changes {
 		if change.Before != m.copies.taken || m.broken {
@@ -336,10 +428,53 @@
 	}
 }
 
+// heedWord takes what a primary's message says beside the changes.
+func (m *Machine) heedWord(said wire.Follow) {
+	if len(said.Fellows) > 0 {
+		m.copies.fellowsSum = 0
+		if m.roster.Learn(m.nowMs, said.Fellows) {
+			m.copies.fellowsSum = said.FellowsSum
+		}
+	}
+	m.copies.soft = said.Soft
+	m.table.Forget()
+	m.noteContact(said.Contact)
+}
+
+// noteContact takes the echo of this daemon's own clock. That of another life
+// of the process says nothing here.
+func (m *Machine) noteContact(echo wire.Contact) {
+	if echo.StartMs != m.startMs || echo.SentMs > m.nowMs {
+		return
+	}
+	m.copies.contactMs = max(m.copies.contactMs, echo.SentMs)
+}
+
+// inContact says whether a majority stood behind what this daemon knows within
+// the last lease: as the primary by its lease, else by the primary's echo. What
+// is handed out without it may have been replaced long ago.
+func (m *Machine) inContact() bool {
+	if m.isPrimary() {
+		return m.active()
+	}
+	return m.copies.contactMs > 0 && m.nowMs < m.copies.contactMs+witness.HoldMs
+}
+
 func (m *Machine) image(e wire.Envelope, said wire.Image) {
 	if m.isPrimary() || m.broken || !m.heedPrimary(e.From, said.Record, wire.Ballot{}) {
 		return
 	}
+	// An image that a later change or image overtook would take back what this
+	// disk has acknowledged. Positions grow along every lawful history, so one
+	// that is not further than what was taken can only be late.
+	if !m.copies.taken.Less(said.At) {
+		m.count(defect.Overtaken)
+		m.tellFollowed(e.From)
+		return
+	}
+	if !m.copies.overtaken(said.Record.Epoch, said.Sequence) {
+		m.hearPrimary()
+	}
 	fresh := ledger.New()
 	if err := fresh.Take(said.Rows); err != nil {
 		m.note("an image can't be read: %v", err)
@@ -366,7 +501,11 @@
 	if m.broken {
 		return
 	}
-	m.send(to, wire.Followed{Epoch: m.record.Epoch, At: m.copies.synced, WitnessBlank: m.witness.Blank(), FellowsSum: m.copies.fellowsSum})
+	m.send(to, wire.Followed{
+		Epoch: m.record.Epoch, At: m.copies.synced, WitnessBlank: m.witness.Blank(), FellowsSum: m.copies.fellowsSum,
+		Contact: wire.Contact{SentMs: m.nowMs, StartMs: m.startMs},
+		Taken:   m.copies.taken, Heard: m.copies.heard.sequence,
+	})
 }
 
 // stateChanged brings what is compiled from the state up to it.
--- a/control/helpers_test.go
+++ b/control/helpers_test.go
@@ -1,6 +1,8 @@
 package control
 
-import qt "github.com/frankban/quicktest"
+import (
+	qt "github.com/frankban/quicktest"
+)
 
 // served is a core that serves, with its members' catch-up behind it.
 func served(c *qt.C, losses, count int) *core {
@@ -15,4 +17,3 @@
 	answered := w.put(row)
 	w.until(3000, "an acknowledgement", func() bool { return *answered })
 }
-
--- /dev/null
+++ b/control/replication_test.go
@@ -0,0 +1,185 @@
+package control
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"myrtlewinch/defect"
+	"myrtlewinch/wire"
+)
+
+// backup names a copy that is not the primary's.
+func (w *core) backup() string {
+	primary := w.primary()
+	for _, seat := range w.record().Pair {
+		if seat.Name != primary {
+			return seat.Name
+		}
+	}
+	w.c.Fatal("no backup")
+	return ""
+}
+
+// from makes a message of one member to another.
+func (w *core) from(from, to string, body any) wire.Envelope {
+	return wire.Envelope{Site: "s", From: w.nodes[from].place, To: to, Body: body}
+}
+
+// A message that a cut held up comes after later ones; right then the primary
+// is lost. What was acknowledged meanwhile stays.
+func TestLateMessagesTakeNothingBack(t *testing.T) {
+	cases := []struct {
+		about string
+		// late makes the message before the write that it must not undo.
+		late func(m *Machine) any
+	}{
+		{"an image", func(m *Machine) any {
+			return wire.Image{Sequence: m.copies.sequence, Record: m.record, At: m.state.Position, Rows: m.state.Rowset()}
+		}},
+		{"an image that no sequence tells from a later one", func(m *Machine) any {
+			return wire.Image{Sequence: 1 << 40, Record: m.record, At: m.state.Position, Rows: m.state.Rowset()}
+		}},
+		{"a change that was taken before", func(m *Machine) any {
+			return wire.Follow{Sequence: m.copies.sequence, Record: m.record, Ballot: m.seat.ballot, Changes: m.copies.recent}
+		}},
+	}
+	for _, test := range cases {
+		for _, shape := range [][2]int{{1, 3}, {2, 5}} {
+			t.Run(test.about, func(t *testing.T) {
+				w := served(qt.New(t), shape[0], shape[1])
+				w.write("before")
+				primary := w.primary()
+				late := test.late(w.nodes[primary].machine)
+				w.write("after")
+				var backups []string
+				for _, seat := range w.record().Pair {
+					if seat.Name != primary {
+						backups = append(backups, seat.Name)
+					}
+				}
+				for _, name := range backups {
+					w.step(name, w.from(primary, name, late))
+				}
+				w.kill(primary)
+				w.until(20_000, "a take-over", w.serves)
+				w.c.Assert(w.nodes[w.primary()].tenant.row, qt.Equals, "after")
+			})
+		}
+	}
+}
+
+// A primary never counts a copy as holding less than that very disk once said,
+// nor as more than it said.
+func TestLateAcknowledgements(t *testing.T) {
+	w := served(qt.New(t), 1, 3)
+	w.write("before")
+	primary, backup := w.primary(), w.backup()
+	m := w.nodes[primary].machine
+	old := wire.Followed{Epoch: m.record.Epoch, At: m.state.Position, Taken: m.state.Position}
+	w.write("after")
+	acked := m.copies.fellows[backup].acked
+	w.step(primary, w.from(backup, primary, old))
+	w.c.Assert(m.copies.fellows[backup].acked, qt.Equals, acked)
+	w.c.Assert(m.copies.fellows[backup].needsImage, qt.IsFalse)
+	w.c.Assert(m.out.Counts, qt.Contains, string(defect.Overtaken))
+}
+
+// A change that is lost on its way is sent again at once, also while further
+// changes keep coming.
+func TestLostChangeIsSentAgainInAStorm(t *testing.T) {
+	w := served(qt.New(t), 1, 3)
+	primary, backup := w.primary(), w.backup()
+	w.cut[primary+">"+backup] = true
+	first := w.put("lost")
+	w.run(50)
+	delete(w.cut, primary+">"+backup)
+	for range 8 {
+		w.put("further")
+		w.run(100)
+	}
+	w.c.Assert(*first, qt.IsTrue)
+}
+
+// Contact lasts for a lease from the moment that the primary's echo tells of.
+func TestContact(t *testing.T) {
+	cases := []struct {
+		about string
+		echo  func(m *Machine) wire.Contact
+		has   bool
+	}{
+		{"an echo of just now", func(m *Machine) wire.Contact { return wire.Contact{SentMs: m.nowMs - 1, StartMs: m.startMs} }, true},
+		{"an echo of a lease ago", func(m *Machine) wire.Contact { return wire.Contact{SentMs: m.nowMs - 1500, StartMs: m.startMs} }, false},
+		{"no echo", func(*Machine) wire.Contact { return wire.Contact{} }, false},
+		{"another life's", func(m *Machine) wire.Contact { return wire.Contact{SentMs: m.nowMs - 1, StartMs: m.startMs - 1} }, false},
+		{"of the future", func(m *Machine) wire.Contact { return wire.Contact{SentMs: m.nowMs + 1, StartMs: m.startMs} }, false},
+	}
+	for _, test := range cases {
+		t.Run(test.about, func(t *testing.T) {
+			w := served(qt.New(t), 1, 3)
+			m := w.nodes[w.backup()].machine
+			m.copies.contactMs = 0
+			m.noteContact(test.echo(m))
+			qt.Assert(t, m.inContact(), qt.Equals, test.has)
+		})
+	}
+}
+
+// A member that a cut holds off loses contact within a lease, on either side of
+// the cut, and has it again soon after the cut heals.
+func TestContactEndsBehindACut(t *testing.T) {
+	for _, oneWay := range []bool{false, true} {
+		for _, whom := range []string{"primary", "backup"} {
+			w := served(qt.New(t), 1, 3)
+			name := w.primary()
+			if whom == "backup" {
+				name = w.backup()
+			}
+			m := w.nodes[name].machine
+			w.c.Assert(m.inContact(), qt.IsTrue)
+			for other := range w.nodes {
+				w.cut[other+">"+name] = true
+				w.cut[name+">"+other] = !oneWay
+			}
+			w.run(1600)
+			for range 370 {
+				w.run(50)
+				w.c.Assert(m.inContact(), qt.IsFalse)
+			}
+			w.cut = map[string]bool{}
+			w.until(3000, "contact", m.inContact)
+			w.c.Assert(w.primary(), qt.Not(qt.Equals), "")
+		}
+	}
+}
+
+// What is kept for followers that lack it stays within its bounds, and who
+// lacks more gets an image.
+func TestRecentChangesAreBounded(t *testing.T) {
+	cases := []struct {
+		about              string
+		count, bytes, kept int
+	}{
+		{"few and small", 10, 100, 10},
+		{"many", 300, 100, recentMost},
+		{"large", 40, 54 << 10, 18},
+		{"one larger than the bound", 3, 2 << 20, 1},
+	}
+	for _, test := range cases {
+		t.Run(test.about, func(t *testing.T) {
+			var c copies
+			for i := range test.count {
+				at := wire.Position{Epoch: 1, Number: uint64(i + 1)}
+				c.keepRecent(wire.Change{At: at, Rows: map[string]string{"row": string(make([]byte, test.bytes))}})
+			}
+			qt.Assert(t, c.recent, qt.HasLen, test.kept)
+			sum := 0
+			for _, change := range c.recent {
+				sum += rowBytes(change.Rows)
+			}
+			qt.Assert(t, c.recentBytes, qt.Equals, sum)
+			oldest := uint64(test.count - test.kept)
+			qt.Assert(t, c.base.Number, qt.Equals, oldest)
+		})
+	}
+}
--- a/control/seat.go
+++ b/control/seat.go
@@ -345,6 +345,8 @@
 		m.adopt(record, s.ballot)
 		m.countHold()
 		m.advance()
+		// Who is entitled by it should know at the next tick.
+		m.copies.sentMs = m.nowMs - followMs
 		return
 	}
 	if s.completes {
@@ -527,14 +529,16 @@
 	return m.record.Fellow(m.set.Self.Name)
 }
 
-// recruit picks a fellow that holds every change, in another zone if it can.
+// recruit picks a follower that holds every change that was answered, in
+// another zone if it can. What is answered from then on needs it as well, so
+// it need not have what is still on its way.
 func (m *Machine) recruit(lost wire.Seat) (wire.Seat, bool) {
 	var best wire.Seat
 	found, other := false, false
 	for _, place := range m.roster.Part(wire.Controller) {
 		seat := wire.Seat{Name: place.Name, Incarnation: place.Incarnation}
 		c := m.copies.fellows[place.Name]
-		if seat == lost || m.record.Pairs(seat) || c == nil || !m.copies.live(m.nowMs, seat) || c.acked < m.state.Position.Number {
+		if seat == lost || m.record.Pairs(seat) || c == nil || !m.copies.live(m.nowMs, seat) || c.acked < m.copies.committed {
 			continue
 		}
 		elsewhere := place.Zone != m.set.Self.Zone
--- a/control/witnesses.go
+++ b/control/witnesses.go
@@ -71,7 +71,7 @@
 	for _, place := range m.roster.Part(wire.Controller) {
 		seat := wire.Seat{Name: place.Name, Incarnation: place.Incarnation}
 		sits := slices.ContainsFunc(m.record.Witnesses, func(w wire.Seat) bool { return w.Name == seat.Name })
-		if !sits && m.copies.keepsUp(m.nowMs, seat) && m.copies.fellows[seat.Name].acked >= m.state.Position.Number {
+		if !sits && m.copies.keepsUp(m.nowMs, seat) && m.copies.fellows[seat.Name].acked >= m.copies.committed {
 			return seat, true
 		}
 	}
--- a/defect/kind.go
+++ b/defect/kind.go
@@ -51,6 +51,8 @@
 	NotHeld       Kind = "not held"
 	StaleRevision Kind = "stale revision"
 	OtherRunner   Kind = "other incarnation"
+	Overtaken     Kind = "overtaken message"
+	NoContact     Kind = "no contact with a majority"
 	RingFull      Kind = "ring full"
 )
 
--- a/wire/bodies.go
+++ b/wire/bodies.go
@@ -111,6 +111,15 @@
 	Number uint64 `json:"number"`
 }
 
+// Less orders positions along every chain of changes: a later primary begins
+// with a change of its own epoch, so no lawful history takes a disk back.
+func (p Position) Less(other Position) bool {
+	if p.Epoch != other.Epoch {
+		return p.Epoch < other.Epoch
+	}
+	return p.Number < other.Number
+}
+
 // Change is one synced step of the control state.
 type Change struct {
 	Before Position
@@ -137,13 +146,27 @@
 	// word costs the same however large the site is.
 	Fellows    []Place
 	FellowsSum uint64
+	// Sequence counts the primary's messages of this kind and its images within
+	// an epoch; a follower refuses one that was overtaken.
+	Sequence uint64
+	// Contact echoes the follower's own clock while the primary's lease runs.
+	Contact Contact
+}
+
+// Contact is a moment of a follower's own clock, in ms, as the primary last
+// heard it. It returns to the follower only while the primary's lease runs, so
+// it shows that at that moment or later a majority stood behind the primary.
+// StartMs names the life of the process, since another life has another clock.
+type Contact struct {
+	SentMs, StartMs int64
 }
 
 // Image replaces a follower's whole state.
 type Image struct {
-	Record Record
-	At     Position
-	Rows   map[string]string
+	Sequence uint64
+	Record   Record
+	At       Position
+	Rows     map[string]string
 }
 
 // Sum names a text.
@@ -156,11 +179,17 @@
 type Followed struct {
 	Epoch uint64
 	At    Position
+	// Taken is what the sender took, synced or not, once it had heard the
+	// primary's message Heard. A primary that sent more by then knows of a gap.
+	Taken Position
+	Heard uint64
 	// Witness tells what this daemon's witness is, so that a blank or
 	// replaced one can be taken in.
 	WitnessBlank bool
 	// FellowsSum names the list of fellows that it took.
 	FellowsSum uint64
+	// Contact is the sender's clock now.
+	Contact Contact
 }
 
 // Ask is a router's constant question to the primary.
