Hand copy, vote and primacy over before a planned stop

Cause: a copy holder that got SIGTERM was gone 300 ms later, for good, with its copy and its witness seat still recorded, though a successor had long been up.

Mend: a member that stops says so with each acknowledgement; the primary recruits another copy and gives the vote to another member by recorded changes, one at a time, and tells it when nothing is awaited any more. A primary that stops adds a copy, passes its vote on, then yields, with the record, to a copy that stays. Where no other daemon could take over, it goes at once, so that a restart in turn on three machines moves nothing; else a restart costs two or three records. The two need not be told apart. The bound is the catch-up time, within the grace. A copy that is stopping still takes over from a lost primary: it may be the last.

--- a/control/copy.go
+++ b/control/copy.go
@@ -98,6 +98,10 @@
 	behindMs int64
 	// contact is the follower's clock as it was last told.
 	contact wire.Contact
+	// answered says that it was heard in this primacy.
+	answered bool
+	// leaving says that the follower is stopping as planned.
+	leaving bool
 }
 
 // live says whether the very disk answered lately.
@@ -297,7 +301,7 @@
 	c.sequence++
 	follow := wire.Follow{
 		Record: m.record, Ballot: m.seat.ballot, Last: m.state.Position, Soft: c.soft, FellowsSum: m.roster.Sum(),
-		Sequence: c.sequence,
+		Sequence: c.sequence, MayLeave: f.leaving && m.mayLeave(wire.Seat{Name: to.Name, Incarnation: f.incarnation}),
 	}
 	// Without the lease a majority may stand behind another by now.
 	if m.nowMs < m.seat.holdUntilMs {
@@ -348,8 +352,8 @@
 		m.count(defect.Overtaken)
 		return
 	}
-	f.at = said.At
-	f.heardMs, f.fellowsSum, f.contact = m.nowMs, said.FellowsSum, said.Contact
+	f.at, f.answered = said.At, true
+	f.heardMs, f.fellowsSum, f.contact, f.leaving = m.nowMs, said.FellowsSum, said.Contact, said.Leaving
 	if !c.onChain(said.At) {
 		f.counted(m.nowMs, 0, m.state.Position.Number)
 		if !f.needsImage {
@@ -439,6 +443,9 @@
 	m.copies.soft = said.Soft
 	m.table.Forget()
 	m.noteContact(said.Contact)
+	if said.MayLeave && m.leaving.wanted {
+		m.depart("its copy and its vote are with others")
+	}
 }
 
 // noteContact takes the echo of this daemon's own clock. That of another life
@@ -503,8 +510,8 @@
 	}
 	m.send(to, wire.Followed{
 		Epoch: m.record.Epoch, At: m.copies.synced, WitnessBlank: m.witness.Blank(), FellowsSum: m.copies.fellowsSum,
-		Contact: wire.Contact{SentMs: m.nowMs, StartMs: m.startMs},
-		Taken:   m.copies.taken, Heard: m.copies.heard.sequence,
+		Contact: wire.Contact{SentMs: m.nowMs, StartMs: m.startMs}, Leaving: m.leaving.wanted,
+		Taken: m.copies.taken, Heard: m.copies.heard.sequence,
 	})
 }
 
--- /dev/null
+++ b/control/departure_test.go
@@ -0,0 +1,131 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"myrtlewinch/wire"
+)
+
+// leaveForGood tells a member to stop and takes it away once it says that it
+// may go, or once its time has run out. It gives how long that took.
+func (w *core) leaveForGood(name string) int64 {
+	n, beganMs := w.nodes[name], w.nowMs
+	n.departed = func() { n.gone = true }
+	w.step(name, StepDown{Id: 1})
+	for !n.gone && w.nowMs-beganMs < leaveMs {
+		w.run(50)
+	}
+	n.gone = true
+	w.kill(name)
+	return w.nowMs - beganMs
+}
+
+// A member that stops as planned hands its copy and its vote over before it
+// goes. It is gone for good then, and as many more as may be lost are lost.
+func TestPlannedLeaveThenLosses(t *testing.T) {
+	for _, shape := range [][2]int{{1, 4}, {1, 6}, {2, 6}, {2, 9}} {
+		for _, who := range []string{"primary", "backup", "witness"} {
+			t.Run(fmt.Sprintf("%s, %d of %d", who, shape[0], shape[1]), func(t *testing.T) {
+				for _, losses := range []string{"copies", "votes"} {
+					w := served(qt.New(t), shape[0], shape[1])
+					w.write("kept")
+					// Each step of the hand-over takes longer than the next word to
+					// the member that leaves.
+					for _, n := range w.nodes {
+						n.saveMs = 350
+					}
+					tookMs := w.leaveForGood(w.member(who))
+					w.c.Assert(tookMs < leaveMs, qt.IsTrue, qt.Commentf("it took %d ms", tookMs))
+					w.lose(losses, shape[0])
+					w.until(8000, "a take-over after the loss of "+losses, w.serves)
+					w.c.Assert(w.nodes[w.primary()].tenant.row, qt.Equals, "kept")
+				}
+			})
+		}
+	}
+}
+
+// member names the primary, a backup, or a witness that holds no copy.
+func (w *core) member(who string) string {
+	switch who {
+	case "primary":
+		return w.primary()
+	case "backup":
+		return w.backup()
+	}
+	for _, seat := range w.record().Witnesses {
+		if !w.record().Pairs(seat) {
+			return seat.Name
+		}
+	}
+	w.c.Fatal("no such witness")
+	return ""
+}
+
+// lose kills as many members as may be lost, of those that the newest record
+// names as copies or as witnesses.
+func (w *core) lose(which string, count int) {
+	var newest wire.Record
+	for _, n := range w.nodes {
+		if !n.down && n.machine.record.Epoch > newest.Epoch {
+			newest = n.machine.record
+		}
+	}
+	members := newest.Pair
+	if which == "votes" {
+		members = newest.Witnesses
+	}
+	for _, seat := range members {
+		if count > 0 && !w.nodes[seat.Name].down {
+			w.kill(seat.Name)
+			count--
+		}
+	}
+}
+
+// Where nobody can take over, a member goes at once: it is a restart.
+func TestPlannedLeaveWithoutSuccessor(t *testing.T) {
+	w := served(qt.New(t), 1, 3)
+	w.write("kept")
+	record := w.record()
+	for _, who := range []string{w.backup(), w.primary()} {
+		tookMs := w.leaveForGood(who)
+		w.c.Assert(tookMs < 1000, qt.IsTrue, qt.Commentf("%s took %d ms", who, tookMs))
+		w.run(300)
+		w.restart(who)
+		w.nodes[who].gone = false
+		w.until(6000, "a primary", w.serves)
+		w.run(4000)
+	}
+	w.c.Assert(w.record().Witnesses, qt.ContentEquals, record.Witnesses)
+	w.c.Assert(w.nodes[w.primary()].tenant.row, qt.Equals, "kept")
+}
+
+// A member whose successor does not catch up leaves at the bound.
+func TestPlannedLeaveAtTheBound(t *testing.T) {
+	w := served(qt.New(t), 1, 4)
+	leaver := w.backup()
+	for name, n := range w.nodes {
+		if !w.record().Pairs(wire.Seat{Name: name, Incarnation: n.place.Incarnation}) {
+			n.saveMs = 100_000
+		}
+	}
+	w.write("kept")
+	w.c.Assert(w.leaveForGood(leaver) >= leaveMs, qt.IsTrue)
+}
+
+// While the primary is lost, a copy that is stopping still takes over: it may
+// hold the last copy.
+func TestLastCopyStaysWhileItIsNeeded(t *testing.T) {
+	w := served(qt.New(t), 1, 4)
+	w.write("kept")
+	primary, leaver := w.primary(), w.backup()
+	w.step(leaver, StepDown{Id: 1})
+	w.kill(primary)
+	w.leaveForGood(leaver)
+	w.until(8000, "a take-over", w.serves)
+	w.c.Assert(w.nodes[w.primary()].tenant.row, qt.Equals, "kept")
+}
--- a/control/machine.go
+++ b/control/machine.go
@@ -43,6 +43,9 @@
 	// ShowMs replaces the usual time that a recorded copy has to show itself to
 	// a new primary.
 	ShowMs int64
+	// LeaveMs replaces the usual time that a planned stop may take to hand this
+	// daemon's copy and vote to others.
+	LeaveMs int64
 }
 
 // Keys of a controller's own rows on the disk.
@@ -77,7 +80,7 @@
 	saves     map[uint64]func(ok bool)
 	saved     uint64
 	broken    bool
-	leaving   bool
+	leaving   departure
 	// retired says that this disk's name has passed to another for good.
 	retired bool
 	roster  *watch.Roster
@@ -107,6 +110,9 @@
 	if set.ShowMs == 0 {
 		set.ShowMs = missMs
 	}
+	if set.LeaveMs == 0 {
+		set.LeaveMs = leaveMs
+	}
 	m := &Machine{set: set, nowMs: nowMs, state: ledger.New(), saves: map[uint64]func(bool){}}
 	var err error
 	if m.witness, err = witness.New(m.ownSeat(), keys[witness.Key], nowMs); err != nil {
@@ -189,8 +195,9 @@
 		Recover          bool
 		Change, Revision uint64
 	}
-	// StepDown begins a planned stop.
-	StepDown struct{}
+	// StepDown begins a planned stop. It is answered with Departed once this
+	// daemon's copy and vote are with others, or after Settings.LeaveMs.
+	StepDown struct{ Id uint64 }
 	// Reseed replaces the seeds, since the settings changed.
 	Reseed struct{ Seeds []string }
 )
@@ -230,8 +237,7 @@
 			m.found(in)
 		}
 	case StepDown:
-		m.leaving = true
-		m.stepDown("planned stop")
+		m.beginDeparture(in)
 	case Reseed:
 		m.set.Seeds = in.Seeds
 		m.roster.Reseed(in.Seeds)
@@ -257,6 +263,7 @@
 	primary := m.record.Primary
 	m.out.Sends = append(m.out.Sends, m.roster.Tick(m.nowMs, m.record.Epoch, primary, m.active())...)
 	m.tickSeat()
+	m.tickDeparture()
 	m.tickCopies()
 	if m.set.Tenant != nil {
 		m.tickFounding()
--- a/control/seat.go
+++ b/control/seat.go
@@ -80,7 +80,9 @@
 
 // entitled says whether this disk may become primary under the record.
 func (m *Machine) entitled(record wire.Record) bool {
-	return !m.broken && !m.leaving && record.Pairs(m.ownSeat())
+	// The older interface has no one who takes over from a daemon that stops.
+	stops := m.leaving.wanted && m.set.Tenant == nil
+	return !m.broken && !stops && record.Pairs(m.ownSeat())
 }
 
 // mayStand also heeds what only this daemon's witness knows: the pair's new
@@ -111,7 +113,11 @@
 			m.askPromises(false)
 			return
 		}
-		if m.nowMs-s.heardMs > missMs {
+		waitMs := int64(missMs)
+		if m.leaving.wanted {
+			waitMs += leavingMs
+		}
+		if m.nowMs-s.heardMs > waitMs {
 			m.askOpinions()
 		}
 	case asking:
@@ -220,7 +226,10 @@
 }
 
 func (m *Machine) yielded(from wire.Place, said wire.Yield) {
-	if said.Epoch == m.record.Epoch && from.Name == m.record.Primary && m.entitled(m.record) && m.seat.role == follower {
+	if said.Record.Primary == from.Name && !m.isPrimary() {
+		m.adopt(said.Record, wire.Ballot{})
+	}
+	if said.Record.Epoch == m.record.Epoch && from.Name == m.record.Primary && m.entitled(m.record) && m.seat.role == follower {
 		m.askPromises(false)
 	}
 }
@@ -467,7 +476,7 @@
 		m.sendName(voter.Name, wire.Release{Epoch: epoch})
 	}
 	if paired {
-		m.sendName(fellow.Name, wire.Yield{Epoch: epoch})
+		m.sendName(fellow.Name, wire.Yield{Record: m.record})
 	}
 }
 
@@ -480,19 +489,11 @@
 	next := m.record
 	next.Epoch++
 	next.Before = m.record.Witnesses
-	// The other disk of the pair goes first: without it nothing is written.
-	if lost, ok := m.lostCopy(); ok {
-		if spare, found := m.recruit(lost); found {
-			next.Pair = slices.DeleteFunc(slices.Clone(m.record.Pair), func(seat wire.Seat) bool { return seat == lost })
-			next.Pair = append(next.Pair, spare)
-			// A disk that came back blank under the name takes over the name.
-			if old, ok := m.record.Names(spare.Name); ok && old != spare {
-				next.Gone = m.record.Replaced(old)
-			}
-			m.note("recruiting %s as backup", spare.Name)
-			m.keep(next, false)
-			return
-		}
+	// The copies go first: without them nothing is written.
+	if copies, gone, ok := m.nextCopies(); ok {
+		next.Pair, next.Gone = copies, gone
+		m.keep(next, false)
+		return
 	}
 	// Once a new witness set is recorded, the one before need not agree any more.
 	if !slices.Equal(m.record.Before, m.record.Witnesses) {
@@ -513,21 +514,55 @@
 	}
 }
 
-// lostCopy names the copy to be replaced: one whose disk does not keep up, or
-// none yet (a seat without a name) where there are fewer than must be.
-func (m *Machine) lostCopy() (wire.Seat, bool) {
+// nextCopies gives the copies that the next record should name, and the disks
+// whose names have passed to another, if the copies should change: by one
+// member at a time. Of a lost or leaving copy nothing is given up before
+// another has taken its place; only what is over the number that must be is.
+func (m *Machine) nextCopies() (copies, gone []wire.Seat, changes bool) {
+	var bad, extra wire.Seat
 	for _, seat := range m.record.Pair {
-		if seat != m.ownSeat() && !m.copies.keepsUp(m.nowMs, seat) {
-			return seat, true
+		switch {
+		case seat == m.ownSeat():
+		case m.staysCopy(seat):
+			extra = seat
+		default:
+			bad = seat
 		}
 	}
-	return wire.Seat{}, len(m.record.Pair) < m.set.Losses+1
+	// A new primary takes recorded copies for good until their time to answer is
+	// over, so that none is recruited needlessly; but none is given up because of
+	// one that has not answered.
+	want, good, proven := m.set.Losses+1, m.countCopies(m.staysCopy), m.countCopies(m.provenCopy)
+	without := func(lost wire.Seat) []wire.Seat {
+		return slices.DeleteFunc(slices.Clone(m.record.Pair), func(seat wire.Seat) bool { return seat == lost })
+	}
+	switch {
+	case proven >= want && bad != wire.Seat{}:
+		m.note("%s is a copy no longer; enough others are", bad.Name)
+		return without(bad), m.record.Gone, true
+	case proven > want && extra != wire.Seat{}:
+		m.note("%s is a copy no longer; more are kept than must be", extra.Name)
+		return without(extra), m.record.Gone, true
+	case good >= want:
+		return nil, nil, false
+	}
+	spare, found := m.recruit(bad)
+	if !found {
+		return nil, nil, false
+	}
+	gone = m.record.Gone
+	// A disk that came back blank under the name takes over the name.
+	if old, ok := m.record.Names(spare.Name); ok && old != spare {
+		gone = m.record.Replaced(old)
+	}
+	m.note("recruiting %s as a copy", spare.Name)
+	return append(without(bad), spare), gone, true
 }
 
 // heir is the copy that a primary which stops on purpose asks to take over.
 func (m *Machine) heir() (wire.Seat, bool) {
 	for _, seat := range m.record.Pair {
-		if seat != m.ownSeat() && m.copies.keepsUp(m.nowMs, seat) {
+		if seat != m.ownSeat() && m.staysCopy(seat) {
 			return seat, true
 		}
 	}
@@ -543,7 +578,10 @@
 	for _, place := range m.roster.Part(wire.Controller) {
 		seat := wire.Seat{Name: place.Name, Incarnation: place.Incarnation}
 		c := m.copies.fellows[place.Name]
-		if seat == lost || m.record.Pairs(seat) || c == nil || !m.copies.live(m.nowMs, seat) || c.acked < m.copies.committed {
+		if seat == lost || m.record.Pairs(seat) || c == nil || c.acked < m.copies.committed {
+			continue
+		}
+		if !m.copies.keepsUp(m.nowMs, seat) || m.copies.leaves(seat) {
 			continue
 		}
 		elsewhere := place.Zone != m.set.Self.Zone
--- /dev/null
+++ b/control/seeds_test.go
@@ -0,0 +1,23 @@
+package control
+
+import (
+	"os"
+	"strconv"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// ciSeeds is how many seeds of each campaign CI plays. A longer campaign takes
+// its number from the environment.
+const ciSeeds = 6
+
+func campaignSeeds(t *testing.T) uint64 {
+	text := os.Getenv("CAMPAIGN_SEEDS")
+	if text == "" {
+		return ciSeeds
+	}
+	seeds, err := strconv.ParseUint(text, 10, 32)
+	qt.Assert(t, err, qt.IsNil)
+	return seeds
+}
--- a/control/tenant.go
+++ b/control/tenant.go
@@ -30,6 +30,10 @@
 	NowMs() int64
 	// Active says whether this daemon may speak for the site now.
 	Active() bool
+	// InContact says whether a majority of the site stood behind what this daemon
+	// knows within the last lease: the primary by its lease, a follower by the
+	// primary's word. Without it nothing may be handed out.
+	InContact() bool
 	// HoldUntilMs is until when it may, if nothing more is heard.
 	HoldUntilMs() int64
 	// OrdersFromMs is from when a new primary may order, since the one before
@@ -60,6 +64,7 @@
 
 func (h host) NowMs() int64        { return h.m.nowMs }
 func (h host) Active() bool        { return h.m.active() }
+func (h host) InContact() bool     { return h.m.inContact() }
 func (h host) HoldUntilMs() int64  { return h.m.seat.holdUntilMs }
 func (h host) OrdersFromMs() int64 { return h.m.seat.ordersMs }
 func (h host) Self() wire.Place    { return h.m.set.Self }
--- a/control/tenant_test.go
+++ b/control/tenant_test.go
@@ -58,7 +58,15 @@
 	keys    map[string]string
 	place   wire.Place
 	down    bool
-	life    int
+	// gone says that the machine was removed for good.
+	gone bool
+	life int
+	// saveMs replaces the usual time that a save takes.
+	saveMs int64
+	saves  []wire.Save
+	saving bool
+	// departed, where it is set, is called once a planned stop was answered.
+	departed func()
 }
 
 type coreEvent struct {
@@ -83,10 +91,26 @@
 	return w
 }
 
+// addNode starts a further, empty machine. Its seeds are two of those there now.
+func (w *core) addNode(name, address, zone string) {
+	var seeds []string
+	for _, n := range w.nodes {
+		if !n.down {
+			seeds = append(seeds, n.place.Address)
+		}
+	}
+	slices.Sort(seeds)
+	w.seeds = seeds[:min(3, len(seeds))]
+	w.nodes[name] = &coreNode{place: wire.Place{Name: name, Address: address, Zone: zone, Part: wire.Controller, Incarnation: name + "-disk"}}
+	w.start(name, map[string]string{}, false)
+}
+
 func (w *core) start(name string, keys map[string]string, first bool) {
 	n := w.nodes[name]
 	n.down, n.keys, n.tenant = false, keys, &keepTenant{}
+	n.saveMs, n.departed = 0, nil
 	n.life++
+	n.saves, n.saving = nil, false
 	machine, err := New(Settings{
 		Site: "s", Self: n.place, Seeds: w.seeds, Tenant: n.tenant, Losses: w.losses, Founds: first, AwayMs: 1000, ShowMs: 400,
 	}, keys, w.nowMs)
@@ -114,16 +138,15 @@
 	}
 	life := n.life
 	out := n.machine.Step(w.nowMs, input)
-	w.history = append(w.history, out.Notes...)
-	for _, save := range out.Saves {
-		w.after(5, func() {
-			if !n.down && n.life == life {
-				keys := maps.Clone(n.keys)
-				save.Write.Apply(keys)
-				n.keys = keys
-				w.step(name, wire.Saved{Number: save.Number, Ok: true})
-			}
-		})
+	for _, note := range out.Notes {
+		w.history = append(w.history, fmt.Sprintf("%7d %s: %s", w.nowMs-3_600_000, name, note))
+	}
+	n.saves = append(n.saves, out.Saves...)
+	w.saveNext(n, life)
+	for _, answer := range out.Answers {
+		if _, is := answer.Body.(Departed); is && n.departed != nil {
+			n.departed()
+		}
 	}
 	for _, send := range out.Sends {
 		from := n.place
@@ -142,6 +165,29 @@
 	return w.delay()
 }
 
+// saveNext brings the first save that waits to the disk, one after the other.
+func (w *core) saveNext(n *coreNode, life int) {
+	if n.saving || len(n.saves) == 0 {
+		return
+	}
+	n.saving = true
+	w.after(max(coreSaveMs, n.saveMs), func() {
+		if n.down || n.life != life {
+			return
+		}
+		save := n.saves[0]
+		n.saves, n.saving = n.saves[1:], false
+		keys := maps.Clone(n.keys)
+		save.Write.Apply(keys)
+		n.keys = keys
+		w.step(n.place.Name, wire.Saved{Number: save.Number, Ok: true})
+		w.saveNext(n, life)
+	})
+}
+
+// coreSaveMs is how long a save usually takes.
+const coreSaveMs = 5
+
 func (w *core) run(ms int64) {
 	end := w.nowMs + ms
 	for w.nowMs < end {
@@ -199,6 +245,25 @@
 	w.c.Fatalf("%s: not within %d ms; %v", what, ms, w.history[max(0, len(w.history)-20):])
 }
 
+// states tells what each machine is about.
+func (w *core) states() []string {
+	var out []string
+	for _, name := range slices.Sorted(maps.Keys(w.nodes)) {
+		n := w.nodes[name]
+		if n.down {
+			continue
+		}
+		m := n.machine
+		out = append(out, fmt.Sprintf("%s disk %s: role %s, record %v, witness keeps %v promised %v, proposal %v, lease %d, established %v, broken %v, retired %v, at %v",
+			name, n.place.Incarnation, roleNames[m.seat.role], m.record, m.witness.Record, m.witness.Promised, m.seat.proposal,
+			m.seat.holdUntilMs-w.nowMs, m.seat.established, m.broken, m.retired, m.copies.synced))
+		for peer, f := range m.copies.fellows {
+			out = append(out, fmt.Sprintf("    peer %s: %+v heard %d ago", peer, *f, w.nowMs-f.heardMs))
+		}
+	}
+	return out
+}
+
 func (w *core) serves() bool { return w.primary() != "" }
 
 // The first start founds the site; the losses to be borne tell how many copies
--- a/control/witnesses.go
+++ b/control/witnesses.go
@@ -37,12 +37,15 @@
 		return i, seat, true
 	}
 	away := m.away()
+	if seat, leaves := m.leavingWitness(); leaves {
+		away = append(away, seat)
+	}
 	if len(away) == 0 {
 		m.copies.away = ""
 		return 0, wire.Seat{}, false
 	}
 	if seat, ok := m.outsider(); ok {
-		m.note("%s takes the place of witness %s, which stays away", seat.Name, away[0].Name)
+		m.note("%s takes the place of witness %s, which stays away or leaves", seat.Name, away[0].Name)
 		return slices.Index(m.record.Witnesses, away[0]), seat, true
 	}
 	if m.copies.away != away[0].Name {
@@ -66,12 +69,22 @@
 	return away
 }
 
+// leavingWitness gives a witness whose daemon is stopping as planned.
+func (m *Machine) leavingWitness() (wire.Seat, bool) {
+	for _, seat := range m.record.Witnesses {
+		if m.copies.leaves(seat) || seat == m.ownSeat() && m.leaving.wanted {
+			return seat, true
+		}
+	}
+	return wire.Seat{}, false
+}
+
 // outsider gives a live core fellow that holds every change and sits nowhere.
 func (m *Machine) outsider() (wire.Seat, bool) {
 	for _, place := range m.roster.Part(wire.Controller) {
 		seat := wire.Seat{Name: place.Name, Incarnation: place.Incarnation}
 		sits := slices.ContainsFunc(m.record.Witnesses, func(w wire.Seat) bool { return w.Name == seat.Name })
-		if !sits && m.copies.keepsUp(m.nowMs, seat) && m.copies.fellows[seat.Name].acked >= m.copies.committed {
+		if !sits && m.copies.keepsUp(m.nowMs, seat) && !m.copies.leaves(seat) && m.copies.fellows[seat.Name].acked >= m.copies.committed {
 			return seat, true
 		}
 	}
--- a/wire/bodies.go
+++ b/wire/bodies.go
@@ -90,8 +90,9 @@
 // Release gives the hold back on a planned stop.
 type Release struct{ Epoch uint64 }
 
-// Yield tells the backup to take over now.
-type Yield struct{ Epoch uint64 }
+// Yield tells a copy to take over now. It may not have been told of the last
+// record yet.
+type Yield struct{ Record Record }
 
 // Opinion asks a fellow whether it too misses the primary.
 type Opinion struct{ Epoch uint64 }
@@ -151,6 +152,9 @@
 	Sequence uint64
 	// Contact echoes the follower's own clock while the primary's lease runs.
 	Contact Contact
+	// MayLeave tells a follower that is leaving that nothing waits for it: it
+	// holds neither a copy nor a vote that another daemon could take over.
+	MayLeave bool
 }
 
 // Contact is a moment of a follower's own clock, in ms, as the primary last
@@ -190,6 +194,9 @@
 	FellowsSum uint64
 	// Contact is the sender's clock now.
 	Contact Contact
+	// Leaving says that the sender is stopping as planned: its copy and its vote
+	// are to be handed to others.
+	Leaving bool
 }
 
 // Ask is a router's constant question to the primary.
