Hand nothing out without contact with a majority; end a stop when handed over

Cause, read: a controller that was cut off for 20 s went on answering look-ups from its image, without a bound on its age, and sent operators on to a primary that might be none any more.

Mend: a follower answers look-ups and redirects only while the primary's echo of its own clock is younger than a lease; the router asks another controller then, as it does after silence. The process ends its planned stop when the machine says that all is handed over, at the latest after the catch-up time; the simulator's shell does the same.

Ruled out: a bound by the follower's own hearing of the primary (a word that was long on its way would count as new).

--- a/drill/node.go
+++ b/drill/node.go
@@ -113,6 +113,7 @@
 		machine, err := control.New(control.Settings{
 			Site: site, Self: self, Seeds: slices.Clone(w.seeds), Tenant: tenant, Losses: 1, Founds: first,
 			GapMs: w.Bounds.LeaseMs + w.Bounds.ThawMs, AwayMs: max(1000, w.Bounds.CatchUpMs/4), ShowMs: 400,
+			LeaveMs: steward.LeaveMs(w.Bounds),
 		}, maps.Clone(n.disk.keys), n.clock(w.NowMs))
 		if err != nil {
 			panic(fmt.Sprintf("drill: %s does not start: %v", n.name, err))
@@ -193,7 +194,9 @@
 		w.call(n, life, call)
 	}
 	for _, answer := range effects.Answers {
-		if n.core() {
+		if _, is := answer.Body.(control.Departed); is {
+			w.after(leaveWaitMs, func() { w.end(n, life) })
+		} else if n.core() {
 			w.operators.answered(w, n, answer)
 		} else if p := n.passages[answer.Id]; p != nil {
 			p.told(answer.Body)
@@ -268,21 +271,28 @@
 	}
 	w.note("%s is told to stop", n.name)
 	life := n.life
-	endMs := int64(300)
+	n.leaving = true
+	w.touch.upset(n)
 	if n.core() {
+		// The answer ends it, at the latest after the time for the hand-over.
 		w.put(n, life, control.StepDown{})
-	} else {
-		w.put(n, life, relay.Leave{})
-		endMs = w.Bounds.GraceMs - 700
+		w.after(w.Bounds.GraceMs, func() { w.end(n, life) })
+		return
 	}
-	n.leaving = true
-	w.touch.upset(n)
-	w.after(endMs, func() {
-		if n.life == life {
-			w.kill(n)
-		}
-	})
-	w.after(endMs+500, func() { w.start(n, false) })
+	w.put(n, life, relay.Leave{})
+	w.after(w.Bounds.GraceMs-700, func() { w.end(n, life) })
+}
+
+// leaveWaitMs passes between a controller's hand-over and its end.
+const leaveWaitMs = 300
+
+// end ends a life of a daemon that stops as planned, and starts the next.
+func (w *World) end(n *node, life int) {
+	if !n.up || n.life != life {
+		return
+	}
+	w.kill(n)
+	w.after(500, func() { w.start(n, false) })
 }
 
 // freeze stops a daemon where it stands; thaw lets it go on.
--- /dev/null
+++ b/steward/contact_test.go
@@ -0,0 +1,57 @@
+package steward
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"myrtlewinch/defect"
+	"myrtlewinch/wire"
+)
+
+// A controller that is cut off from a majority hands nothing out: no answer to
+// a look-up and no redirect, since what it knows may have been replaced.
+func TestNothingIsHandedOutWithoutContact(t *testing.T) {
+	primary := wire.Place{Name: "core-2", Address: "10.0.0.2:7", Part: wire.Controller}
+	router := wire.Place{Name: "edge-1", Address: "10.0.1.1:7", Part: wire.Router}
+	for _, contact := range []bool{true, false} {
+		s := New(Settings{Self: wordSelf, ControlPort: "80"}, wordFormat{})
+		h := &followerHost{wordHost: wordHost{outOfContact: !contact, controllers: []wire.Place{primary}}, primary: primary}
+		s.Receive(h, wire.Envelope{From: router, Body: wire.MapLookUp{Id: 1, Service: "llm"}})
+		qt.Assert(t, len(h.sent) > 0, qt.Equals, contact)
+		s.Input(h, Read{Id: 2})
+		said := h.answers[0].(wire.Dropped)
+		qt.Assert(t, said.Kind, qt.Equals, defect.NotPrimary)
+		qt.Assert(t, said.Primary != "", qt.Equals, contact)
+	}
+}
+
+// followerHost is a machine that is not the primary.
+type followerHost struct {
+	wordHost
+	primary wire.Place
+}
+
+func (h *followerHost) Active() bool        { return false }
+func (h *followerHost) Primary() wire.Place { return h.primary }
+
+// A follower's index never goes back to what a late snapshot tells.
+func TestLateIndexSnapshots(t *testing.T) {
+	cases := []struct {
+		about           string
+		epoch, sequence uint64
+		later           bool
+	}{
+		{"the next", 3, 8, true},
+		{"the same", 3, 7, false},
+		{"overtaken", 3, 6, false},
+		{"of an earlier primary", 2, 90, false},
+		{"of the next primary", 4, 1, true},
+	}
+	for _, test := range cases {
+		t.Run(test.about, func(t *testing.T) {
+			order := softOrder{3, 7}
+			qt.Assert(t, order.later(Soft{Epoch: test.epoch, Sequence: test.sequence}), qt.Equals, test.later)
+		})
+	}
+}
--- a/steward/messages.go
+++ b/steward/messages.go
@@ -9,8 +9,25 @@
 // Soft tells the other controllers what the primary's ledger holds. It is a
 // hint: they answer look-ups from it and decide nothing by it.
 type Soft struct {
-	Epoch  uint64
-	Ledger holdings.Soft
+	Epoch uint64
+	// Sequence grows with each snapshot of a primary.
+	Sequence uint64
+	Ledger   holdings.Soft
+}
+
+// softOrder is the newest index snapshot that a follower took.
+type softOrder struct {
+	epoch, sequence uint64
+}
+
+// later says whether a snapshot is newer than all before, and notes it. One
+// that was overtaken on its way would bring back runners that have left.
+func (o *softOrder) later(soft Soft) bool {
+	if soft.Epoch < o.epoch || soft.Epoch == o.epoch && soft.Sequence <= o.sequence {
+		return false
+	}
+	*o = softOrder{soft.Epoch, soft.Sequence}
+	return true
 }
 
 // Demand tells the primary what look-ups another controller answered.
--- a/steward/office.go
+++ b/steward/office.go
@@ -1,6 +1,7 @@
 package steward
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -27,6 +28,17 @@
 	showMs = 400
 )
 
+// endMs is kept of a planned stop's grace for all but the hand-over: the last
+// messages, open calls of operators, the end of the process.
+const endMs = 1500
+
+// LeaveMs is how long, in ms, a planned stop may take to hand over: a successor
+// that has just begun is whole after the catch-up time, and the platform ends
+// the process after its grace.
+func LeaveMs(b bounds.Bounds) int64 {
+	return max(leaveWait.Milliseconds(), min(b.CatchUpMs, b.GraceMs-endMs))
+}
+
 // OfficeSettings is the place of a controller process.
 type OfficeSettings struct {
 	Site  string
@@ -51,6 +63,8 @@
 	doors http.Handler
 	// seeds are those of the settings as they are now.
 	seeds atomic.Pointer[[]string]
+	// leaveMs bounds a planned stop's hand-over.
+	leaveMs time.Duration
 }
 
 // NewOffice opens the data folder and makes the controller; nothing runs yet.
@@ -62,7 +76,7 @@
 		return nil, err
 	}
 	set.Self.Part, set.Self.Incarnation = wire.Controller, d.Keys()["incarnation"]
-	o := &Office{}
+	o := &Office{leaveMs: time.Duration(LeaveMs(set.Bounds))}
 	o.seeds.Store(&set.Seeds)
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { o.doors.ServeHTTP(w, r) })
 	o.shell = daemon.New(daemon.Settings{
@@ -99,8 +113,9 @@
 		// A holder's order may be a moment on its way.
 		GapMs: set.Bounds.LeaseMs + set.Bounds.ThawMs,
 		// The next loss may come once a lost machine is back for this long.
-		AwayMs: max(awayFloorMs, set.Bounds.CatchUpMs/4),
-		ShowMs: showMs,
+		AwayMs:  max(awayFloorMs, set.Bounds.CatchUpMs/4),
+		ShowMs:  showMs,
+		LeaveMs: LeaveMs(set.Bounds),
 	}, keys, clock.NowMs())
 	if err != nil {
 		d.Close()
@@ -112,9 +127,13 @@
 // Join adds the controller's duties to a crew.
 func (o *Office) Join(c *crew.Crew) { o.shell.Join(c) }
 
-// Leave steps down before a planned stop, so that the next need not wait.
+// Leave hands the copy, the vote and the primacy of this daemon to others
+// before a planned stop, as far as there are any and within LeaveMs.
 func (o *Office) Leave() {
-	o.shell.Put(control.StepDown{})
+	ctx, cancel := context.WithTimeout(context.Background(), o.leaveMs*time.Millisecond+leaveWait)
+	defer cancel()
+	o.shell.Ask(ctx, func(id uint64) any { return control.StepDown{Id: id} })
+	// The last messages, such as the word to the next primary, are on their way.
 	time.Sleep(leaveWait)
 }
 
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -47,6 +47,10 @@
 	orders  orders
 	roll    roll
 	leaving leaving
+	// softSequence counts the index snapshots that this primary told of, and
+	// softOrder is the newest that this follower took.
+	softSequence uint64
+	softOrder    softOrder
 }
 
 // New makes a steward that knows no map.
@@ -93,13 +97,21 @@
 	case wire.MapAsk:
 		s.asked(h, e.From, body)
 	case wire.MapLookUp:
+		// Cut off, this daemon may know of runners that have long left. A router
+		// that hears nothing asks another controller.
+		if !h.InContact() {
+			h.Count(string(defect.NoContact))
+			return true
+		}
 		h.Send(e.From, s.keeper.LookUp(h.NowMs(), e.From, body))
 		// Someone waits, so the next tick is too late.
 		if body.Waits {
 			s.hurry(h)
 		}
 	case Soft:
-		if !s.serving && body.Epoch >= h.Epoch() {
+		if s.serving || body.Epoch < h.Epoch() || !s.softOrder.later(body) {
+			h.Count(string(defect.Overtaken))
+		} else {
 			s.keeper.TakeSoft(h.NowMs(), body.Ledger)
 		}
 	case Demand:
@@ -210,7 +222,8 @@
 	s.goOn(h)
 	if h.NowMs()-s.softMs >= softMs {
 		s.softMs = h.NowMs()
-		image := Soft{Epoch: h.Epoch(), Ledger: s.keeper.Soft()}
+		s.softSequence++
+		image := Soft{Epoch: h.Epoch(), Sequence: s.softSequence, Ledger: s.keeper.Soft()}
 		for _, place := range h.Controllers() {
 			h.Send(place, image)
 		}
@@ -266,12 +279,14 @@
 	}
 }
 
-// notPrimary sends an operator to the primary, where one is known to live.
+// notPrimary sends an operator to the primary, where a majority stood behind it
+// just now. Without that it may be one no longer, and the operator would go
+// round in a circle.
 func (s *Steward) notPrimary(h control.Host, id uint64) {
 	said := wire.Dropped{Kind: defect.NotPrimary, Detail: "the primary answers this"}
 	primary := h.Primary()
 	alive := slices.ContainsFunc(h.Controllers(), func(p wire.Place) bool { return p.Name == primary.Name })
-	if host, _, err := net.SplitHostPort(primary.Address); err == nil && alive {
+	if host, _, err := net.SplitHostPort(primary.Address); err == nil && alive && h.InContact() {
 		said.Primary = net.JoinHostPort(host, s.set.ControlPort)
 	}
 	h.Answer(id, said)
