--- a/control/campaign_test.go
+++ b/control/campaign_test.go
@@ -126,6 +126,27 @@
 	}
 }
 
+// killAll kills every member at the same moment; they come back one after the
+// other, as many of them with empty disks as may be lost.
+func (r *campaign) killAll() {
+	if r.countLost() > 0 {
+		return
+	}
+	wiped := r.random.IntN(r.losses + 1)
+	r.note("all are killed, %d lose their disks", wiped)
+	whole := r.whole()
+	r.random.Shuffle(len(whole), func(i, j int) { whole[i], whole[j] = whole[j], whole[i] })
+	for i, name := range whole {
+		r.kill(name)
+		backMs := 100 + r.random.Int64N(900)
+		if i < wiped {
+			r.back(name, backMs, func() { r.wipe(name) })
+		} else {
+			r.back(name, backMs, func() { r.restart(name) })
+		}
+	}
+}
+
 func (r *campaign) killAndWipe(name string, backMs int64) {
 	r.note("%s is killed and loses its disk, back in %d", name, backMs)
 	r.kill(name)
@@ -284,7 +305,11 @@
 	for endMs := r.nowMs + ms; r.nowMs < endMs; {
 		switch r.random.IntN(8) {
 		case 0, 1:
-			r.strike()
+			if r.random.IntN(10) == 0 {
+				r.killAll()
+			} else {
+				r.strike()
+			}
 		case 2:
 			r.restartInTurn()
 		case 3, 4, 5:
