Repeat a record to the witnesses that have not granted it

Cause: a candidate repeated its question for a promise each 150 ms, but a record only by a new attempt 800 ms later.

Ruled out: a wrong count of the majority (three of five answered in the end).

--- a/control/seat.go
+++ b/control/seat.go
@@ -131,15 +131,7 @@
 			m.askPromises(false)
 		}
 	case promising, keeping:
-		// A witness that held off a moment ago may be free by now.
-		if s.role == promising && m.nowMs-s.askedMs >= againMs {
-			s.askedMs = m.nowMs
-			for _, voter := range s.top.Voters() {
-				if s.asked[voter] && !s.granted[voter] {
-					m.sendName(voter.Name, m.promise())
-				}
-			}
-		}
+		m.askAgain()
 		if m.nowMs-s.sinceMs >= goMs {
 			m.retreat(200 + int64(len(m.set.Self.Name)*37+int(m.set.Self.Name[len(m.set.Self.Name)-1])*13)%300)
 		}
@@ -157,6 +149,26 @@
 	}
 }
 
+// askAgain repeats to the witnesses that have not granted it what this
+// candidate asks. One that held off a moment ago may be free by now, and where
+// just a majority is left, one lost message would cost the whole attempt.
+func (m *Machine) askAgain() {
+	s := &m.seat
+	if m.nowMs-s.askedMs < againMs {
+		return
+	}
+	s.askedMs = m.nowMs
+	if s.role == keeping {
+		m.sendKeeps()
+		return
+	}
+	for _, voter := range s.top.Voters() {
+		if s.asked[voter] && !s.granted[voter] {
+			m.sendName(voter.Name, m.promise())
+		}
+	}
+}
+
 func (m *Machine) retreat(waitMs int64) {
 	m.seat.role = follower
 	m.seat.nextMs = m.nowMs + waitMs
@@ -322,6 +334,9 @@
 
 func (m *Machine) sendKeeps() {
 	for _, voter := range m.seat.proposal.Voters() {
+		if m.seat.keepers[voter] {
+			continue
+		}
 		m.sendName(voter.Name, wire.Keep{Ballot: m.seat.ballot, Record: *m.seat.proposal, EchoMs: m.nowMs})
 	}
 }
