Found a site with most of its seeds, and finish what one seed alone kept

And a first record that only its proposer kept blocked every later attempt: the others were blank and so gave it no vote, and it refused theirs.

Mend: after 3 s most of the seeds will do, if their disks bear the mark of the first start, which is synced before any vote; all seeds together need no mark. Two attempts then meet in a seed that remembers, unless more disks are lost than may be. Blank seeds may vote for the end of a half-recorded first record. Until as many copies are recorded as must be, nothing is answered.

--- a/control/campaign_test.go
+++ b/control/campaign_test.go
@@ -328,6 +328,41 @@
 	}
 }
 
+// playBootstrap disturbs the first seconds of a site by cuts and kills. No disk
+// is lost: within the catch-up time of its start each member counts as lost.
+func (r *campaign) playBootstrap() {
+	r.sent, r.acked = 0, -1
+	names := slices.Sorted(maps.Keys(r.nodes))
+	for startMs := r.nowMs; r.nowMs < startMs+campaignCatchUpMs; {
+		name := names[r.random.IntN(len(names))]
+		switch n := r.nodes[name]; {
+		case r.random.IntN(4) == 0:
+			other := names[r.random.IntN(len(names))]
+			r.cut[name+">"+other] = r.random.IntN(2) == 0
+			r.cut[other+">"+name] = r.random.IntN(2) == 0
+		case r.random.IntN(3) == 0 && !n.down:
+			r.note("%s is killed", name)
+			r.kill(name)
+		case n.down:
+			r.note("%s is back", name)
+			r.restart(name)
+		}
+		r.run(50 * (1 + r.random.Int64N(6)))
+		if r.random.IntN(3) == 0 {
+			r.write()
+		}
+		r.check()
+	}
+	clear(r.cut)
+	for _, name := range names {
+		if r.nodes[name].down {
+			r.restart(name)
+		}
+	}
+	r.note("all are left alone")
+	r.settle()
+}
+
 // campaignShapes are losses to be borne and numbers of core machines.
 var campaignShapes = [][2]int{{1, 3}, {1, 4}, {1, 6}, {2, 5}, {2, 6}, {2, 9}}
 
--- a/control/copy.go
+++ b/control/copy.go
@@ -233,6 +233,10 @@
 	if !m.isPrimary() || m.nowMs >= m.seat.holdUntilMs {
 		return
 	}
+	// As many disks may be lost at once as there are further copies.
+	if m.set.Tenant != nil && len(m.record.Pair) < m.minCopies {
+		return
+	}
 	done := c.synced.Number
 	pairs := [][]wire.Seat{m.record.Pair}
 	// While a new pair is being recorded, either may turn out to be in force.
--- a/control/founding.go
+++ b/control/founding.go
@@ -4,9 +4,13 @@
 	"slices"
 
 	"myrtlewinch/defect"
+	"myrtlewinch/disk"
 	"myrtlewinch/wire"
 )
 
+// firstEpoch is the epoch of the record that founds a site.
+const firstEpoch = 1
+
 // Founded answers a founding.
 type Founded struct {
 	Epoch   uint64 `json:"epoch"`
@@ -86,7 +90,8 @@
 	}
 	id := s.founding.Id
 	s.founding = nil
-	m.retreat(0)
+	// Whoever keeps that record finishes it, if it is left the time.
+	m.retreat(foundAfterMs)
 	m.answer(id, wire.Dropped{Kind: defect.AlreadyFounded, Detail: "a witness belongs to another founding"})
 	return true
 }
@@ -106,12 +111,38 @@
 // at the very start holds the site up only for a moment.
 const foundAfterMs = 1500
 
+// majorityAfterMs is how long the seeds wait for all of them before most of
+// them will do. One that is removed for good at the very start must not keep
+// the site from being founded.
+const majorityAfterMs = 3000
+
+// bootstrapKey marks a disk that was there, empty, at the first start of the
+// site. Only such a disk may vote for a first record: one that was emptied later
+// may have voted for another, which it forgot.
+const bootstrapKey = "bootstrap"
+
+// mayBootstrap says whether this disk may vote for a first record. The older
+// interface leaves that to the operator's explicit act.
+func (m *Machine) mayBootstrap() bool { return m.set.Tenant == nil || m.firstDisk }
+
+// markFirstDisk keeps on the disk that it was there at the first start. Saves
+// keep their order, so no vote is on the disk before this.
+func (m *Machine) markFirstDisk() {
+	if !m.set.Founds || m.firstDisk || m.broken {
+		return
+	}
+	m.firstDisk = true
+	m.save(disk.Write{Sets: map[string]string{bootstrapKey: "first start"}}, nil)
+}
+
 // tickFounding founds the site by itself, where this is the first start of
-// all and this daemon is one of the seeds. All of the seeds must agree, so two
-// foundings can't both be; a blank disk of a later start never takes part as
-// a founder, and a seed that has heard of a record doesn't either.
+// all and this daemon is one of the seeds. All of those that it names must agree
+// to the first record, and they are most of the seeds, on disks that were there
+// at the first start, or all seeds. So of two attempts one meets a seed that has
+// agreed to the other, unless more disks were lost than may be.
 func (m *Machine) tickFounding() {
-	if !m.set.Founds || m.record.Epoch > 0 || m.state.Position.Number > 0 || m.seat.role != follower || m.seat.founding != nil {
+	m.markFirstDisk()
+	if !m.firstDisk || m.record.Epoch > 0 || m.state.Position.Number > 0 || m.seat.role != follower || m.seat.founding != nil {
 		return
 	}
 	seeds := slices.Sorted(slices.Values(m.set.Seeds))
@@ -119,13 +150,22 @@
 	if turn < 0 || m.nowMs < m.startMs+int64(turn)*foundAfterMs || m.nowMs < m.seat.nextMs {
 		return
 	}
-	var names []string
+	var names, marked []string
 	for _, seed := range seeds {
 		place, known := m.roster.At(seed)
-		if !known {
-			return
+		if known {
+			names = append(names, place.Name)
+		}
+		if known && !m.notFirst[place.Incarnation] {
+			marked = append(marked, place.Name)
 		}
-		names = append(names, place.Name)
+	}
+	if len(names) < len(seeds) {
+		names = marked
+	}
+	waited := m.nowMs >= m.startMs+majorityAfterMs+int64(turn)*foundAfterMs
+	if len(names) < len(seeds) && (!waited || 2*len(names) <= len(seeds)) {
+		return
 	}
 	m.found(Founding{Witnesses: names})
 }
--- a/control/machine.go
+++ b/control/machine.go
@@ -79,6 +79,12 @@
 	ballot    wire.Ballot
 	saves     map[uint64]func(ok bool)
 	saved     uint64
+	// minCopies is how many disks must have a change before it is answered.
+	minCopies int
+	// firstDisk says that the disk was there at the first start of the site.
+	firstDisk bool
+	// notFirst are the incarnations of seeds that said that theirs is none.
+	notFirst map[string]bool
 	// witnessSaves counts the witness's changes on their way to the disk, and
 	// witnessWaits are the answers that wait for them.
 	witnessSaves int
@@ -107,6 +113,7 @@
 	if set.GapMs == 0 {
 		set.GapMs = gapMs
 	}
+	minCopies := set.Losses + 1
 	set.Losses = max(set.Losses, 1)
 	if set.AwayMs == 0 {
 		set.AwayMs = awayMs
@@ -117,7 +124,7 @@
 	if set.LeaveMs == 0 {
 		set.LeaveMs = leaveMs
 	}
-	m := &Machine{set: set, nowMs: nowMs, state: ledger.New(), saves: map[uint64]func(bool){}}
+	m := &Machine{set: set, minCopies: minCopies, notFirst: map[string]bool{}, nowMs: nowMs, state: ledger.New(), saves: map[uint64]func(bool){}}
 	var err error
 	if m.witness, err = witness.New(m.ownSeat(), keys[witness.Key], nowMs); err != nil {
 		return nil, errors.Wrap(err, "the witness record on the disk can't be read")
@@ -155,6 +162,7 @@
 	m.index = index{waiting: map[choice.Key]map[string]int64{}, counts: map[string]int64{}}
 	m.duty = newDuty()
 	m.startMs, m.fellowsMs = nowMs, nowMs-rememberMs
+	m.firstDisk = keys[bootstrapKey] != ""
 	if set.Tenant != nil {
 		set.Tenant.Changed(host{m})
 	}
@@ -334,6 +342,11 @@
 			m.roster.Told(m.nowMs, s)
 		}
 	case wire.Promise:
+		if body.Found && !body.AllSeeds && !m.mayBootstrap() {
+			m.count(defect.NotFirstDisk)
+			m.reply(e, wire.Promised{Ballot: body.Ballot, NotFirstDisk: true})
+			return
+		}
 		answer, changed := m.witness.Promise(m.nowMs, e.From.Name, body)
 		answer.At = m.copies.synced
 		m.saveWitness(changed, func() { m.reply(e, answer) })
--- a/control/seat.go
+++ b/control/seat.go
@@ -268,7 +268,13 @@
 // promise is what a candidate asks of each witness.
 func (m *Machine) promise() wire.Promise {
 	f := m.seat.founding
-	return wire.Promise{Ballot: m.seat.ballot, Found: f != nil && !f.Recover, Recover: f != nil && f.Recover}
+	// Seeds that have not kept a half-recorded first record are blank still; they
+	// must be able to agree to its end.
+	finishes := m.set.Tenant != nil && f == nil && m.record.Epoch == 0 && m.seat.top.Epoch == firstEpoch
+	return wire.Promise{
+		Ballot: m.seat.ballot, Found: finishes || f != nil && !f.Recover, Recover: f != nil && f.Recover,
+		AllSeeds: f != nil && len(f.Witnesses) == len(m.set.Seeds),
+	}
 }
 
 func (m *Machine) askMore() {
@@ -293,6 +299,10 @@
 			m.askMore()
 		}
 	}
+	if s.founding != nil && said.NotFirstDisk {
+		m.notFirst[from.Incarnation] = true
+		return
+	}
 	if s.founding != nil && m.otherFounding(from, said) {
 		return
 	}
--- a/control/tenant_test.go
+++ b/control/tenant_test.go
@@ -283,6 +283,54 @@
 	}
 }
 
+// A seed that is gone for good at the very start does not keep the site from
+// being founded, with as many copies as must be.
+func TestBootstrapWithoutOneSeed(t *testing.T) {
+	for _, shape := range [][2]int{{1, 3}, {1, 4}, {2, 5}, {2, 6}} {
+		for gone := 1; gone <= 3; gone++ {
+			t.Run(fmt.Sprintf("%d of %d without seed %d", shape[0], shape[1], gone), func(t *testing.T) {
+				w := newCore(qt.New(t), shape[0], shape[1])
+				w.kill(fmt.Sprintf("core-%d", gone))
+				w.until(9000, "bootstrap", w.serves)
+				w.c.Assert(w.record().Pair, qt.HasLen, shape[0]+1)
+				answered := w.put("kept")
+				w.until(1000, "an answer", func() bool { return *answered })
+			})
+		}
+	}
+}
+
+// A disk that was emptied since the first start votes for no first record: it
+// may have voted for another one.
+func TestEmptiedSeedVotesForNoFirstRecord(t *testing.T) {
+	w := newCore(qt.New(t), 1, 3)
+	w.cut = map[string]bool{"core-1>core-3": true, "core-3>core-1": true, "core-2>core-3": true, "core-3>core-2": true}
+	w.until(9000, "bootstrap by two", w.serves)
+	answered := w.put("kept")
+	w.until(1000, "an answer", func() bool { return *answered })
+	// One is gone and the other comes back empty, beside the third seed, which
+	// knows of no site.
+	w.kill("core-1")
+	w.kill("core-2")
+	w.cut = map[string]bool{}
+	w.wipe("core-2")
+	w.run(12_000)
+	w.c.Assert(w.primary(), qt.Equals, "")
+}
+
+// Seeds that are cut from each other, die and come back found one site at most,
+// and found it once they are left alone.
+func TestBootstrapCampaign(t *testing.T) {
+	for _, shape := range campaignShapes {
+		for seed := range campaignSeeds(t) * 4 {
+			t.Run(fmt.Sprintf("%d of %d, seed %d", shape[0], shape[1], seed), func(t *testing.T) {
+				t.Parallel()
+				newCampaign(qt.New(t), shape[0], shape[1], seed).playBootstrap()
+			})
+		}
+	}
+}
+
 // A bootstrap whose messages come so late that its time runs out halfway is
 // finished, whichever of them they are.
 func TestBootstrapCutShortIsFinished(t *testing.T) {
--- a/defect/kind.go
+++ b/defect/kind.go
@@ -52,6 +52,7 @@
 	StaleRevision Kind = "stale revision"
 	OtherRunner   Kind = "other incarnation"
 	Overtaken     Kind = "overtaken message"
+	NotFirstDisk  Kind = "not a disk of the first start"
 	NoContact     Kind = "no contact with a majority"
 	RingFull      Kind = "ring full"
 )
--- a/wire/bodies.go
+++ b/wire/bodies.go
@@ -46,6 +46,9 @@
 	// Found is set only by an operator's explicit founding, Recover only by
 	// the explicit act that goes on from a surviving copy.
 	Found, Recover bool
+	// AllSeeds says that every seed is asked, so that also a disk may agree which
+	// can't show that it was there at the first start.
+	AllSeeds bool
 }
 
 // Promised answers a Promise.
@@ -57,6 +60,9 @@
 	Record  Record
 	Kept    Ballot
 	WaitMs  int64
+	// NotFirstDisk says that the disk can't vote for a first record: it was not
+	// there at the first start of the site, or did not live to note it.
+	NotFirstDisk bool
 	// At is what this daemon's own copy of the state goes up to.
 	At Position
 }
