Take no late word of the primary as a sign that it lives

Mend: a word that echoes what this member said more than a second ago was late; it does not count as hearing. The heartbeats of the membership, which echo nothing, count for membership alone; the primary's word goes to each controller every 300 ms, also while an image is on its way.

--- a/control/copy.go
+++ b/control/copy.go
@@ -288,18 +288,16 @@
 		f = &fellowCopy{incarnation: to.Incarnation}
 		c.fellows[to.Name] = f
 	}
-	if f.needsImage {
-		// One image is on its way at a time.
-		if m.nowMs-f.sentMs >= resendMs {
-			f.sentMs, f.sent = m.nowMs, m.state.Position.Number
-			c.sequence++
-			m.send(to, wire.Image{Sequence: c.sequence, Record: m.record, At: m.state.Position, Rows: m.state.Rowset()})
-		}
+	// One image is on its way at a time; meanwhile the word goes on.
+	if f.needsImage && m.nowMs-f.sentMs >= resendMs {
+		f.sentMs, f.sent = m.nowMs, m.state.Position.Number
+		c.sequence++
+		m.send(to, wire.Image{Sequence: c.sequence, Contact: f.contact, Record: m.record, At: m.state.Position, Rows: m.state.Rowset()})
 		return
 	}
 	// The time runs from the last change that came through, not from the last
 	// that was sent: a storm of changes would put it off for ever.
-	if f.acked < f.sent && m.nowMs-f.sentMs >= resendMs {
+	if !f.needsImage && f.acked < f.sent && m.nowMs-f.sentMs >= resendMs {
 		f.sent, f.sentMs = f.acked, m.nowMs
 	}
 	c.sequence++
@@ -315,7 +313,7 @@
 		follow.Fellows = m.roster.Places()
 	}
 	for _, change := range c.recent {
-		if change.At.Number > f.sent {
+		if change.At.Number > f.sent && !f.needsImage {
 			follow.Changes = append(follow.Changes, change)
 		}
 	}
@@ -397,8 +395,13 @@
 	return true
 }
 
-// hearPrimary notes that the primary lives.
-func (m *Machine) hearPrimary() {
+// hearPrimary notes that the primary lives. A message that answers what this
+// daemon said long ago was held up on its way, and tells nothing of now.
+func (m *Machine) hearPrimary(echo wire.Contact) {
+	if echo.StartMs == m.startMs && m.nowMs-echo.SentMs > missMs {
+		m.count(defect.Overtaken)
+		return
+	}
 	m.seat.heardMs = m.nowMs
 	// A candidate that hears the primary after all has no more cause.
 	if m.seat.role == asking {
@@ -415,7 +418,7 @@
 	if m.copies.overtaken(said.Record.Epoch, said.Sequence) {
 		m.count(defect.Overtaken)
 	} else {
-		m.hearPrimary()
+		m.hearPrimary(said.Contact)
 		m.heedWord(said)
 	}
 	took := false
@@ -484,7 +487,7 @@
 		return
 	}
 	if !m.copies.overtaken(said.Record.Epoch, said.Sequence) {
-		m.hearPrimary()
+		m.hearPrimary(said.Contact)
 	}
 	fresh := ledger.New()
 	if err := fresh.Take(said.Rows); err != nil {
--- a/control/machine.go
+++ b/control/machine.go
@@ -323,9 +323,6 @@
 	}
 	switch body := e.Body.(type) {
 	case wire.Heartbeat:
-		if body.Serving && body.Epoch >= m.record.Epoch {
-			m.seat.servedMs = m.nowMs
-		}
 	case wire.Hello:
 		m.reply(e, wire.Known{Fellows: m.known(e.From), Record: m.record})
 	case wire.Known:
--- a/control/replication_test.go
+++ b/control/replication_test.go
@@ -183,3 +183,27 @@
 		})
 	}
 }
+
+// A word of the primary that was held up on its way does not show that it lives.
+func TestLateWordIsNoSignOfLife(t *testing.T) {
+	cases := []struct {
+		about string
+		echo  func(m *Machine) wire.Contact
+		lives bool
+	}{
+		{"of just now", func(m *Machine) wire.Contact { return wire.Contact{SentMs: m.nowMs - 300, StartMs: m.startMs} }, true},
+		{"held up", func(m *Machine) wire.Contact { return wire.Contact{SentMs: m.nowMs - missMs - 1, StartMs: m.startMs} }, false},
+		{"the first, which answers nothing", func(*Machine) wire.Contact { return wire.Contact{} }, true},
+	}
+	for _, test := range cases {
+		t.Run(test.about, func(t *testing.T) {
+			w := served(qt.New(t), 1, 3)
+			primary, name := w.primary(), w.backup()
+			m, p := w.nodes[name].machine, w.nodes[primary].machine
+			w.kill(primary)
+			w.run(800)
+			m.Step(w.nowMs, w.from(primary, name, wire.Follow{Record: m.record, Ballot: p.seat.ballot, Sequence: p.copies.sequence + 1, Contact: test.echo(m)}))
+			qt.Assert(t, m.seat.heardMs == w.nowMs, qt.Equals, test.lives)
+		})
+	}
+}
--- a/control/seat.go
+++ b/control/seat.go
@@ -39,8 +39,6 @@
 	sinceMs int64
 	nextMs  int64
 	heardMs int64
-	// servedMs is when a heartbeat last said that the primary serves.
-	servedMs int64
 	renewMs  int64
 	askedMs  int64
 	round    uint64
@@ -199,9 +197,9 @@
 }
 
 func (m *Machine) opinion(e wire.Envelope, ask wire.Opinion) {
-	// What counts is the primary's serving, not that its daemon lives: it may
+	// What counts is the primary's own word, not that its daemon lives: it may
 	// have lost its disk or stepped down.
-	heardMs := m.nowMs - max(m.seat.heardMs, m.seat.servedMs)
+	heardMs := m.nowMs - m.seat.heardMs
 	if m.isPrimary() {
 		heardMs = 0
 	}
--- a/wire/bodies.go
+++ b/wire/bodies.go
@@ -174,7 +174,9 @@
 // Image replaces a follower's whole state.
 type Image struct {
 	Sequence uint64
-	Record   Record
+	// Contact is that of Follow.
+	Contact Contact
+	Record  Record
 	At       Position
 	Rows     map[string]string
 }
