--- a/daemon/saving_test.go
+++ b/daemon/saving_test.go
@@ -43,7 +43,7 @@
 // without that it would be one loss more for good.
 func TestADiskThatFailedIsTakenUpAgain(t *testing.T) {
 	c := qt.New(t)
-	folder := c.Mkdir()
+	folder := c.TempDir()
 	d, err := disk.Open(folder, "s")
 	c.Assert(err, qt.IsNil)
 	ended := make(chan string, 4)
--- a/disk/disk_test.go
+++ b/disk/disk_test.go
@@ -23,7 +23,7 @@
 
 func TestDiskKeepsWhatItSaved(t *testing.T) {
 	c := qt.New(t)
-	folder := c.Mkdir()
+	folder := c.TempDir()
 	d, err := Open(folder, "zagreb")
 	c.Assert(err, qt.IsNil)
 	c.Assert(d.Save(set("state/a", "1")), qt.IsNil)
@@ -44,7 +44,7 @@
 // file ends at, the folder opens to a whole prefix of the changes.
 func TestDiskPowerCutAtEachByte(t *testing.T) {
 	c := qt.New(t)
-	folder := c.Mkdir()
+	folder := c.TempDir()
 	d, err := Open(folder, "zagreb")
 	c.Assert(err, qt.IsNil)
 	path := filepath.Join(folder, fileName)
@@ -58,7 +58,7 @@
 	whole, err := os.ReadFile(path)
 	c.Assert(err, qt.IsNil)
 	for cut := sizes[0]; cut <= int64(len(whole)); cut++ {
-		torn := c.Mkdir()
+		torn := c.TempDir()
 		c.Assert(os.WriteFile(filepath.Join(torn, fileName), whole[:cut], 0o644), qt.IsNil)
 		keys := reopen(c, torn)
 		last := 0
@@ -84,7 +84,7 @@
 
 func TestDiskFailedSync(t *testing.T) {
 	c := qt.New(t)
-	d, err := Open(c.Mkdir(), "zagreb")
+	d, err := Open(c.TempDir(), "zagreb")
 	c.Assert(err, qt.IsNil)
 	defer d.Close()
 	d.sync = func(*os.File) error { return errors.New("platter gone") }
@@ -97,7 +97,7 @@
 
 func TestDiskFull(t *testing.T) {
 	c := qt.New(t)
-	folder := c.Mkdir()
+	folder := c.TempDir()
 	d, err := Open(folder, "zagreb")
 	c.Assert(err, qt.IsNil)
 	defer d.Close()
@@ -121,7 +121,7 @@
 
 func TestDiskTornInside(t *testing.T) {
 	c := qt.New(t)
-	folder := c.Mkdir()
+	folder := c.TempDir()
 	d, err := Open(folder, "zagreb")
 	c.Assert(err, qt.IsNil)
 	c.Assert(d.Save(set("state/a", "first")), qt.IsNil)
@@ -145,7 +145,7 @@
 
 func TestDiskRewrite(t *testing.T) {
 	c := qt.New(t)
-	folder := c.Mkdir()
+	folder := c.TempDir()
 	d, err := Open(folder, "zagreb")
 	c.Assert(err, qt.IsNil)
 	c.Assert(d.Save(set("state/a", "1")), qt.IsNil)
--- a/disk/trim_test.go
+++ b/disk/trim_test.go
@@ -12,7 +12,7 @@
 // there, missing or torn, at any byte and in any manner; the folder still opens.
 func TestTornTail(t *testing.T) {
 	c := qt.New(t)
-	folder := c.Mkdir()
+	folder := c.TempDir()
 	d, err := Open(folder, "zagreb")
 	c.Assert(err, qt.IsNil)
 	c.Assert(d.Save(set("state/a", "first")), qt.IsNil)
@@ -48,7 +48,7 @@
 // A disk that failed and works again is written anew before it is trusted.
 func TestReopen(t *testing.T) {
 	c := qt.New(t)
-	folder := c.Mkdir()
+	folder := c.TempDir()
 	d, err := Open(folder, "zagreb")
 	c.Assert(err, qt.IsNil)
 	c.Assert(d.Save(set("state/a", "1")), qt.IsNil)
--- a/site/fleet_test.go
+++ b/site/fleet_test.go
@@ -22,7 +22,7 @@
 	if testing.Verbose() {
 		out = os.Stderr
 	}
-	f, err := New(Options{Text: text, Data: c.Mkdir(), LoadMs: 300, WorkMs: 5, Pieces: 4, Log: log.New(out)})
+	f, err := New(Options{Text: text, Data: c.TempDir(), LoadMs: 300, WorkMs: 5, Pieces: 4, Log: log.New(out)})
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(f.Stop)
 	c.Assert(f.Found(patience), qt.IsNil)
