Name identifiers ID as Go does in holdings

SoftRunner goes between controllers by gob and is kept nowhere; a follower of another build would see no runner until its primary is of the same build.

--- a/holdings/keeper.go
+++ b/holdings/keeper.go
@@ -380,14 +380,14 @@
 
 func (k *Keeper) insert(r *runner) {
 	k.runners[r.entry.Id] = r
-	at, _ := slices.BinarySearchFunc(k.sorted, r, byId)
+	at, _ := slices.BinarySearchFunc(k.sorted, r, byID)
 	k.sorted = slices.Insert(k.sorted, at, r)
 	s := r.service
-	at, _ = slices.BinarySearchFunc(s.runners, r, byId)
+	at, _ = slices.BinarySearchFunc(s.runners, r, byID)
 	s.runners = slices.Insert(s.runners, at, r)
 }
 
-func byId(a, b *runner) int { return cmp.Compare(a.entry.Id, b.entry.Id) }
+func byID(a, b *runner) int { return cmp.Compare(a.entry.Id, b.entry.Id) }
 
 // remove forgets a runner that is gone; a next life at its address may find
 // the weights on the disk.
--- a/holdings/offer.go
+++ b/holdings/offer.go
@@ -64,7 +64,7 @@
 	}
 	// In the order of the whole list, so that a line changes only where its
 	// runners do.
-	slices.SortFunc(out, byId)
+	slices.SortFunc(out, byID)
 	k.sampled = out
 	return out
 }
--- a/holdings/soft.go
+++ b/holdings/soft.go
@@ -23,7 +23,7 @@
 
 // SoftRunner is a runner in the image.
 type SoftRunner struct {
-	Id, Service, Address, Zone string
+	ID, Service, Address, Zone string
 	Slots                      int
 	Leaving, Suspect           bool
 	Active, Queued             int
@@ -73,7 +73,7 @@
 			continue
 		}
 		sr := SoftRunner{
-			Id: r.entry.Id, Service: r.service.name, Address: r.entry.Address, Zone: r.entry.Zone, Slots: r.entry.Slots,
+			ID: r.entry.Id, Service: r.service.name, Address: r.entry.Address, Zone: r.entry.Zone, Slots: r.entry.Slots,
 			Leaving: r.leaving, Suspect: r.suspect, Active: r.state.Active, Queued: r.state.Queued,
 			CacheUsed: r.state.CacheUsed, CacheTotal: r.state.CacheTotal, AgeMs: nowMs - r.stateMs,
 		}
@@ -129,7 +129,7 @@
 	}
 	there := make(map[string]bool, len(s.Runners))
 	for i := range s.Runners {
-		there[s.Runners[i].Id] = true
+		there[s.Runners[i].ID] = true
 		k.takeRunner(nowMs, &s.Runners[i])
 	}
 	for _, r := range slices.Clone(k.sorted) {
@@ -149,16 +149,16 @@
 }
 
 func (k *Keeper) takeRunner(nowMs int64, s *SoftRunner) {
-	r := k.runners[s.Id]
+	r := k.runners[s.ID]
 	if r == nil {
-		r = newRunner(wire.RunnerEntry{Id: s.Id}, k.service(s.Service))
+		r = newRunner(wire.RunnerEntry{Id: s.ID}, k.service(s.Service))
 		k.insert(r)
 		k.touchRunner(r)
 	}
 	r.entry.Service, r.entry.Address, r.entry.Zone, r.entry.Slots = s.Service, s.Address, s.Zone, s.Slots
 	r.absent = 0
 	if s.Leaving {
-		k.left[s.Id] = true
+		k.left[s.ID] = true
 	}
 	if r.leaving != s.Leaving || r.suspect != s.Suspect {
 		r.leaving, r.suspect = s.Leaving || r.leaving, s.Suspect
