--- a/hollow/site.go
+++ b/hollow/site.go
@@ -93,7 +93,7 @@
 	routers, controllers []*node
 	runners              []*runner
 	byAddress            map[string]*runner
-	byId                 map[string]*runner
+	byID                 map[string]*runner
 	kinds                map[string]Kind
 	counting             bool
 	fault                error
@@ -122,7 +122,7 @@
 	}
 	s := &Site{
 		size: size, clock: clock, nowMs: startMs, random: rand.New(rand.NewPCG(1, 2)), line: l, nodes: map[string]*node{},
-		byAddress: map[string]*runner{}, byId: map[string]*runner{}, kinds: map[string]Kind{}, shares: size.shares(),
+		byAddress: map[string]*runner{}, byID: map[string]*runner{}, kinds: map[string]Kind{}, shares: size.shares(),
 	}
 	s.calibrate()
 	for i := range size.Models {
@@ -156,7 +156,7 @@
 			Zone: s.zone(i), Slots: slots, LeftMs: -1,
 		}
 		s.runners = append(s.runners, r)
-		s.byAddress[r.entry.Address], s.byId[r.entry.Id] = r, r
+		s.byAddress[r.entry.Address], s.byID[r.entry.Id] = r, r
 	}
 	put := func(model int) {
 		for range s.runners {
@@ -401,7 +401,7 @@
 	case relay.Status:
 		n.primary = body.Primary
 	case relay.Send:
-		r := s.byId[body.Go.Runner]
+		r := s.byID[body.Go.Runner]
 		if r == nil {
 			return
 		}
--- a/program/program.go
+++ b/program/program.go
@@ -76,7 +76,7 @@
 	if err != nil {
 		Failed("address: %v", err)
 	}
-	web, err := net.Listen("tcp", set.Http)
+	web, err := net.Listen("tcp", set.HTTP)
 	if err != nil {
 		Failed("http: %v", err)
 	}
@@ -88,7 +88,7 @@
 	var c crew.Crew
 	daemon.Join(&c)
 	c.Signals(daemon.Leave)
-	logger.Info("running", "address", set.Address, "http", set.Http, "version", settings.Version)
+	logger.Info("running", "address", set.Address, "http", set.HTTP, "version", settings.Version)
 	if err := c.Run(); err != nil {
 		Failed("%v", err)
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -23,7 +23,7 @@
 	Name     string   `json:"name"`
 	Zone     string   `json:"zone"`
 	Address  string   `json:"address"`
-	Http     string   `json:"http"`
+	HTTP     string   `json:"http"`
 	Seeds    []string `json:"seeds"`
 	Platform string   `json:"platform"`
 	Data     string   `json:"data,omitempty"`
@@ -43,7 +43,7 @@
 	flaggy.String(&f.given.Name, "", "name", "name of this daemon, alone of its kind at the site")
 	flaggy.String(&f.given.Zone, "", "zone", "zone of this machine")
 	flaggy.String(&f.given.Address, "", "address", "IP:port for the site's own daemons")
-	flaggy.String(&f.given.Http, "", "http", "IP:port for callers and operators")
+	flaggy.String(&f.given.HTTP, "", "http", "IP:port for callers and operators")
 	flaggy.String(&f.seeds, "", "seeds", "up to three addresses of other daemons, with commas")
 	flaggy.String(&f.given.Platform, "", "platform", "IP:port of the platform's list of runners")
 	if data {
@@ -66,7 +66,7 @@
 	given := f.given
 	for _, pair := range []struct{ to, from *string }{
 		{&s.Site, &given.Site}, {&s.Name, &given.Name}, {&s.Zone, &given.Zone}, {&s.Address, &given.Address},
-		{&s.Http, &given.Http}, {&s.Platform, &given.Platform}, {&s.Data, &given.Data},
+		{&s.HTTP, &given.HTTP}, {&s.Platform, &given.Platform}, {&s.Data, &given.Data},
 	} {
 		if *pair.from != "" {
 			*pair.to = *pair.from
@@ -100,7 +100,7 @@
 		}
 	}
 	for _, field := range []struct{ name, value string }{
-		{"address", s.Address}, {"http", s.Http}, {"platform", s.Platform},
+		{"address", s.Address}, {"http", s.HTTP}, {"platform", s.Platform},
 	} {
 		if err := checkAddress(field.name, field.value); err != nil {
 			return err
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -8,7 +8,7 @@
 
 func TestCheckNamesTheField(t *testing.T) {
 	good := Settings{
-		Site: "zagreb", Name: "core-1", Zone: "a", Address: "127.0.0.1:1", Http: "127.0.0.1:2",
+		Site: "zagreb", Name: "core-1", Zone: "a", Address: "127.0.0.1:1", HTTP: "127.0.0.1:2",
 		Platform: "127.0.0.1:3", Seeds: []string{"127.0.0.1:4"}, Data: "x",
 	}
 	cases := []struct {
@@ -20,7 +20,7 @@
 		{"no site", func(s *Settings) { s.Site = "" }, "site: must be given"},
 		{"odd name", func(s *Settings) { s.Name = "a/b" }, "name: .*"},
 		{"host name", func(s *Settings) { s.Address = "localhost:1" }, `address: "localhost:1" is not IP:port`},
-		{"no port", func(s *Settings) { s.Http = "127.0.0.1" }, "http: .*"},
+		{"no port", func(s *Settings) { s.HTTP = "127.0.0.1" }, "http: .*"},
 		{"port nought", func(s *Settings) { s.Platform = "127.0.0.1:0" }, "platform: .*"},
 		{"four seeds", func(s *Settings) { s.Seeds = make([]string, 4) }, "seeds: must be one to three.*"},
 		{"seed twice", func(s *Settings) { s.Seeds = []string{"127.0.0.1:4", "127.0.0.1:4"} }, "seeds: .* twice"},
--- a/sim/outside.go
+++ b/sim/outside.go
@@ -197,10 +197,10 @@
 func (a *asked) ended(outcome traffic.Outcome, revision uint64) {
 	a.going = false
 	if a.gone {
-		a.w.put(a.n, a.life, traffic.Gone{Id: a.id})
+		a.w.put(a.n, a.life, traffic.Gone{ID: a.id})
 		return
 	}
-	a.w.put(a.n, a.life, traffic.Ended{Id: a.id, Outcome: outcome, Revision: revision})
+	a.w.put(a.n, a.life, traffic.Ended{ID: a.id, Outcome: outcome, Revision: revision})
 }
 
 // goTo takes a go to the runner, and what comes of it back.
@@ -317,7 +317,7 @@
 	a.end("sender gone", false)
 	delete(a.n.under, a.id)
 	if !a.going {
-		a.w.put(a.n, a.life, traffic.Gone{Id: a.id})
+		a.w.put(a.n, a.life, traffic.Gone{ID: a.id})
 	}
 }
 
--- a/sim/people.go
+++ b/sim/people.go
@@ -132,7 +132,7 @@
 		}
 		a.life = n.life
 		n.under[a.id] = a
-		w.put(n, n.life, traffic.Request{Id: a.id, Service: a.service, Model: a.model, Adapter: a.adapter, Name: a.name, Given: true, Bytes: 100})
+		w.put(n, n.life, traffic.Request{ID: a.id, Service: a.service, Model: a.model, Adapter: a.adapter, Name: a.name, Given: true, Bytes: 100})
 		if !a.probe && w.Random.Intn(50) == 0 {
 			w.after(w.Random.Int63n(3000), a.leave)
 		}
--- a/sim/scenario.go
+++ b/sim/scenario.go
@@ -105,7 +105,7 @@
 	if n.part == wire.Controller {
 		return w.status(n).Retired
 	}
-	for _, answer := range n.machine.Step(n.clock(w.NowMs), traffic.Look{Id: 1}).Answers {
+	for _, answer := range n.machine.Step(n.clock(w.NowMs), traffic.Look{ID: 1}).Answers {
 		if status, ok := answer.Body.(traffic.Status); ok {
 			return status.Retired
 		}
--- a/site/bad_test.go
+++ b/site/bad_test.go
@@ -23,7 +23,7 @@
 func TestBadInput(t *testing.T) {
 	c := qt.New(t)
 	f := up(c, "alexandria.json")
-	edge, core := f.Routers[0].Settings.Http, f.Controllers[0].Settings.Http
+	edge, core := f.Routers[0].Settings.HTTP, f.Controllers[0].Settings.HTTP
 	whole := string(f.options.Text)
 	cases := []struct {
 		about, method, address, path, base, body string
@@ -48,7 +48,7 @@
 		{"faulty", "PUT", core, "/description", "1", strings.Replace(whole, `"size": 22`, `"size": 0, "colour": 1`, 1), 422, defect.FaultyDescription, ""},
 		{"faulty part", "PATCH", core, "/description", "1", `{"store":{"loadsPer10s":0}}`, 422, defect.FaultyDescription, ""},
 		{"too large", "PUT", core, "/description", "1", whole + strings.Repeat(" ", 1<<20), 413, defect.TooLarge, ""},
-		{"not the primary", "PUT", f.Controllers[1].Settings.Http, "/description", "1", whole, 421, defect.NotPrimary, ""},
+		{"not the primary", "PUT", f.Controllers[1].Settings.HTTP, "/description", "1", whole, 421, defect.NotPrimary, ""},
 		{"founded already", "POST", core, "/found", "", `{"witnesses":["core-1","core-2","core-3"],"backup":"core-2"}`, 409, defect.AlreadyFounded, ""},
 		{"wrong method at the core", "DELETE", core, "/description", "", ``, 405, defect.WrongMethod, ""},
 	}
@@ -134,7 +134,7 @@
 	}
 	f.Platform.Put(wire.Listed{Name: "scan-1", Address: at.Addr().String(), Incarnation: "first-scan-1"})
 	ask := func() (int, string, error) {
-		status, text, err := Ask(http.MethodPost, f.Routers[0].Settings.Http, "/services/page", "", []byte(`{}`))
+		status, text, err := Ask(http.MethodPost, f.Routers[0].Settings.HTTP, "/services/page", "", []byte(`{}`))
 		return status, string(text), err
 	}
 	// Wait until the table knows only the strange one.
--- a/site/fleet.go
+++ b/site/fleet.go
@@ -143,7 +143,7 @@
 	for i, member := range members {
 		set := settings.Settings{
 			Site: f.Description.Site, Name: member.Name, Zone: member.Zone, Seeds: seeds,
-			Address: listeners[i].fellows.Addr().String(), Http: listeners[i].web.Addr().String(),
+			Address: listeners[i].fellows.Addr().String(), HTTP: listeners[i].web.Addr().String(),
 			Platform: f.platform.Addr().String(),
 		}
 		core := i < len(f.Description.Controllers)
@@ -207,7 +207,7 @@
 	if err != nil {
 		return err
 	}
-	web, err := net.Listen("tcp", p.Settings.Http)
+	web, err := net.Listen("tcp", p.Settings.HTTP)
 	if err != nil {
 		return err
 	}
@@ -238,7 +238,7 @@
 func (f *Fleet) RouterAddresses() []string {
 	var out []string
 	for _, part := range f.Routers {
-		out = append(out, part.Settings.Http)
+		out = append(out, part.Settings.HTTP)
 	}
 	return out
 }
@@ -252,7 +252,7 @@
 	}
 	body, _ := json.Marshal(map[string]any{"witnesses": names, "backup": names[1]})
 	return f.until(within, func() error {
-		status, text, err := Ask(http.MethodPost, f.Controllers[0].Settings.Http, "/found", "", body)
+		status, text, err := Ask(http.MethodPost, f.Controllers[0].Settings.HTTP, "/found", "", body)
 		if err == nil && status != http.StatusOK {
 			err = errors.Newf("founding: %s", text)
 		}
@@ -267,7 +267,7 @@
 		for _, part := range f.Controllers {
 			var status int
 			var said []byte
-			status, said, err = Ask(http.MethodPut, part.Settings.Http, "/description", base, text)
+			status, said, err = Ask(http.MethodPut, part.Settings.HTTP, "/description", base, text)
 			if err == nil && status == http.StatusOK {
 				return nil
 			}
@@ -283,7 +283,7 @@
 func (f *Fleet) Ready(within time.Duration) error {
 	return f.until(within, func() error {
 		for _, part := range f.Routers {
-			status, text, err := Ask(http.MethodGet, part.Settings.Http, "/soundness", "", nil)
+			status, text, err := Ask(http.MethodGet, part.Settings.HTTP, "/soundness", "", nil)
 			if err != nil {
 				return err
 			}
--- a/site/half_test.go
+++ b/site/half_test.go
@@ -22,7 +22,7 @@
 			body = fmt.Sprintf(`{"id":"half-%d","model":"label-1"}`, i)
 		}
 		for range 5 {
-			stream, err := net.Dial("tcp", f.Routers[0].Settings.Http)
+			stream, err := net.Dial("tcp", f.Routers[0].Settings.HTTP)
 			c.Assert(err, qt.IsNil)
 			_, err = fmt.Fprintf(stream, "POST /services/%s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", service, len(body), body)
 			c.Assert(err, qt.IsNil)
--- a/site/loss_test.go
+++ b/site/loss_test.go
@@ -49,7 +49,7 @@
 	c.Assert(f.Ready(patience), qt.IsNil)
 	c.Assert(f.until(patience, func() error {
 		for _, part := range f.Controllers {
-			status, text, err := Ask(http.MethodGet, part.Settings.Http, "/description", "", nil)
+			status, text, err := Ask(http.MethodGet, part.Settings.HTTP, "/description", "", nil)
 			if err == nil && status == http.StatusOK {
 				c.Assert(string(text), qt.Equals, third, qt.Commentf("what was accepted last is in force"))
 				return nil
@@ -57,7 +57,7 @@
 		}
 		return errors.New("nobody knows what is in force")
 	}), qt.IsNil)
-	_, past, err := Ask(http.MethodGet, f.Controllers[0].Settings.Http, "/history", "", nil)
+	_, past, err := Ask(http.MethodGet, f.Controllers[0].Settings.HTTP, "/history", "", nil)
 	c.Assert(err, qt.IsNil)
 	var history struct {
 		Revisions []struct {
--- a/site/measure.go
+++ b/site/measure.go
@@ -30,7 +30,7 @@
 			return err
 		}
 		direct = append(direct, tookMs)
-		edge := f.Routers[i%len(f.Routers)].Settings.Http
+		edge := f.Routers[i%len(f.Routers)].Settings.HTTP
 		if tookMs, err = timed(edge, "/services/"+small.Name, []byte(`{}`)); err != nil {
 			return err
 		}
@@ -51,7 +51,7 @@
 		}
 	}
 	err = f.until(time.Minute, func() error {
-		_, err := timed(f.Routers[0].Settings.Http, "/services/"+small.Name, []byte(`{}`))
+		_, err := timed(f.Routers[0].Settings.HTTP, "/services/"+small.Name, []byte(`{}`))
 		return err
 	})
 	if err != nil {
--- a/site/report.go
+++ b/site/report.go
@@ -54,7 +54,7 @@
 }
 
 func read(part *Part, into any) error {
-	_, text, err := Ask(http.MethodGet, part.Settings.Http, "/status", "", nil)
+	_, text, err := Ask(http.MethodGet, part.Settings.HTTP, "/status", "", nil)
 	if err != nil {
 		return err
 	}
--- a/site/shells_test.go
+++ b/site/shells_test.go
@@ -57,12 +57,12 @@
 			if read(part, &status) != nil || !status.Active {
 				continue
 			}
-			code, text, asked := Ask(http.MethodGet, part.Settings.Http, "/description", "", nil)
+			code, text, asked := Ask(http.MethodGet, part.Settings.HTTP, "/description", "", nil)
 			if asked == nil && code == http.StatusOK && string(text) == next {
 				s.revision = int(status.Revision)
 				return nil
 			}
-			code, text, asked = Ask(http.MethodPut, part.Settings.Http, "/description", fmt.Sprint(status.Revision), []byte(next))
+			code, text, asked = Ask(http.MethodPut, part.Settings.HTTP, "/description", fmt.Sprint(status.Revision), []byte(next))
 			err = errors.Newf("%d %s %v", code, text, asked)
 		}
 		return err
@@ -164,7 +164,7 @@
 			said := make(chan int, 1)
 			next := strings.Replace(s.text, `"secondGoes": 10`, `"secondGoes": 1`, 1)
 			crew.Side(func() {
-				status, _, err := Ask(http.MethodPut, p.Settings.Http, "/description", fmt.Sprint(s.revision), []byte(next))
+				status, _, err := Ask(http.MethodPut, p.Settings.HTTP, "/description", fmt.Sprint(s.revision), []byte(next))
 				if err != nil {
 					status = 0
 				}
@@ -178,7 +178,7 @@
 				c.Assert(s.Restart(part), qt.IsNil)
 			}
 			status := <-said
-			_, text, err := Ask(http.MethodGet, s.primary().Settings.Http, "/history", "", nil)
+			_, text, err := Ask(http.MethodGet, s.primary().Settings.HTTP, "/history", "", nil)
 			c.Assert(err, qt.IsNil)
 			var history struct {
 				Revisions []struct{ Number int }
--- a/site/write.go
+++ b/site/write.go
@@ -63,15 +63,15 @@
 	var controllers, routers, witnesses []string
 	var all []settings.Settings
 	for i, member := range append(append([]description.Member{}, d.Controllers...), d.Routers...) {
-		s := settings.Settings{Site: d.Site, Name: member.Name, Zone: member.Zone, Address: address(), Http: address(), Platform: platform}
+		s := settings.Settings{Site: d.Site, Name: member.Name, Zone: member.Zone, Address: address(), HTTP: address(), Platform: platform}
 		if i < len(d.Controllers) {
 			s.Data = filepath.Join("data", member.Name)
-			controllers = append(controllers, s.Http)
+			controllers = append(controllers, s.HTTP)
 			if i < 3 {
 				witnesses = append(witnesses, member.Name)
 			}
 		} else {
-			routers = append(routers, s.Http)
+			routers = append(routers, s.HTTP)
 		}
 		all = append(all, s)
 	}
--- a/stand/platform.go
+++ b/stand/platform.go
@@ -62,24 +62,24 @@
 	name, one := strings.CutPrefix(r.URL.Path, "/runners/")
 	switch {
 	case r.URL.Path == "/runners" && r.Method == http.MethodGet:
-		writeJson(w, http.StatusOK, p.List())
+		writeJSON(w, http.StatusOK, p.List())
 	case one && r.Method == http.MethodPut:
 		var listed wire.Listed
-		if readJson(w, r, &listed) {
+		if readJSON(w, r, &listed) {
 			listed.Name = name
 			p.Put(listed)
-			writeJson(w, http.StatusOK, listed)
+			writeJSON(w, http.StatusOK, listed)
 		}
 	case one && r.Method == http.MethodDelete:
 		p.Remove(name)
-		writeJson(w, http.StatusOK, map[string]string{"removed": name})
+		writeJSON(w, http.StatusOK, map[string]string{"removed": name})
 	case one && strings.HasSuffix(name, "/leaving") && r.Method == http.MethodPost:
 		if listed, ok := p.Mark(strings.TrimSuffix(name, "/leaving")); ok {
-			writeJson(w, http.StatusOK, listed)
+			writeJSON(w, http.StatusOK, listed)
 			return
 		}
 		fallthrough
 	default:
-		writeJson(w, http.StatusNotFound, defect.Answer{Kind: defect.UnknownPage, Detail: r.URL.Path, Ran: "no"})
+		writeJSON(w, http.StatusNotFound, defect.Answer{Kind: defect.UnknownPage, Detail: r.URL.Path, Ran: "no"})
 	}
 }
--- a/stand/runnerdoor.go
+++ b/stand/runnerdoor.go
@@ -40,27 +40,27 @@
 		d.runner.Heed(epoch)
 		report := d.runner.Report(d.nowMs())
 		d.mu.Unlock()
-		writeJson(w, http.StatusOK, report)
+		writeJSON(w, http.StatusOK, report)
 	case "POST /orders":
 		var order wire.Order
-		if !readJson(w, r, &order) {
+		if !readJSON(w, r, &order) {
 			return
 		}
 		d.mu.Lock()
 		report, kind := d.runner.Order(d.nowMs(), order)
 		d.mu.Unlock()
 		if kind != "" {
-			writeJson(w, http.StatusConflict, defect.Answer{Kind: kind, Ran: "no"})
+			writeJSON(w, http.StatusConflict, defect.Answer{Kind: kind, Ran: "no"})
 			return
 		}
-		writeJson(w, http.StatusOK, report)
+		writeJSON(w, http.StatusOK, report)
 	case "POST /run":
 		var call traffic.RunCall
-		if readJson(w, r, &call) {
+		if readJSON(w, r, &call) {
 			d.run(w, r, call)
 		}
 	default:
-		writeJson(w, http.StatusNotFound, defect.Answer{Kind: defect.UnknownPage})
+		writeJSON(w, http.StatusNotFound, defect.Answer{Kind: defect.UnknownPage})
 	}
 }
 
@@ -70,7 +70,7 @@
 	incarnation := d.runner.Incarnation
 	d.mu.Unlock()
 	if drop != nil {
-		writeJson(w, http.StatusConflict, drop)
+		writeJSON(w, http.StatusConflict, drop)
 		return
 	}
 	defer func() {
@@ -83,7 +83,7 @@
 			return
 		}
 		text, _ := json.Marshal(map[string]string{"service": call.Service, "model": call.Model, "said": "answer to " + call.Request})
-		writeJson(w, http.StatusOK, traffic.RunAnswer{Request: call.Request, Incarnation: incarnation, Answer: text})
+		writeJSON(w, http.StatusOK, traffic.RunAnswer{Request: call.Request, Incarnation: incarnation, Answer: text})
 		return
 	}
 	encoder := json.NewEncoder(w)
@@ -112,18 +112,18 @@
 	}
 }
 
-func readJson(w http.ResponseWriter, r *http.Request, into any) bool {
+func readJSON(w http.ResponseWriter, r *http.Request, into any) bool {
 	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 32<<20))
 	if err == nil {
 		err = json.Unmarshal(text, into)
 	}
 	if err != nil {
-		writeJson(w, http.StatusBadRequest, defect.Answer{Kind: defect.BadRequest, Detail: err.Error(), Ran: "no"})
+		writeJSON(w, http.StatusBadRequest, defect.Answer{Kind: defect.BadRequest, Detail: err.Error(), Ran: "no"})
 	}
 	return err == nil
 }
 
-func writeJson(w http.ResponseWriter, status int, value any) {
+func writeJSON(w http.ResponseWriter, status int, value any) {
 	text, _ := json.Marshal(value)
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", fmt.Sprint(len(text)))
--- a/traffic/gate.go
+++ b/traffic/gate.go
@@ -100,20 +100,20 @@
 	case r.URL.Path == "/soundness" && r.Method == http.MethodGet:
 		g.soundness(w, r)
 	case r.URL.Path == "/counters" && r.Method == http.MethodGet:
-		writeJson(w, g.shell.Counts())
+		writeJSON(w, g.shell.Counts())
 	default:
 		defect.Answer{Kind: defect.UnknownPage, Detail: r.URL.Path}.Write(w)
 	}
 }
 
-func writeJson(w http.ResponseWriter, value any) {
+func writeJSON(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(value)
 }
 
 // asked is the body of a request.
 type asked struct {
-	Id      string          `json:"id"`
+	ID      string          `json:"id"`
 	Model   string          `json:"model"`
 	Adapter string          `json:"adapter"`
 	Input   json.RawMessage `json:"input"`
@@ -139,7 +139,7 @@
 	if len(bytes.TrimSpace(body[decoder.InputOffset():])) > 0 {
 		return in, 0, defect.Answer{Kind: defect.BadRequest, Detail: "text after the end"}
 	}
-	for _, field := range []struct{ name, value string }{{"id", in.Id}, {"model", in.Model}, {"adapter", in.Adapter}} {
+	for _, field := range []struct{ name, value string }{{"id", in.ID}, {"model", in.Model}, {"adapter", in.Adapter}} {
 		if len(field.value) > nameMost || strings.ContainsAny(field.value, "/\n") {
 			return in, 0, defect.Answer{Kind: defect.BadRequest, Detail: field.name + ": not a plain name"}
 		}
@@ -165,13 +165,13 @@
 		defect.Answer{Kind: defect.UnknownService, Detail: service}.Write(w)
 		return
 	}
-	name := in.Id
+	name := in.ID
 	if name == "" {
 		name = fmt.Sprintf("%s-%s-%d", g.self.Name, g.self.Incarnation, g.names.Add(1))
 	}
 	id, answers := g.shell.Expect()
 	defer g.shell.Forget(id)
-	if !g.shell.Put(Request{Id: id, Service: service, Model: in.Model, Adapter: in.Adapter, Name: name, Given: in.Id != "", Bytes: size}) {
+	if !g.shell.Put(Request{ID: id, Service: service, Model: in.Model, Adapter: in.Adapter, Name: name, Given: in.ID != "", Bytes: size}) {
 		defect.Answer{Kind: defect.HoldingFull, Detail: "too many requests are under way here", Request: name}.Write(w)
 		return
 	}
@@ -180,7 +180,7 @@
 		case <-r.Context().Done():
 			// A sender that goes away frees its place. It may have closed only
 			// its own half, so returning would give it an empty answer.
-			g.shell.Put(Gone{Id: id})
+			g.shell.Put(Gone{ID: id})
 			panic(http.ErrAbortHandler)
 		case answer := <-answers:
 			switch said := answer.(type) {
@@ -191,7 +191,7 @@
 				ended, abort := g.goTo(w, r, id, said, in.Input)
 				if r.Context().Err() != nil && (abort || ended.Outcome != Answered) {
 					// For a sender that went away no further go is made.
-					g.shell.Put(Gone{Id: id})
+					g.shell.Put(Gone{ID: id})
 					panic(http.ErrAbortHandler)
 				}
 				g.shell.Put(ended)
@@ -211,7 +211,7 @@
 // goTo makes one go and relays its answer. Abort says that a part of a
 // telling was relayed and the rest will never come.
 func (g *Gate) goTo(w http.ResponseWriter, r *http.Request, id uint64, to Go, input json.RawMessage) (ended Ended, abort bool) {
-	ended.Id = id
+	ended.ID = id
 	body, _ := json.Marshal(RunCall{
 		Request: to.Name, Service: to.Service, Model: to.Model, Adapter: to.Adapter, Revision: to.Revision,
 		Incarnation: to.Incarnation, Repeatable: to.Repeatable, Telling: to.Telling, Input: input,
@@ -325,7 +325,7 @@
 func (g *Gate) look(r *http.Request) (Status, bool) {
 	ctx, cancel := context.WithTimeout(r.Context(), 2*time.Second)
 	defer cancel()
-	answer, ok := g.shell.Ask(ctx, func(id uint64) any { return Look{Id: id} })
+	answer, ok := g.shell.Ask(ctx, func(id uint64) any { return Look{ID: id} })
 	status, right := answer.(Status)
 	return status, ok && right
 }
@@ -336,7 +336,7 @@
 		defect.Answer{Kind: defect.NoWord, Detail: "no answer in time"}.Write(w)
 		return
 	}
-	writeJson(w, status)
+	writeJSON(w, status)
 }
 
 // soundness says whether this router would send a request now.
@@ -346,5 +346,5 @@
 		defect.Answer{Kind: defect.NoWord, Detail: "this router may not send at present"}.Write(w)
 		return
 	}
-	writeJson(w, map[string]any{"sound": true, "revision": status.Revision})
+	writeJSON(w, map[string]any{"sound": true, "revision": status.Revision})
 }
--- a/traffic/machine.go
+++ b/traffic/machine.go
@@ -99,7 +99,7 @@
 	order   []uint64
 	holding map[string]int
 	budgets map[string]*budget
-	taken   takenIds
+	taken   takenIDs
 	busy    map[string]int64
 	suspect map[string]int64
 	target  int
@@ -123,7 +123,7 @@
 		askedMs: nowMs - askMs, leaveWordMs: nowMs - leaveMs - 1, echoMs: nowMs - 1, revUntilMs: nowMs,
 		givenUntilMs: nowMs + wordHoldMs, prolonged: map[string]int64{},
 		marks: map[wire.Mark]bool{}, cache: map[choice.Key]*entry{}, requests: map[uint64]*request{},
-		holding: map[string]int{}, budgets: map[string]*budget{}, taken: newTakenIds(),
+		holding: map[string]int{}, budgets: map[string]*budget{}, taken: newTakenIDs(),
 		busy: map[string]int64{}, suspect: map[string]int64{}, silent: map[uint64]int64{},
 		Tally: Tally{Drops: map[defect.Kind]uint64{}},
 	}
@@ -150,7 +150,7 @@
 	case Ended:
 		m.ended(in)
 	case Gone:
-		if r := m.requests[in.Id]; r != nil {
+		if r := m.requests[in.ID]; r != nil {
 			// It comes only while no go is under way, so one that was made
 			// and not begun yet never will be.
 			if r.away {
--- a/traffic/machine_test.go
+++ b/traffic/machine_test.go
@@ -55,7 +55,7 @@
 
 func (b *bench) ask(service, model, name string) wire.Effects {
 	b.ids++
-	return b.step(Request{Id: b.ids, Service: service, Model: model, Name: name, Given: true})
+	return b.step(Request{ID: b.ids, Service: service, Model: model, Name: name, Given: true})
 }
 
 func (b *bench) index(key string, number uint64, runners ...string) wire.Effects {
@@ -137,7 +137,7 @@
 	b.ask("move", "", "a")
 	b.index(moves, 1, "table-1")
 	b.ask("move", "", "b")
-	b.step(Ended{Id: b.ids, Outcome: Answered})
+	b.step(Ended{ID: b.ids, Outcome: Answered})
 	before := b.m.target
 	b.nowMs += silentMs
 	b.step(wire.Tick{})
@@ -191,7 +191,7 @@
 			b.index(key, 1, runners[:test.holders]...)
 			c.Assert(b.goes(), qt.HasLen, 1)
 			first := b.goes()[0]
-			b.step(Ended{Id: b.ids, Outcome: test.outcome})
+			b.step(Ended{ID: b.ids, Outcome: test.outcome})
 			c.Assert(len(b.goes()) == 1, qt.Equals, test.again)
 			c.Assert(b.kind(), qt.Equals, test.kind)
 			if test.again && test.outcome != TooLate {
@@ -207,9 +207,9 @@
 	b := newBench(c)
 	b.ask("move", "", "q")
 	b.index(moves, 1, "table-1", "table-2")
-	b.step(Ended{Id: 1, Outcome: Lost})
+	b.step(Ended{ID: 1, Outcome: Lost})
 	c.Assert(b.goes(), qt.HasLen, 1)
-	b.step(Ended{Id: 1, Outcome: Busy})
+	b.step(Ended{ID: 1, Outcome: Busy})
 	c.Assert(b.kind(), qt.Equals, defect.OutcomeUnknown)
 }
 
@@ -221,11 +221,11 @@
 	ask()
 	c.Assert(b.kind(), qt.Equals, defect.AlreadyTaken, qt.Commentf("while the first waits"))
 	b.index("commentary/commentator-1/", 1, "language-1")
-	b.step(Ended{Id: 1, Outcome: Busy})
+	b.step(Ended{ID: 1, Outcome: Busy})
 	c.Assert(b.kind(), qt.Equals, defect.RunnerDropped)
 	ask()
 	c.Assert(b.kind(), qt.Equals, defect.Kind(""), qt.Commentf("a drop frees the id"))
-	b.step(Ended{Id: b.ids, Outcome: Lost})
+	b.step(Ended{ID: b.ids, Outcome: Lost})
 	c.Assert(b.kind(), qt.Equals, defect.OutcomeUnknown)
 	ask()
 	c.Assert(b.kind(), qt.Equals, defect.AlreadyTaken, qt.Commentf("what may have run does not"))
@@ -238,10 +238,10 @@
 	b.index(moves, 1, "table-1", "table-2")
 	second := 0
 	for range 100 {
-		b.step(Ended{Id: b.ids, Outcome: Busy})
+		b.step(Ended{ID: b.ids, Outcome: Busy})
 		if len(b.goes()) == 1 {
 			second++
-			b.step(Ended{Id: b.ids, Outcome: Busy})
+			b.step(Ended{ID: b.ids, Outcome: Busy})
 		}
 		b.ask("move", "", "")
 	}
@@ -369,7 +369,7 @@
 		{"unknown model", func(b *bench) { b.ask("narration", "m", "a") }, defect.UnknownModel},
 		{"model of another service", func(b *bench) { b.ask("narration", "referee-1", "a") }, defect.ModelNotAllowed},
 		{"model where there is none", func(b *bench) { b.ask("move", "referee-1", "a") }, defect.ModelNotAllowed},
-		{"too large", func(b *bench) { b.step(Request{Id: 9, Service: "move", Bytes: 1 << 20}) }, defect.TooLarge},
+		{"too large", func(b *bench) { b.step(Request{ID: 9, Service: "move", Bytes: 1 << 20}) }, defect.TooLarge},
 		{"stopping", func(b *bench) { b.step(Leave{}); b.ask("move", "", "a") }, defect.Stopping},
 		{"no answer of the index", func(b *bench) {
 			b.ask("move", "", "a")
@@ -405,7 +405,7 @@
 	b.c.Assert(b.out.Answers, qt.HasLen, 1)
 	b.ask("narration", "narrator-1", "new")
 	b.c.Assert(b.kind(), qt.Equals, defect.Stopping)
-	b.step(Ended{Id: 1, Outcome: Answered})
+	b.step(Ended{ID: 1, Outcome: Answered})
 	b.c.Assert(b.m.requests, qt.HasLen, 0)
 }
 
@@ -418,7 +418,7 @@
 			b.index("narration/narrator-1/", 1, "language-1")
 			b.c.Assert(b.m.busy["language-1"], qt.Equals, int64(1))
 		}
-		b.step(Gone{Id: 1})
+		b.step(Gone{ID: 1})
 		b.c.Assert(b.m.requests, qt.HasLen, 0)
 		b.c.Assert(b.m.busy["language-1"], qt.Equals, int64(0))
 		b.c.Assert(b.m.holding["narration"], qt.Equals, 0)
--- a/traffic/policy.go
+++ b/traffic/policy.go
@@ -227,7 +227,7 @@
 		m.busy[h.Runner]++
 		m.Tally.Goes++
 		r.tried[wire.Mark{Runner: h.Runner, Incarnation: h.Incarnation}] = true
-		m.answer(r.Id, Go{
+		m.answer(r.ID, Go{
 			Name: r.Name, Service: r.Service, Model: r.Model, Adapter: r.Adapter,
 			Runner: h.Runner, Address: h.Address, Incarnation: h.Incarnation, Revision: m.revision,
 			Telling: r.service.Telling, Repeatable: r.service.Repeatable,
--- a/traffic/request.go
+++ b/traffic/request.go
@@ -11,7 +11,7 @@
 type (
 	// Request is what a sender asked.
 	Request struct {
-		Id                      uint64
+		ID                      uint64
 		Service, Model, Adapter string
 		// Name is the request's id towards the runner; Given says that the
 		// sender chose it.
@@ -21,13 +21,13 @@
 	}
 	// Ended says how a go ended.
 	Ended struct {
-		Id      uint64
+		ID      uint64
 		Outcome Outcome
 		// Revision is the higher one a runner told of.
 		Revision uint64
 	}
 	// Gone says that the sender went away.
-	Gone struct{ Id uint64 }
+	Gone struct{ ID uint64 }
 	// Leave begins a planned stop: nothing new is taken.
 	Leave struct{}
 )
@@ -128,8 +128,8 @@
 		Request: in, cameMs: m.nowMs, deadlineMs: m.nowMs + unansweredMs, tried: map[wire.Mark]bool{},
 		key: choice.Key{Service: in.Service, Model: in.Model, Adapter: in.Adapter},
 	}
-	m.requests[in.Id] = r
-	m.order = append(m.order, in.Id)
+	m.requests[in.ID] = r
+	m.order = append(m.order, in.ID)
 	if m.follow(arrival, r) {
 		m.turn(r)
 	}
@@ -151,7 +151,7 @@
 }
 
 func (m *Machine) turn(r *request) {
-	if !r.away && !m.follow(turn, r) && m.requests[r.Id] != nil {
+	if !r.away && !m.follow(turn, r) && m.requests[r.ID] != nil {
 		m.hold(r)
 	}
 }
@@ -181,7 +181,7 @@
 	if r.turnMs > m.nowMs && kind.Reply().RetryAfterSec > 0 {
 		said.RetryMs = r.turnMs - m.nowMs
 	}
-	m.answer(r.Id, said)
+	m.answer(r.ID, said)
 	m.forget(r)
 }
 
@@ -194,7 +194,7 @@
 
 func (m *Machine) forget(r *request) {
 	m.unhold(r)
-	delete(m.requests, r.Id)
+	delete(m.requests, r.ID)
 }
 
 // wake gives every waiting request its turn, the eldest first.
@@ -212,7 +212,7 @@
 }
 
 func (m *Machine) ended(in Ended) {
-	r := m.requests[in.Id]
+	r := m.requests[in.ID]
 	if r == nil || !r.away {
 		return
 	}
--- a/traffic/status.go
+++ b/traffic/status.go
@@ -9,7 +9,7 @@
 )
 
 // Look asks for the status.
-type Look struct{ Id uint64 }
+type Look struct{ ID uint64 }
 
 // Status is what a router believes.
 type Status struct {
@@ -59,5 +59,5 @@
 		s.Cache = append(s.Cache, line)
 	}
 	sort.Slice(s.Cache, func(i, j int) bool { return s.Cache[i].Key < s.Cache[j].Key })
-	m.answer(in.Id, s)
+	m.answer(in.ID, s)
 }
--- a/traffic/taken.go
+++ b/traffic/taken.go
@@ -1,24 +1,24 @@
 package traffic
 
-// takenIds remembers the ids that were taken lately, in a bounded ring.
-type takenIds struct {
+// takenIDs remembers the ids that were taken lately, in a bounded ring.
+type takenIDs struct {
 	known map[string]uint64
-	ring  []takenId
+	ring  []takenID
 	count uint64
 }
 
-type takenId struct {
+type takenID struct {
 	id     string
 	number uint64
 }
 
-func newTakenIds() takenIds { return takenIds{known: map[string]uint64{}} }
+func newTakenIDs() takenIDs { return takenIDs{known: map[string]uint64{}} }
 
-func (t *takenIds) has(id string) bool { return t.known[id] > 0 }
+func (t *takenIDs) has(id string) bool { return t.known[id] > 0 }
 
-func (t *takenIds) add(id string) {
+func (t *takenIDs) add(id string) {
 	t.count++
-	slot := takenId{id, t.count}
+	slot := takenID{id, t.count}
 	t.known[id] = t.count
 	if len(t.ring) < takenMost {
 		t.ring = append(t.ring, slot)
@@ -34,4 +34,4 @@
 
 // forget frees the id of a request that was dropped: it has not run, so it
 // may be sent again.
-func (t *takenIds) forget(id string) { delete(t.known, id) }
+func (t *takenIDs) forget(id string) { delete(t.known, id) }
