--- a/holdings/runner.go
+++ b/holdings/runner.go
@@ -155,11 +155,6 @@
 	return a != nil && !a.going
 }
 
-// loading says whether a load of it is under way or may be.
-func (r *runner) loading(t thing) bool {
-	return r.order != nil && r.order.load && r.order.thing == t && !r.order.assumed
-}
-
 // idle says whether an order may be given: the ledger is the truth at a known
 // count, and nothing is open. A load may also follow an adapter's load that is
 // as good as done: at the count after it the ledger is the truth as well.
--- a/holdings/stand_test.go
+++ b/holdings/stand_test.go
@@ -18,17 +18,16 @@
 const llm = "llm"
 
 type standRunner struct {
-	entry   wire.RunnerEntry
-	held    map[string]map[string]bool
-	disk    map[string]bool
-	calls   int64
-	fence   uint64
-	busyMs  int64
-	finish  func()
-	dead    bool
-	active  map[string]int
-	listing wire.RunnerEntry
-	past    []snapshot
+	entry  wire.RunnerEntry
+	held   map[string]map[string]bool
+	disk   map[string]bool
+	calls  int64
+	fence  uint64
+	busyMs int64
+	finish func()
+	dead   bool
+	active map[string]int
+	past   []snapshot
 }
 
 type snapshot struct {
@@ -82,7 +81,6 @@
 	orders   int
 	loads    int
 	next     int
-	changes  map[string]uint64
 }
 
 func newMap(models, adapters int, perSec float64) *servicemap.Map {
--- a/hollow/site.go
+++ b/hollow/site.go
@@ -75,7 +75,6 @@
 	stepNs int64
 	// primary is what a router took for the primary when it was asked last.
 	primary string
-	version uint64
 }
 
 // Site is a whole site in virtual time.
