Add a queue of events in virtual time

sim, hollow and drill each carry the same heap of events, and the test bench of holdings a sorted list. This one package is to serve all: a virtual clock and its events, in the order of time and then of scheduling.

--- /dev/null
+++ b/eventqueue/eventqueue.go
@@ -0,0 +1,64 @@
+// Package eventqueue is the core of a discrete-event simulation: a virtual
+// clock and the queue of the events that are scheduled on it. Time moves only
+// when events run, so a simulation gives the same result on every machine.
+package eventqueue
+
+import "container/heap"
+
+// Queue is a virtual clock with its scheduled events. Events run in the order
+// of their times, and those of the same time in the order in which they were
+// scheduled. The zero Queue is empty and its clock stands at 0.
+//
+// A Queue is not safe for concurrent use. Events may schedule further events.
+type Queue struct {
+	nowMs int64
+	// scheduled counts all events so far; it orders those of the same time.
+	scheduled uint64
+	pending   eventHeap
+	stopped   bool
+}
+
+// New makes an empty queue whose clock stands at startMs.
+func New(startMs int64) *Queue { return &Queue{nowMs: startMs} }
+
+// NowMs is the virtual time. While an event runs it is the time of that event.
+func (q *Queue) NowMs() int64 { return q.nowMs }
+
+// Len is the number of events that have not run yet.
+func (q *Queue) Len() int { return len(q.pending) }
+
+// At schedules an event at a time; one in the past is scheduled for now.
+func (q *Queue) At(atMs int64, run func()) {
+	q.scheduled++
+	heap.Push(&q.pending, event{atMs: max(atMs, q.nowMs), sequence: q.scheduled, run: run})
+}
+
+// After schedules an event after a delay; a negative delay counts as none.
+func (q *Queue) After(delayMs int64, run func()) { q.At(q.nowMs+delayMs, run) }
+
+// RunUntil runs all events up to and including those at endMs, with the ones
+// that they schedule in that span, and leaves the clock at endMs. It returns
+// early, with the clock where it stands, when an event calls Stop. The clock
+// never goes back: where endMs has passed, nothing happens.
+func (q *Queue) RunUntil(endMs int64) {
+	q.stopped = false
+	for len(q.pending) > 0 && q.pending[0].atMs <= endMs {
+		next := heap.Pop(&q.pending).(event)
+		q.nowMs = next.atMs
+		next.run()
+		if q.stopped {
+			return
+		}
+	}
+	q.nowMs = max(q.nowMs, endMs)
+}
+
+// RunFor is RunUntil for a span from now.
+func (q *Queue) RunFor(spanMs int64) { q.RunUntil(q.nowMs + spanMs) }
+
+// Stop makes the RunUntil that is under way return once the current event is
+// done. The events that are left stay scheduled.
+func (q *Queue) Stop() { q.stopped = true }
+
+// Clear removes all events and lets go of what they refer to.
+func (q *Queue) Clear() { q.pending = nil }
