--- a/sim/campaign.go
+++ b/sim/campaign.go
@@ -58,9 +58,9 @@
 
 // mend ends a core daemon's fault; it counts as well once it has caught up.
 func (w *World) mend(name string, do func()) {
-	w.after(w.soon(), func() {
+	w.events.After(w.soon(), func() {
 		do()
-		w.after(6000, func() { delete(w.busy, name) })
+		w.events.After(6000, func() { delete(w.busy, name) })
 	})
 }
 
@@ -120,7 +120,7 @@
 	{"slow a core disk", func(w *World) {
 		name := w.some(wire.Controller)
 		w.nodes[name].disk.slowMs = 50 + w.Random.Int63n(200)
-		w.after(w.soon(), func() { w.nodes[name].disk.slowMs = 0 })
+		w.events.After(w.soon(), func() { w.nodes[name].disk.slowMs = 0 })
 	}},
 	{"cut a core daemon off", func(w *World) {
 		w.withCore(w.primaryOrSome(), func(name string) {
@@ -130,7 +130,7 @@
 	}},
 	{"cut the core off from routers", func(w *World) {
 		w.Cut(w.names(wire.Controller), w.names(wire.Router), w.Random.Intn(3) == 0)
-		w.after(w.soon(), w.Heal)
+		w.events.After(w.soon(), w.Heal)
 	}},
 	{"cut some routers off from the core, with descriptions", func(w *World) {
 		names := w.names(wire.Router)
@@ -138,28 +138,28 @@
 		cut := names[:1+w.Random.Intn(len(names))]
 		w.Cut(w.names(wire.Controller), cut, w.Random.Intn(3) == 0)
 		for range 3 {
-			w.after(w.Random.Int63n(8000), func() { w.handOverNext() })
+			w.events.After(w.Random.Int63n(8000), func() { w.handOverNext() })
 		}
-		w.after(w.Random.Int63n(8000), func() { w.Kill(names[0]); w.Start(names[0]) })
-		w.after(2*w.soon(), w.Heal)
+		w.events.After(w.Random.Int63n(8000), func() { w.Kill(names[0]); w.Start(names[0]) })
+		w.events.After(2*w.soon(), w.Heal)
 	}},
 	{"cut the platform off", func(w *World) {
 		w.Cut([]string{"platform"}, w.names(""), false)
-		w.after(w.soon(), w.Heal)
+		w.events.After(w.soon(), w.Heal)
 	}},
 	{"lose and double messages", func(w *World) {
 		w.lossPart, w.twicePart = 0.2*w.Random.Float64(), 0.2*w.Random.Float64()
-		w.after(w.soon(), w.Heal)
+		w.events.After(w.soon(), w.Heal)
 	}},
 	{"kill a router", func(w *World) {
 		name := w.some(wire.Router)
 		w.Kill(name)
-		w.after(w.soon(), func() { w.Start(name) })
+		w.events.After(w.soon(), func() { w.Start(name) })
 	}},
 	{"freeze a router", func(w *World) {
 		name := w.some(wire.Router)
 		w.Freeze(name)
-		w.after(w.soon(), func() { w.Thaw(name) })
+		w.events.After(w.soon(), func() { w.Thaw(name) })
 	}},
 	{"kill the pair", func(w *World) {
 		w.withTwo(w.Primary(), w.backup(), func(name string) {
@@ -189,31 +189,31 @@
 				w.mend(name, func() {})
 			})
 		}
-		w.after(w.Random.Int63n(4000), func() {
+		w.events.After(w.Random.Int63n(4000), func() {
 			names := w.names("")
 			for _, name := range names {
 				w.Kill(name)
 			}
 			for _, name := range names {
-				w.after(w.Random.Int63n(1000), func() { w.Start(name) })
+				w.events.After(w.Random.Int63n(1000), func() { w.Start(name) })
 			}
 		})
 	}},
 	{"delay and reorder messages", func(w *World) {
 		w.latePart, w.lateMs = 0.2*w.Random.Float64(), 5000
-		w.after(w.soon(), func() { w.latePart = 0 })
+		w.events.After(w.soon(), func() { w.latePart = 0 })
 	}},
 	{"freeze all routers", func(w *World) {
 		names := w.names(wire.Router)
 		for _, name := range names {
 			w.Freeze(name)
-			w.after(w.soon(), func() { w.Thaw(name) })
+			w.events.After(w.soon(), func() { w.Thaw(name) })
 		}
 	}},
 	{"replace runners one after another", func(w *World) {
 		for i, r := range w.Site.Runners[:4] {
-			w.after(int64(i)*1000, func() { w.MarkLeaving(r.Name) })
-			w.after(int64(i)*1000+3500, func() { w.CrashRunner(r.Name); w.StartRunner(r.Name) })
+			w.events.After(int64(i)*1000, func() { w.MarkLeaving(r.Name) })
+			w.events.After(int64(i)*1000+3500, func() { w.CrashRunner(r.Name); w.StartRunner(r.Name) })
 		}
 	}},
 	{"take a zone's runners away", func(w *World) {
@@ -221,20 +221,20 @@
 		for _, r := range w.Site.Runners {
 			if r.Zone == zone {
 				w.MarkLeaving(r.Name)
-				w.after(3500+w.Random.Int63n(3000), func() { w.CrashRunner(r.Name); w.StartRunner(r.Name) })
+				w.events.After(3500+w.Random.Int63n(3000), func() { w.CrashRunner(r.Name); w.StartRunner(r.Name) })
 			}
 		}
 	}},
 	{"kill all daemons", func(w *World) {
 		for _, name := range w.names("") {
 			w.Kill(name)
-			w.after(500, func() { w.Start(name) })
+			w.events.After(500, func() { w.Start(name) })
 		}
 	}},
 	{"crash a runner", func(w *World) {
 		name := w.someRunner()
 		w.CrashRunner(name)
-		w.after(w.soon(), func() { w.StartRunner(name) })
+		w.events.After(w.soon(), func() { w.StartRunner(name) })
 	}},
 	{"replace a runner at once", func(w *World) {
 		name := w.someRunner()
@@ -244,22 +244,22 @@
 	{"darken a runner", func(w *World) {
 		name := w.someRunner()
 		w.DarkenRunner(name, true)
-		w.after(w.soon(), func() { w.DarkenRunner(name, false) })
+		w.events.After(w.soon(), func() { w.DarkenRunner(name, false) })
 	}},
 	{"take a runner away", func(w *World) {
 		name := w.someRunner()
 		w.MarkLeaving(name)
-		w.after(4000+w.soon(), func() { w.CrashRunner(name); w.StartRunner(name) })
+		w.events.After(4000+w.soon(), func() { w.CrashRunner(name); w.StartRunner(name) })
 	}},
 	{"a crowd", func(w *World) { w.Crowd(w.Site.Services[w.Random.Intn(len(w.Site.Services))].Name, 200) }},
 	{"a crowd for rare models", func(w *World) {
 		w.senders.rare = true
 		w.Crowd(w.Site.Services[w.Random.Intn(len(w.Site.Services))].Name, 100)
-		w.after(3000, func() { w.senders.rare = false })
+		w.events.After(3000, func() { w.senders.rare = false })
 	}},
 	{"descriptions in quick succession", func(w *World) {
 		for i := range 4 {
-			w.after(int64(i)*150, func() { w.handOverNext() })
+			w.events.After(int64(i)*150, func() { w.handOverNext() })
 		}
 	}},
 	{"operators collide", func(w *World) {
@@ -381,13 +381,13 @@
 	w.Run(BackMs)
 	for _, s := range w.Site.Services {
 		if w.Answered(s.Name) == before[s.Name] {
-			w.Book.Unserved(w.NowMs, s.Name)
+			w.Book.Unserved(w.events.NowMs(), s.Name)
 		}
 		before[s.Name] = w.Answered(s.Name)
 	}
 	w.Run(2000)
 	if small := w.small(); w.Answered(small) == before[small] {
-		w.Book.Unserved(w.NowMs, small)
+		w.Book.Unserved(w.events.NowMs(), small)
 	}
 }
 
--- a/sim/measure.go
+++ b/sim/measure.go
@@ -51,14 +51,14 @@
 	return func(w *World) (float64, error) {
 		w.Begin()
 		loss(w)
-		from := w.NowMs
+		from := w.events.NowMs()
 		for w.Primary() == "" {
 			w.Run(10)
-			if w.NowMs-from > 60_000 {
+			if w.events.NowMs()-from > 60_000 {
 				return 0, errors.Newf("no controller spoke for the site within 60 s")
 			}
 		}
-		return float64(w.NowMs - from), nil
+		return float64(w.events.NowMs() - from), nil
 	}
 }
 
@@ -67,7 +67,7 @@
 	return func(w *World) (float64, error) {
 		w.Begin()
 		loss(w)
-		from := w.NowMs
+		from := w.events.NowMs()
 		before := map[string]int{}
 		for _, s := range w.Site.Services {
 			before[s.Name] = w.Answered(s.Name)
@@ -79,9 +79,9 @@
 				back = back && w.Answered(s.Name) > before[s.Name]
 			}
 			if back {
-				return float64(w.NowMs - from), nil
+				return float64(w.events.NowMs() - from), nil
 			}
-			if w.NowMs-from > 60_000 {
+			if w.events.NowMs()-from > 60_000 {
 				return 0, errors.Newf("not every service answered within 60 s")
 			}
 		}
@@ -254,18 +254,18 @@
 	w.Run(2000)
 	w.HandOver(w.Primary(), 0, w.Text)
 	w.Run(8000)
-	from := w.NowMs
+	from := w.events.NowMs()
 	w.senders.rare = true
 	for w.Answered(w.Site.Services[1].Name) == 0 {
-		if w.NowMs == from {
+		if w.events.NowMs() == from {
 			w.ask(w.Site.Services[1].Name)
 		}
 		w.Run(5)
-		if w.NowMs-from > 60_000 {
+		if w.events.NowMs()-from > 60_000 {
 			return 0, errors.Newf("no answer within 60 s")
 		}
 	}
-	return float64(w.NowMs - from), nil
+	return float64(w.events.NowMs() - from), nil
 }
 
 // Measure plays every measurement with some seeds and gives a table. What
--- a/sim/outside.go
+++ b/sim/outside.go
@@ -70,7 +70,7 @@
 			w.put(n, life, input)
 		}
 	}
-	giveUp := func(input any) { w.after(outwardMs, func() { back(input) }) }
+	giveUp := func(input any) { w.events.After(outwardMs, func() { back(input) }) }
 	nothing := func() {}
 	switch body := call.Body.(type) {
 	case wire.PlatformCall:
@@ -81,7 +81,7 @@
 				// It is learned once it has come to a daemon that takes it.
 				for _, listed := range list {
 					if listed.Leaving && !ended && n.up && n.life == life && !n.frozen {
-						w.Book.Learned(w.NowMs, listed.Name, listed.Incarnation)
+						w.Book.Learned(w.events.NowMs(), listed.Name, listed.Incarnation)
 					}
 				}
 				back(wire.Listing{Ok: true, Runners: list})
@@ -94,7 +94,7 @@
 			if !w.Breaks.NoFence {
 				r.stand.Heed(body.Epoch)
 			}
-			said.Ok, said.Report = true, r.stand.Report(w.NowMs)
+			said.Ok, said.Report = true, r.stand.Report(w.events.NowMs())
 			if w.Breaks.NoFence {
 				said.Report.Epoch = body.Epoch
 			}
@@ -106,10 +106,10 @@
 	case wire.OrderCall:
 		said := wire.Reported{Runner: body.Runner, Address: call.Address}
 		// The shell checks the hold again right at the socket.
-		w.atSocket(n, life, func() bool { return n.clock(w.NowMs) < body.UntilMs }, func() {
+		w.atSocket(n, life, func() bool { return n.clock(w.events.NowMs()) < body.UntilMs }, func() {
 			giveUp(said)
 			w.reach(n.name, body.Runner, func(r *runner) {
-				report, kind := r.stand.Order(w.NowMs, body.Order)
+				report, kind := r.stand.Order(w.events.NowMs(), body.Order)
 				said.Ok, said.Report = kind == "", report
 				w.pass(body.Runner, n.name, func() { back(said) }, nothing)
 			}, nothing)
@@ -120,7 +120,7 @@
 // atSocket is the moment at which a shell writes: a little later than the
 // machine decided, or much later if the process froze in between.
 func (w *World) atSocket(n *node, life int, may func() bool, write, late func()) {
-	w.after(w.Random.Int63n(2), func() { w.writeNow(n, life, may, write, late) })
+	w.events.After(w.Random.Int63n(2), func() { w.writeNow(n, life, may, write, late) })
 }
 
 func (w *World) writeNow(n *node, life int, may func() bool, write, late func()) {
@@ -190,7 +190,7 @@
 			a.end("no runner", true)
 		}
 		machine := a.n.machine.(*traffic.Machine)
-		a.w.atSocket(a.n, a.life, func() bool { return a.w.Breaks.SlipBack || machine.MaySend(a.n.clock(a.w.NowMs), said) }, func() { a.goTo(said) }, func() { a.ended(traffic.TooLate, 0) })
+		a.w.atSocket(a.n, a.life, func() bool { return a.w.Breaks.SlipBack || machine.MaySend(a.n.clock(a.w.events.NowMs()), said) }, func() { a.goTo(said) }, func() { a.ended(traffic.TooLate, 0) })
 	}
 }
 
@@ -210,7 +210,7 @@
 	cut := w.cuts[[2]string{a.n.name, to.Runner}]
 	// A refused or unreachable stream is known before a byte is written.
 	if r == nil || !r.up || cut {
-		w.after(1, func() { a.ended(traffic.NotSent, 0) })
+		w.events.After(1, func() { a.ended(traffic.NotSent, 0) })
 		return
 	}
 	lost := func() {
@@ -220,9 +220,9 @@
 		}
 		a.ended(traffic.Lost, 0)
 	}
-	deadline := func() { w.after(max(1, to.DeadlineMs-a.n.clock(w.NowMs)), lost) }
+	deadline := func() { w.events.After(max(1, to.DeadlineMs-a.n.clock(w.events.NowMs())), lost) }
 	runnerLife := r.life
-	w.Book.Sent(w.NowMs, a.n.name, to.Service, to.Name, to.Revision)
+	w.Book.Sent(w.events.NowMs(), a.n.name, to.Service, to.Name, to.Revision)
 	w.pass(a.n.name, to.Runner, func() {
 		if !r.up || r.life != runnerLife {
 			lost()
@@ -232,7 +232,7 @@
 			deadline()
 			return
 		}
-		drop := r.stand.Run(w.NowMs, traffic.RunCall{
+		drop := r.stand.Run(w.events.NowMs(), traffic.RunCall{
 			Request: to.Name, Service: to.Service, Model: to.Model, Adapter: to.Adapter, Revision: to.Revision,
 			Incarnation: to.Incarnation, Repeatable: to.Repeatable, Telling: to.Telling,
 		}, a.n.name)
@@ -264,11 +264,11 @@
 // work is the running of a request: a piece at a time for a telling.
 func (a *asked) work(r *runner, life int, to traffic.Go, piece int, lost, deadline func()) {
 	w := a.w
-	w.after(20+w.Random.Int63n(120), func() {
+	w.events.After(20+w.Random.Int63n(120), func() {
 		broken := func() {
 			if a.pieces > 0 {
 				if w.Breaks.TellWrong {
-					w.Book.Wrong(w.NowMs, a.service, a.name, "a telling looked finished without its end mark")
+					w.Book.Wrong(w.events.NowMs(), a.service, a.name, "a telling looked finished without its end mark")
 				}
 				// The router closes the sender's stream without an end.
 				a.ended(traffic.Answered, 0)
@@ -332,7 +332,7 @@
 		return
 	}
 	a.done = true
-	a.w.Book.Told(a.w.NowMs, a.service, a.name, kind, drop)
+	a.w.Book.Told(a.w.events.NowMs(), a.service, a.name, kind, drop)
 	if a.probe {
 		return
 	}
--- a/sim/pairs.go
+++ b/sim/pairs.go
@@ -51,7 +51,7 @@
 	w := New(text, seed)
 	w.Begin()
 	for _, s := range w.Site.Services {
-		w.senders.lastOkMs[s.Name], w.senders.worstGapMs[s.Name] = w.NowMs, 0
+		w.senders.lastOkMs[s.Name], w.senders.worstGapMs[s.Name] = w.events.NowMs(), 0
 		clear(w.senders.kinds[s.Name])
 	}
 	faultNamed(cell.First).do(w)
--- a/sim/people.go
+++ b/sim/people.go
@@ -49,7 +49,7 @@
 // SendAll begins asking every service.
 func (w *World) SendAll() {
 	for _, service := range w.Site.Services {
-		w.senders.lastOkMs[service.Name] = w.NowMs
+		w.senders.lastOkMs[service.Name] = w.events.NowMs()
 		w.askSoon(service.Name)
 	}
 }
@@ -61,7 +61,7 @@
 	if w.senders.stop {
 		return
 	}
-	w.after(1+int64(w.Random.ExpFloat64()*1000/w.senders.rates[service]), func() {
+	w.events.After(1+int64(w.Random.ExpFloat64()*1000/w.senders.rates[service]), func() {
 		if !w.senders.stop {
 			w.ask(service)
 			w.askSoon(service)
@@ -73,7 +73,7 @@
 func (w *World) Crowd(service string, count int) {
 	w.note("a crowd of %d for %s", count, service)
 	for range count {
-		w.after(w.Random.Int63n(200), func() { w.ask(service) })
+		w.events.After(w.Random.Int63n(200), func() { w.ask(service) })
 	}
 }
 
@@ -110,10 +110,10 @@
 	w.sendTo(edge, first)
 	switch odd {
 	case 0:
-		w.after(w.Random.Int63n(100), func() { w.sendTo(edge, first) })
+		w.events.After(w.Random.Int63n(100), func() { w.sendTo(edge, first) })
 	case 1:
 		if service.Repeatable {
-			w.after(w.Random.Int63n(100), func() { w.sendTo(w.some(wire.Router), first) })
+			w.events.After(w.Random.Int63n(100), func() { w.sendTo(w.some(wire.Router), first) })
 		}
 	}
 }
@@ -134,7 +134,7 @@
 		n.under[a.id] = a
 		w.put(n, n.life, traffic.Request{ID: a.id, Service: a.service, Model: a.model, Adapter: a.adapter, Name: a.name, Given: true, Bytes: 100})
 		if !a.probe && w.Random.Intn(50) == 0 {
-			w.after(w.Random.Int63n(3000), a.leave)
+			w.events.After(w.Random.Int63n(3000), a.leave)
 		}
 	}, func() { a.end("no stream", false) })
 }
@@ -151,7 +151,7 @@
 	}
 	next := asked{name: a.name, service: a.service, model: a.model, adapter: a.adapter, again: a.again + 1}
 	told := defect.Answer{Kind: defect.Kind(kind), RetryMs: a.retryMs}
-	a.w.after(int64(told.RetryAfterSec())*1000, func() { a.w.sendTo(a.w.some(wire.Router), next) })
+	a.w.events.After(int64(told.RetryAfterSec())*1000, func() { a.w.sendTo(a.w.some(wire.Router), next) })
 }
 
 // Probe keeps asking every router for the services that only one handed over
@@ -165,7 +165,7 @@
 const probeMs = 400
 
 func (w *World) probeSoon(edge string) {
-	w.after(probeMs/2+w.Random.Int63n(probeMs), func() {
+	w.events.After(probeMs/2+w.Random.Int63n(probeMs), func() {
 		if w.senders.stop {
 			return
 		}
@@ -186,8 +186,8 @@
 	}
 	s.kinds[service][kind]++
 	if kind == "answered" {
-		s.worstGapMs[service] = max(s.worstGapMs[service], w.NowMs-s.lastOkMs[service])
-		s.lastOkMs[service] = w.NowMs
+		s.worstGapMs[service] = max(s.worstGapMs[service], w.events.NowMs()-s.lastOkMs[service])
+		s.lastOkMs[service] = w.events.NowMs()
 	}
 }
 
@@ -222,7 +222,7 @@
 
 // WorstGapMs is the longest time without an answer of a service.
 func (w *World) WorstGapMs(service string) int64 {
-	return max(w.senders.worstGapMs[service], w.NowMs-w.senders.lastOkMs[service])
+	return max(w.senders.worstGapMs[service], w.events.NowMs()-w.senders.lastOkMs[service])
 }
 
 // operator hands descriptions over and takes down what it was told.
@@ -331,8 +331,8 @@
 		case control.Accepted:
 			w.note("operator: revision %d accepted, %s", said.Revision, mark)
 			w.operator.outcomes["accepted"]++
-			w.Book.Accepted(w.NowMs, said.Revision)
-			w.Book.InForce(w.NowMs, mark, said.Revision)
+			w.Book.Accepted(w.events.NowMs(), said.Revision)
+			w.Book.InForce(w.events.NowMs(), mark, said.Revision)
 			w.allow(text, part)
 			if !part {
 				w.operator.accepted[said.Revision] = text
@@ -342,7 +342,7 @@
 			w.note("operator: %s, %s", said.Kind, mark)
 			w.operator.outcomes[string(said.Kind)]++
 			if said.Kind.Reply().Drop {
-				w.Book.NoEffect(w.NowMs, mark)
+				w.Book.NoEffect(w.events.NowMs(), mark)
 			}
 		}
 	})
@@ -358,7 +358,7 @@
 		for _, r := range d.Runners {
 			rooms[r.Name] = r.Room
 		}
-		w.Book.Allow(w.NowMs, d.Store.LoadsPer10s, rooms)
+		w.Book.Allow(w.events.NowMs(), d.Store.LoadsPer10s, rooms)
 	}
 }
 
@@ -385,7 +385,7 @@
 
 // status looks at a controller without anything else happening.
 func (w *World) status(n *node) control.Status {
-	effects := n.machine.Step(n.clock(w.NowMs), control.Look{Id: 1, Page: "status"})
+	effects := n.machine.Step(n.clock(w.events.NowMs()), control.Look{Id: 1, Page: "status"})
 	var status control.Status
 	rest := effects.Answers[:0]
 	for _, answer := range effects.Answers {
@@ -404,11 +404,11 @@
 func (w *World) CheckDescriptions() {
 	name := w.Primary()
 	if name == "" {
-		w.Book.Lost(w.NowMs, "no controller speaks for the site")
+		w.Book.Lost(w.events.NowMs(), "no controller speaks for the site")
 		return
 	}
 	n := w.nodes[name]
-	effects := n.machine.Step(n.clock(w.NowMs), control.Look{Id: 1, Page: "description"})
+	effects := n.machine.Step(n.clock(w.events.NowMs()), control.Look{Id: 1, Page: "description"})
 	for _, answer := range effects.Answers {
 		said, ok := answer.Body.(control.Described)
 		if !ok {
@@ -421,7 +421,7 @@
 		w.checkMarks(said, sums)
 		for number, text := range w.operator.accepted {
 			if sums[number] != wire.Sum(text) {
-				w.Book.Lost(w.NowMs, fmt.Sprintf("revision %d was accepted and is %q now", number, sums[number]))
+				w.Book.Lost(w.events.NowMs(), fmt.Sprintf("revision %d was accepted and is %q now", number, sums[number]))
 			}
 		}
 	}
@@ -436,14 +436,14 @@
 			continue
 		}
 		if text, whole := w.operator.texts[mark]; whole && sums[number] != wire.Sum(text) {
-			w.Book.Lost(w.NowMs, fmt.Sprintf("%s was in effect as revision %d, which is %q now", mark, number, sums[number]))
+			w.Book.Lost(w.events.NowMs(), fmt.Sprintf("%s was in effect as revision %d, which is %q now", mark, number, sums[number]))
 		}
 		if number == said.Revision.Number && markOf(said.Revision.Text) != mark {
-			w.Book.Lost(w.NowMs, fmt.Sprintf("%s was in effect as revision %d, which is another text now", mark, number))
+			w.Book.Lost(w.events.NowMs(), fmt.Sprintf("%s was in effect as revision %d, which is another text now", mark, number))
 		}
 	}
 	if last := w.operator.lastNumber; said.Revision.Number < last {
-		w.Book.Lost(w.NowMs, fmt.Sprintf("revision %d was accepted and %d is in force", last, said.Revision.Number))
+		w.Book.Lost(w.events.NowMs(), fmt.Sprintf("revision %d was accepted and %d is in force", last, said.Revision.Number))
 	}
 }
 
--- a/sim/scenario.go
+++ b/sim/scenario.go
@@ -89,14 +89,14 @@
 // mustBeAccepted looks whether a revision that could be taken was.
 func (w *World) mustBeAccepted(number uint64) {
 	if w.operator.lastNumber < number {
-		w.Book.Lost(w.NowMs, fmt.Sprintf("revision %d could be taken and was not: %v", number, w.operator.outcomes))
+		w.Book.Lost(w.events.NowMs(), fmt.Sprintf("revision %d could be taken and was not: %v", number, w.operator.outcomes))
 	}
 }
 
 // mustBeRetired looks whether the old daemon retired and the new one did not.
 func (w *World) mustBeRetired(old, fresh string) {
 	if !w.retired(old) || w.retired(fresh) {
-		w.Book.Lost(w.NowMs, fmt.Sprintf("%s retired: %v, %s retired: %v", old, w.retired(old), fresh, w.retired(fresh)))
+		w.Book.Lost(w.events.NowMs(), fmt.Sprintf("%s retired: %v, %s retired: %v", old, w.retired(old), fresh, w.retired(fresh)))
 	}
 }
 
@@ -105,7 +105,7 @@
 	if n.part == wire.Controller {
 		return w.status(n).Retired
 	}
-	for _, answer := range n.machine.Step(n.clock(w.NowMs), traffic.Look{ID: 1}).Answers {
+	for _, answer := range n.machine.Step(n.clock(w.events.NowMs()), traffic.Look{ID: 1}).Answers {
 		if status, ok := answer.Body.(traffic.Status); ok {
 			return status.Retired
 		}
@@ -365,7 +365,7 @@
 	"runners forget what they hold": {"the ledger follows what they report", func(w *World) {
 		for range 5 {
 			name := w.someRunner()
-			w.note("%s forgets %d things", name, len(w.runners[name].stand.Report(w.NowMs).Held))
+			w.note("%s forgets %d things", name, len(w.runners[name].stand.Report(w.events.NowMs()).Held))
 			w.runners[name].stand.Forget()
 			w.Run(3000)
 		}
--- a/sim/stop.go
+++ b/sim/stop.go
@@ -16,7 +16,7 @@
 		w.Run(300)
 	} else {
 		w.put(n, n.life, traffic.Leave{})
-		for end := w.NowMs + 10_000; len(n.under) > 0 && w.NowMs < end; {
+		for end := w.events.NowMs() + 10_000; len(n.under) > 0 && w.events.NowMs() < end; {
 			w.Run(20)
 		}
 	}
--- a/sim/world.go
+++ b/sim/world.go
@@ -5,7 +5,6 @@
 
 import (
 	"bytes"
-	"container/heap"
 	"encoding/gob"
 	"fmt"
 	"math/rand"
@@ -15,6 +14,7 @@
 	"myrtlewinch/control"
 	"myrtlewinch/daemon"
 	"myrtlewinch/description"
+	"myrtlewinch/eventqueue"
 	"myrtlewinch/rules"
 	"myrtlewinch/stand"
 	"myrtlewinch/traffic"
@@ -22,47 +22,20 @@
 )
 
 const (
+	startMs   = 1_000_000
 	tickMs    = 50
 	traceMost = 400
 )
 
-// event is something that happens at a virtual time.
-type event struct {
-	atMs int64
-	seq  uint64
-	do   func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].atMs < e[j].atMs || e[i].atMs == e[j].atMs && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-
-// Push is heap's.
-func (e *events) Push(x any) { *e = append(*e, x.(event)) }
-
-// Pop is heap's.
-func (e *events) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return last
-}
-
 // World is a whole site in virtual time.
 type World struct {
 	Seed   int64
-	NowMs  int64
 	Book   *rules.Book
 	Text   string
 	Site   *description.Description
 	Random *rand.Rand
 
-	ahead    events
-	seq      uint64
+	events   *eventqueue.Queue
 	nodes    map[string]*node
 	address  map[string]string
 	runners  map[string]*runner
@@ -170,7 +143,7 @@
 		Seed: seed, Text: text, Site: d, Random: rand.New(rand.NewSource(seed)),
 		Book:  rules.New(d.Store.LoadsPer10s, d.SecondGoes),
 		nodes: map[string]*node{}, address: map[string]string{}, runners: map[string]*runner{},
-		platform: stand.NewPlatform(), cuts: map[[2]string]bool{}, busy: map[string]bool{}, NowMs: 1_000_000,
+		platform: stand.NewPlatform(), cuts: map[[2]string]bool{}, busy: map[string]bool{}, events: eventqueue.New(startMs),
 	}
 	for i, member := range d.Controllers {
 		n := w.addNode(member, wire.Controller)
@@ -214,15 +187,8 @@
 	return out
 }
 
-func (w *World) at(atMs int64, do func()) {
-	w.seq++
-	heap.Push(&w.ahead, event{max(atMs, w.NowMs), w.seq, do})
-}
-
-func (w *World) after(ms int64, do func()) { w.at(w.NowMs+ms, do) }
-
 func (w *World) note(format string, args ...any) {
-	w.trace = append(w.trace, fmt.Sprintf("%8d ", w.NowMs)+fmt.Sprintf(format, args...))
+	w.trace = append(w.trace, fmt.Sprintf("%8d ", w.events.NowMs())+fmt.Sprintf(format, args...))
 	if len(w.trace) > traceMost {
 		w.trace = w.trace[len(w.trace)-traceMost:]
 	}
@@ -232,15 +198,7 @@
 func (w *World) Trace() string { return strings.Join(w.trace, "\n") }
 
 // Run lets virtual time pass.
-func (w *World) Run(ms int64) {
-	end := w.NowMs + ms
-	for len(w.ahead) > 0 && w.ahead[0].atMs <= end {
-		e := heap.Pop(&w.ahead).(event)
-		w.NowMs = e.atMs
-		e.do()
-	}
-	w.NowMs = end
-}
+func (w *World) Run(ms int64) { w.events.RunFor(ms) }
 
 // clock is the daemon's own clock: monotonic, with a start of its own.
 func (n *node) clock(nowMs int64) int64 { return nowMs - n.bootMs + n.offset }
@@ -257,7 +215,7 @@
 		}
 		return
 	}
-	w.perform(n, n.machine.Step(n.clock(w.NowMs), input))
+	w.perform(n, n.machine.Step(n.clock(w.events.NowMs()), input))
 }
 
 // Start starts a daemon from what its disk holds.
@@ -268,24 +226,24 @@
 	}
 	n.up, n.frozen, n.backlog = true, false, nil
 	n.life++
-	n.bootMs = w.NowMs
+	n.bootMs = w.events.NowMs()
 	n.offset = 3_600_000 + w.Random.Int63n(1_000_000)
 	n.under = map[uint64]*asked{}
 	self := wire.Place{Name: n.called, Address: n.address, Zone: n.zone, Part: n.part}
 	if n.part == wire.Controller {
 		self.Incarnation = n.disk.incarnation
-		machine, err := control.New(control.Settings{Site: w.Site.Site, Self: self, Seeds: n.seeds, Platform: "platform", GapMs: w.Breaks.GapMs}, cloned(n.disk.keys), n.clock(w.NowMs))
+		machine, err := control.New(control.Settings{Site: w.Site.Site, Self: self, Seeds: n.seeds, Platform: "platform", GapMs: w.Breaks.GapMs}, cloned(n.disk.keys), n.clock(w.events.NowMs()))
 		if err != nil {
 			panic(fmt.Sprintf("sim: %s does not start: %v", name, err))
 		}
 		n.machine = machine
 	} else {
 		self.Incarnation = n.incarnation()
-		n.machine = traffic.New(traffic.Settings{Site: w.Site.Site, Self: self, Seeds: n.seeds, Platform: "platform"}, n.clock(w.NowMs))
+		n.machine = traffic.New(traffic.Settings{Site: w.Site.Site, Self: self, Seeds: n.seeds, Platform: "platform"}, n.clock(w.events.NowMs()))
 	}
 	w.note("%s starts", name)
 	life := n.life
-	w.after(w.Random.Int63n(tickMs), func() { w.tick(n, life) })
+	w.events.After(w.Random.Int63n(tickMs), func() { w.tick(n, life) })
 }
 
 func cloned(keys map[string]string) map[string]string {
@@ -303,7 +261,7 @@
 	if !n.frozen {
 		w.put(n, life, wire.Tick{})
 	}
-	w.after(tickMs, func() { w.tick(n, life) })
+	w.events.After(tickMs, func() { w.tick(n, life) })
 }
 
 // Kill ends a daemon at once.
@@ -329,7 +287,7 @@
 // Freeze stops a daemon where it stands; Thaw lets it go on.
 func (w *World) Freeze(name string) {
 	w.note("%s freezes", name)
-	w.nodes[name].frozen, w.nodes[name].frozenMs = true, w.NowMs
+	w.nodes[name].frozen, w.nodes[name].frozenMs = true, w.events.NowMs()
 }
 
 // Thaw wakes a frozen daemon. Its clock went on.
@@ -341,7 +299,7 @@
 	w.note("%s wakes", name)
 	n.frozen = false
 	if w.Breaks.ForgetHold {
-		n.bootMs += w.NowMs - n.frozenMs
+		n.bootMs += w.events.NowMs() - n.frozenMs
 	}
 	backlog := n.backlog
 	n.backlog = nil
@@ -396,7 +354,7 @@
 	if w.latePart > 0 && w.Random.Float64() < w.latePart {
 		tookMs += w.Random.Int63n(w.lateness(from, to))
 	}
-	w.after(tookMs, func() {
+	w.events.After(tookMs, func() {
 		if w.cuts[[2]string{from, to}] {
 			if lost != nil {
 				lost()
@@ -457,7 +415,7 @@
 // other, as on the disk's own thread.
 func (w *World) saveNext(n *node, life int) {
 	d := n.disk
-	w.after(1+w.Random.Int63n(4)+d.slowMs, func() {
+	w.events.After(1+w.Random.Int63n(4)+d.slowMs, func() {
 		// What a power cut left was settled when it happened.
 		if !n.up || n.life != life {
 			return
