Run hollow on the shared queue of events

Its own heap goes. A fault of the codec stops the queue and, new, the first one is the one reported. The check that state machines read no clock now covers eventqueue and hollow.

--- a/hollow/runner.go
+++ b/hollow/runner.go
@@ -58,7 +58,7 @@
 		tookMs = loadMs
 		s.loads++
 	}
-	s.after(tookMs, func() {
+	s.events.After(tookMs, func() {
 		r.busy = false
 		switch {
 		case c.Load && c.Adapter == "":
--- a/hollow/site.go
+++ b/hollow/site.go
@@ -1,7 +1,6 @@
 package hollow
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"runtime"
@@ -11,6 +10,7 @@
 
 	"myrtlewinch/bounds"
 	"myrtlewinch/control"
+	"myrtlewinch/eventqueue"
 	"myrtlewinch/relay"
 	"myrtlewinch/steward"
 	"myrtlewinch/wire"
@@ -37,32 +37,6 @@
 	RecoverMs: 12_000, PassMs: 120, Fenced: true, LeaseMs: 3000, ThawMs: 300, OriginWindowMs: 5000, OriginOver: 1.1,
 }
 
-type event struct {
-	atMs int64
-	seq  uint64
-	do   func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].atMs < e[j].atMs || e[i].atMs == e[j].atMs && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-
-// Push is heap's.
-func (e *events) Push(x any) { *e = append(*e, x.(event)) }
-
-// Pop is heap's.
-func (e *events) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	old[len(old)-1] = event{}
-	*e = old[:len(old)-1]
-	return last
-}
-
 // node is one daemon.
 type node struct {
 	place   wire.Place
@@ -83,9 +57,7 @@
 	clock func() int64
 	// clockNs is what reading the clock twice costs.
 	clockNs              int64
-	nowMs                int64
-	seq                  uint64
-	ahead                events
+	events               *eventqueue.Queue
 	random               *rand.Rand
 	line                 *line
 	nodes                map[string]*node
@@ -120,7 +92,7 @@
 		return Result{}, errors.Wrap(err, "line")
 	}
 	s := &Site{
-		size: size, clock: clock, nowMs: startMs, random: rand.New(rand.NewPCG(1, 2)), line: l, nodes: map[string]*node{},
+		size: size, clock: clock, events: eventqueue.New(startMs), random: rand.New(rand.NewPCG(1, 2)), line: l, nodes: map[string]*node{},
 		byAddress: map[string]*runner{}, byID: map[string]*runner{}, kinds: map[string]Kind{}, shares: size.shares(),
 	}
 	s.calibrate()
@@ -207,26 +179,26 @@
 		machine, err := control.New(control.Settings{
 			Site: siteName, Self: n.place, Seeds: seeds, Tenant: tenant, Losses: 2, Founds: true,
 			GapMs: usualBounds.LeaseMs + usualBounds.ThawMs, AwayMs: max(1000, usualBounds.CatchUpMs/4), ShowMs: 400,
-		}, map[string]string{}, s.nowMs)
+		}, map[string]string{}, s.events.NowMs())
 		if err != nil {
 			return errors.Wrap(err, "a controller does not start")
 		}
 		n.machine = machine
 	}
 	for _, n := range s.routers {
-		n.machine = relay.New(relay.Settings{Site: siteName, Self: n.place, Seeds: seeds, Bounds: usualBounds}, format{}, s.nowMs)
+		n.machine = relay.New(relay.Settings{Site: siteName, Self: n.place, Seeds: seeds, Bounds: usualBounds}, format{}, s.events.NowMs())
 	}
 	for _, n := range append(slices.Clone(s.controllers), s.routers...) {
-		s.after(s.random.Int64N(tickMs), func() { s.tick(n) })
+		s.events.After(s.random.Int64N(tickMs), func() { s.tick(n) })
 	}
-	for s.nowMs < startMs+foundedMs && s.fault == nil {
-		if !s.taken && s.nowMs%200 == 0 {
+	for s.events.NowMs() < startMs+foundedMs && s.fault == nil {
+		if !s.taken && s.events.NowMs()%200 == 0 {
 			s.handOver()
 		}
 		if s.taken && s.behind() == 0 {
 			return nil
 		}
-		s.pass(10)
+		s.events.RunFor(10)
 	}
 	if s.fault != nil {
 		return s.fault
@@ -253,20 +225,12 @@
 	return count
 }
 
-func (s *Site) after(ms int64, do func()) {
-	s.seq++
-	heap.Push(&s.ahead, event{s.nowMs + ms, s.seq, do})
-}
-
-// pass lets virtual time go by.
-func (s *Site) pass(ms int64) {
-	endMs := s.nowMs + ms
-	for len(s.ahead) > 0 && s.ahead[0].atMs <= endMs && s.fault == nil {
-		e := heap.Pop(&s.ahead).(event)
-		s.nowMs = e.atMs
-		e.do()
+// fail ends the run; of several errors the first one counts.
+func (s *Site) fail(err error) {
+	if s.fault == nil {
+		s.fault = err
 	}
-	s.nowMs = endMs
+	s.events.Stop()
 }
 
 func (s *Site) tick(n *node) {
@@ -274,7 +238,7 @@
 		return
 	}
 	s.step(n, wire.Tick{})
-	s.after(tickMs, func() { s.tick(n) })
+	s.events.After(tickMs, func() { s.tick(n) })
 }
 
 // timed adds what work costs, without the clock's own cost.
@@ -295,12 +259,12 @@
 		to = &n.load.ServingNs
 	}
 	var out wire.Effects
-	tookNs := s.timed(to, func() { out = n.machine.Step(s.nowMs, input) })
+	tookNs := s.timed(to, func() { out = n.machine.Step(s.events.NowMs(), input) })
 	if s.counting {
 		n.stepNs = max(n.stepNs, tookNs)
 	}
 	for _, save := range out.Saves {
-		s.after(wayMs, func() { s.step(n, wire.Saved{Number: save.Number, Ok: true}) })
+		s.events.After(wayMs, func() { s.step(n, wire.Saved{Number: save.Number, Ok: true}) })
 	}
 	for _, send := range out.Sends {
 		s.send(n, send)
@@ -329,7 +293,7 @@
 		s.timed(&to.load.WireNs, func() { got, err = s.line.decode() })
 	}
 	if err != nil {
-		s.fault = errors.Wrapf(err, "a message %T", send.Body)
+		s.fail(errors.Wrapf(err, "a message %T", send.Body))
 		return
 	}
 	if s.counting {
@@ -344,7 +308,7 @@
 		n.load.GotBytes += int64(s.line.ackBytes)
 		n.lines[send.Address], to.lines[n.place.Address] = true, true
 	}
-	s.after(wayMs, func() { s.step(to, got) })
+	s.events.After(wayMs, func() { s.step(to, got) })
 }
 
 // call carries a call of a controller outward.
@@ -357,24 +321,24 @@
 	switch body := call.Body.(type) {
 	case wire.FleetCall:
 		count(&n.load.Lists)
-		s.after(listLagMs, func() { s.step(n, wire.Fleet{Ok: true, Runners: s.list()}) })
+		s.events.After(listLagMs, func() { s.step(n, wire.Fleet{Ok: true, Runners: s.list()}) })
 	case wire.StateCall:
 		count(&n.load.States)
-		s.after(2*wayMs, func() {
+		s.events.After(2*wayMs, func() {
 			said := wire.StateSaid{Runner: body.Runner, Number: body.Number}
 			if r := s.byAddress[call.Address]; r != nil && r.entry.Id == body.Runner {
-				said.Ok, said.State, r.toldMs = true, r.state(), s.nowMs
+				said.Ok, said.State, r.toldMs = true, r.state(), s.events.NowMs()
 			}
 			s.step(n, said)
 		})
 	case wire.CommandCall:
 		count(&n.load.Orders)
-		s.after(wayMs, func() {
+		s.events.After(wayMs, func() {
 			outcome := wire.CommandRefused
 			if r := s.byAddress[call.Address]; r != nil {
 				outcome = r.command(s, body)
 			}
-			s.after(wayMs, func() {
+			s.events.After(wayMs, func() {
 				s.step(n, wire.CommandSaid{Runner: body.Runner, Number: body.Number, Outcome: outcome})
 			})
 		})
@@ -395,7 +359,7 @@
 func (s *Site) answered(n *node, answer wire.Answer) {
 	switch body := answer.Body.(type) {
 	case steward.Taken:
-		s.taken, s.version, s.handedMs = true, body.Version, s.nowMs
+		s.taken, s.version, s.handedMs = true, body.Version, s.events.NowMs()
 		s.watch()
 	case relay.Status:
 		n.primary = body.Primary
@@ -405,10 +369,10 @@
 			return
 		}
 		r.active++
-		s.after(firstMs, func() {
+		s.events.After(firstMs, func() {
 			s.step(n, relay.Told{Id: answer.Id, Runner: body.Go.Runner, Heard: relay.Heard{HasLoad: true, Running: r.active, Slots: slots}})
 		})
-		s.after(int64(s.size.LastsMs), func() {
+		s.events.After(int64(s.size.LastsMs), func() {
 			r.active--
 			s.step(n, relay.Ended{Id: answer.Id, Outcome: relay.Answered, Passed: true})
 		})
@@ -422,10 +386,10 @@
 // watch notes when the map that was taken last is in use everywhere.
 func (s *Site) watch() {
 	if s.behind() == 0 {
-		s.lagMs = max(s.lagMs, s.nowMs-s.handedMs)
+		s.lagMs = max(s.lagMs, s.events.NowMs()-s.handedMs)
 		return
 	}
-	s.after(10, s.watch)
+	s.events.After(10, s.watch)
 }
 
 // ask sends the requests of one ms.
@@ -443,14 +407,14 @@
 		n := s.routers[s.random.IntN(len(s.routers))]
 		s.step(n, relay.Request{Id: uint64(s.requests), Host: host, Path: routeName(s.random.IntN(s.size.Routes)) + "x", Asked: asked})
 	}
-	s.after(1, s.ask)
+	s.events.After(1, s.ask)
 }
 
 // shift makes another model one of the busiest.
 func (s *Site) shift() {
 	a, b := s.random.IntN(min(10, len(s.ranks))), s.random.IntN(len(s.ranks))
 	s.ranks[a], s.ranks[b] = s.ranks[b], s.ranks[a]
-	s.after(int64(s.size.ShiftMs), s.shift)
+	s.events.After(int64(s.size.ShiftMs), s.shift)
 }
 
 func heapBytes() int64 {
@@ -463,7 +427,7 @@
 // seconds lets whole seconds go by, and looks after the memory.
 func (s *Site) seconds(count int) error {
 	for range count {
-		s.pass(1000)
+		s.events.RunFor(1000)
 		var stats runtime.MemStats
 		runtime.ReadMemStats(&stats)
 		if usedMb := int(stats.HeapAlloc >> 20); usedMb > s.size.HeapMb {
@@ -478,19 +442,19 @@
 
 func (s *Site) measure() (Result, error) {
 	if s.size.PerSec > 0 {
-		s.after(1, s.ask)
+		s.events.After(1, s.ask)
 	}
 	if s.size.ShiftMs > 0 {
-		s.after(int64(s.size.ShiftMs), s.shift)
+		s.events.After(int64(s.size.ShiftMs), s.shift)
 	}
 	if err := s.seconds(s.size.WarmSeconds); err != nil {
 		return Result{}, err
 	}
 	before := s.tally()
 	s.counting, s.lagMs, s.loads = true, 0, 0
-	beganMs, requests := s.nowMs, s.requests
+	beganMs, requests := s.events.NowMs(), s.requests
 	for i := range s.size.Changes {
-		s.after(int64(1+i)*int64(s.size.Seconds)*1000/int64(1+s.size.Changes), s.handOver)
+		s.events.After(int64(1+i)*int64(s.size.Seconds)*1000/int64(1+s.size.Changes), s.handOver)
 	}
 	if err := s.seconds(s.size.Seconds); err != nil {
 		return Result{}, err
@@ -502,11 +466,11 @@
 		LookUps: int64(tally.LookUps - before.LookUps), Misses: int64(tally.Misses - before.Misses), MapKb: float64(len(s.size.text(1))) / 1024,
 	}
 	if behind := s.behind(); behind > 0 {
-		out.MapLagMs = max(out.MapLagMs, s.nowMs-beganMs)
+		out.MapLagMs = max(out.MapLagMs, s.events.NowMs()-beganMs)
 	}
 	for _, r := range s.runners {
-		out.StateAgeMs += (s.nowMs - r.toldMs) / int64(len(s.runners))
-		out.OldestMs = max(out.OldestMs, s.nowMs-r.toldMs)
+		out.StateAgeMs += (s.events.NowMs() - r.toldMs) / int64(len(s.runners))
+		out.OldestMs = max(out.OldestMs, s.events.NowMs()-r.toldMs)
 	}
 	s.split(&out)
 	return out, nil
@@ -536,7 +500,7 @@
 		out.StepMsMax = float64(leaders[0].stepNs) / 1e6
 		out.Offered = s.offered(leaders[0])
 	}
-	s.ahead = nil
+	s.events.Clear()
 	usedBytes := heapBytes()
 	role := func(nodes []*node) Role {
 		var sum Load
@@ -564,7 +528,7 @@
 		for _, router := range s.routers {
 			e := wire.Envelope{Site: siteName, From: router.place, Body: wire.MapLookUp{Service: service, Model: modelName(i)}}
 			long := false
-			for _, send := range leader.machine.Step(s.nowMs, e).Sends {
+			for _, send := range leader.machine.Step(s.events.NowMs(), e).Sends {
 				index, is := send.Body.(wire.MapIndex)
 				if !is {
 					continue
--- a/sim/wall_test.go
+++ b/sim/wall_test.go
@@ -17,7 +17,7 @@
 // Goroutines start in crew alone.
 func TestNoWallClockAndNoStrayGoroutine(t *testing.T) {
 	c := qt.New(t)
-	machines := map[string]bool{"control": true, "traffic": true, "witness": true, "watch": true, "ledger": true, "choice": true, "sim": true, "description": true, "drill": true, "holdings": true, "servicemap": true, "bounds": true}
+	machines := map[string]bool{"control": true, "traffic": true, "witness": true, "watch": true, "ledger": true, "choice": true, "sim": true, "description": true, "drill": true, "holdings": true, "servicemap": true, "bounds": true, "eventqueue": true, "hollow": true}
 	shells := map[string]bool{"office.go": true, "gate.go": true}
 	files := 0
 	err := filepath.WalkDir("..", func(path string, entry fs.DirEntry, err error) error {
