Let the test bench of placement use the shared queue of events

Its sorted list of events goes. Events now run at their own ms and no longer at the end of a step of 10 ms; what the tests demand is unchanged, and they pass.

--- a/holdings/index_test.go
+++ b/holdings/index_test.go
@@ -53,22 +53,22 @@
 			c := qt.New(t)
 			s := newStand(t, 1, newMap(4, 8, 4.2), 0)
 			k := s.keeper("one")
-			k.Begin(s.nowMs, 1, s.nowMs+1_000_000)
+			k.Begin(s.events.NowMs(), 1, s.events.NowMs()+1_000_000)
 			e := wire.RunnerEntry{Id: "r1", Service: llm, Address: "10.0.0.1:80", Slots: 8, LeftMs: -1, Models: held("a1")}
-			k.Fleet(s.nowMs, wire.Fleet{Ok: true, Runners: []wire.RunnerEntry{e}})
+			k.Fleet(s.events.NowMs(), wire.Fleet{Ok: true, Runners: []wire.RunnerEntry{e}})
 			for _, adapter := range test.asks {
 				for _, router := range []string{"one", "two"} {
-					index := k.LookUp(s.nowMs, wire.Place{Name: router}, wire.MapLookUp{Service: llm, Model: "m000", Adapter: adapter})
+					index := k.LookUp(s.events.NowMs(), wire.Place{Name: router}, wire.MapLookUp{Service: llm, Model: "m000", Adapter: adapter})
 					for _, h := range index.Holders {
 						c.Assert(h.Adapter, qt.IsTrue)
 					}
 				}
 			}
-			k.Tick(s.nowMs, s.nowMs+2000)
-			s.nowMs += test.laterMs
-			k.runners["r1"].adopt(s.nowMs, test.models, k)
+			k.Tick(s.events.NowMs(), s.events.NowMs()+2000)
+			s.events.RunFor(test.laterMs)
+			k.runners["r1"].adopt(s.events.NowMs(), test.models, k)
 			var told []string
-			_, tells := k.Tick(s.nowMs, s.nowMs+2000)
+			_, tells := k.Tick(s.events.NowMs(), s.events.NowMs()+2000)
 			for _, tell := range tells {
 				if tell.To.Name == "two" {
 					told = append(told, tell.Index.Adapter)
@@ -78,7 +78,7 @@
 			c.Assert(tells, qt.HasLen, 2*len(test.told))
 			// Nothing is told twice but to those who wait.
 			k.touch(k.services[llm].models["m000"])
-			_, tells = k.Tick(s.nowMs, s.nowMs+2000)
+			_, tells = k.Tick(s.events.NowMs(), s.events.NowMs()+2000)
 			for _, tell := range tells {
 				c.Assert(tell.Index.Holders, qt.HasLen, 0)
 			}
@@ -96,19 +96,19 @@
 			c := qt.New(t)
 			s := newStand(t, 1, newMap(4, 8, 4.2), 0)
 			k := s.keeper("one")
-			k.Begin(s.nowMs, 1, s.nowMs+1_000_000)
+			k.Begin(s.events.NowMs(), 1, s.events.NowMs()+1_000_000)
 			one := wire.RunnerEntry{Id: "r1", Service: llm, Address: "10.0.0.1:80", Slots: 8, LeftMs: -1, Models: []wire.HeldModel{{Name: "m000"}}}
 			two := one
 			two.Id, two.Address = "r2", "10.0.0.2:80"
-			k.Fleet(s.nowMs, wire.Fleet{Ok: true, Runners: []wire.RunnerEntry{one}})
-			k.LookUp(s.nowMs, wire.Place{Name: "router"}, wire.MapLookUp{Service: llm, Model: "m000"})
-			k.Tick(s.nowMs, s.nowMs+2000)
-			s.nowMs += test.laterMs
-			k.Fleet(s.nowMs, wire.Fleet{Ok: true, Runners: []wire.RunnerEntry{one, two}})
-			_, tells := k.Tick(s.nowMs, s.nowMs+2000)
+			k.Fleet(s.events.NowMs(), wire.Fleet{Ok: true, Runners: []wire.RunnerEntry{one}})
+			k.LookUp(s.events.NowMs(), wire.Place{Name: "router"}, wire.MapLookUp{Service: llm, Model: "m000"})
+			k.Tick(s.events.NowMs(), s.events.NowMs()+2000)
+			s.events.RunFor(test.laterMs)
+			k.Fleet(s.events.NowMs(), wire.Fleet{Ok: true, Runners: []wire.RunnerEntry{one, two}})
+			_, tells := k.Tick(s.events.NowMs(), s.events.NowMs()+2000)
 			c.Assert(tells, qt.HasLen, test.told)
-			k.Fleet(s.nowMs, wire.Fleet{Ok: true, Runners: []wire.RunnerEntry{two}})
-			_, tells = k.Tick(s.nowMs, s.nowMs+2000)
+			k.Fleet(s.events.NowMs(), wire.Fleet{Ok: true, Runners: []wire.RunnerEntry{two}})
+			_, tells = k.Tick(s.events.NowMs(), s.events.NowMs()+2000)
 			c.Assert(tells, qt.HasLen, 1)
 		})
 	}
@@ -174,7 +174,7 @@
 	s := newStand(t, 8, newMap(20, 42, 4.2), 8)
 	s.fill(0, 1)
 	k := s.keeper("one")
-	k.Begin(s.nowMs, 1, s.nowMs)
+	k.Begin(s.events.NowMs(), 1, s.events.NowMs())
 	load := newTraffic(s, k)
 	play(s, load, 6, func(int64) {
 		if s.poisson(10) {
@@ -188,7 +188,7 @@
 	c.Assert(gob.NewDecoder(&wired).Decode(&image), qt.IsNil)
 	follower := New(s.bounds, "two", "list", 47)
 	follower.SetMap(s.m)
-	follower.TakeSoft(s.nowMs, image)
+	follower.TakeSoft(s.events.NowMs(), image)
 	from := wire.Place{Name: "router"}
 	ids := func(x wire.MapIndex) map[string]bool {
 		out := map[string]bool{}
@@ -199,29 +199,29 @@
 	}
 	for i := range 9 {
 		in := wire.MapLookUp{Service: llm, Model: "m000", Adapter: fmt.Sprintf("a%d", i+1), Tokens: 5, Waits: i == 0}
-		index := follower.LookUp(s.nowMs, from, in)
+		index := follower.LookUp(s.events.NowMs(), from, in)
 		c.Assert(index.Known, qt.IsTrue)
 		c.Assert(index.Change, qt.Equals, k.Change())
-		c.Assert(ids(index), qt.DeepEquals, ids(k.index(s.nowMs, llm, "m000", in.Adapter)))
+		c.Assert(ids(index), qt.DeepEquals, ids(k.index(s.events.NowMs(), llm, "m000", in.Adapter)))
 	}
 	// Those who only want to be sure of a holder wait for no load.
 	c.Assert(follower.Waits(), qt.IsFalse)
-	follower.LookUp(s.nowMs, from, wire.MapLookUp{Service: llm, Model: "m000", Adapter: "a30", Waits: true})
+	follower.LookUp(s.events.NowMs(), from, wire.MapLookUp{Service: llm, Model: "m000", Adapter: "a30", Waits: true})
 	c.Assert(follower.Waits(), qt.IsTrue)
 	demand := follower.DrainDemand()
 	c.Assert(demand, qt.HasLen, 10)
 	c.Assert(follower.DrainDemand(), qt.HasLen, 0)
 	before := k.services[llm].models["m000"].want.fast
-	k.TakeDemand(s.nowMs, demand)
+	k.TakeDemand(s.events.NowMs(), demand)
 	c.Assert(k.services[llm].models["m000"].want.fast > before, qt.IsTrue)
 	// A holder that goes is told to those who asked the follower.
-	follower.Tick(s.nowMs, 0)
+	follower.Tick(s.events.NowMs(), 0)
 	image.Change += 5
 	for i := range image.Runners {
 		image.Runners[i].Models = nil
 	}
-	follower.TakeSoft(s.nowMs, image)
-	_, tells := follower.Tick(s.nowMs, 0)
+	follower.TakeSoft(s.events.NowMs(), image)
+	_, tells := follower.Tick(s.events.NowMs(), 0)
 	c.Assert(tells, qt.HasLen, 10)
 	c.Assert(tells[0].Index.Holders, qt.HasLen, 0)
 	_, err := json.Marshal(k.Status())
--- a/holdings/keeper_test.go
+++ b/holdings/keeper_test.go
@@ -11,10 +11,10 @@
 
 // play runs a stand with one keeper and demand for so many seconds.
 func play(s *stand, t *traffic, seconds int, each func(ms int64)) {
-	end := s.nowMs + int64(seconds)*1000
-	for s.nowMs < end {
+	end := s.events.NowMs() + int64(seconds)*1000
+	for s.events.NowMs() < end {
 		s.step()
-		each(s.nowMs)
+		each(s.events.NowMs())
 		t.step()
 	}
 }
@@ -43,7 +43,7 @@
 			s.fill(0, 1)
 			s.lossIn, s.lossOut = 0.15, 0.15
 			k := s.keeper("one")
-			k.Begin(s.nowMs, 1, s.nowMs+500)
+			k.Begin(s.events.NowMs(), 1, s.events.NowMs()+500)
 			load := newTraffic(s, k)
 			hot := 0
 			play(s, load, 40, func(ms int64) {
@@ -71,8 +71,8 @@
 				if ms == 21_000 {
 					// Another holder takes over while the first still believes.
 					next := s.keeper("two")
-					next.TakeSoft(s.nowMs, k.Soft())
-					next.Begin(s.nowMs, 2, s.nowMs+100)
+					next.TakeSoft(s.events.NowMs(), k.Soft())
+					next.Begin(s.events.NowMs(), 2, s.events.NowMs()+100)
 					load.k = next
 				}
 			})
@@ -90,8 +90,8 @@
 	r := s.runners[ids[n%len(ids)]]
 	r.dead = true
 	disk := r.disk
-	s.after(2500, func() { delete(s.runners, r.entry.Id) })
-	s.after(3000, func() {
+	s.events.After(2500, func() { delete(s.runners, r.entry.Id) })
+	s.events.After(3000, func() {
 		next := s.start(r.entry.Address, r.entry.Zone)
 		next.disk = disk
 	})
@@ -103,7 +103,7 @@
 	s := newStand(t, 3, newMap(39, 42, 4.2), 12)
 	s.fill(0, 1)
 	k := s.keeper("one")
-	k.Begin(s.nowMs, 1, s.nowMs)
+	k.Begin(s.events.NowMs(), 1, s.events.NowMs())
 	load := newTraffic(s, k)
 	both := func(a, b string) func(ms int64) {
 		return func(int64) {
@@ -139,7 +139,7 @@
 	s := newStand(t, 4, newMap(39, 0, 4.2), 12)
 	s.fill(0, 1)
 	k := s.keeper("one")
-	k.Begin(s.nowMs, 1, s.nowMs)
+	k.Begin(s.events.NowMs(), 1, s.events.NowMs())
 	load := newTraffic(s, k)
 	play(s, load, 30, func(ms int64) {
 		if s.poisson(40) {
@@ -174,7 +174,7 @@
 	}
 	s.noteList()
 	k := s.keeper("one")
-	k.Begin(s.nowMs, 1, s.nowMs)
+	k.Begin(s.events.NowMs(), 1, s.events.NowMs())
 	load := newTraffic(s, k)
 	play(s, load, 20, func(ms int64) {
 		if s.poisson(12) {
@@ -203,7 +203,7 @@
 	s := newStand(t, 6, newMap(9, 0, 4.2), 5)
 	s.fill()
 	k := s.keeper("one")
-	k.Begin(s.nowMs, 1, s.nowMs)
+	k.Begin(s.events.NowMs(), 1, s.events.NowMs())
 	load := newTraffic(s, k)
 	ask := func(ms int64) {
 		if s.poisson(5) {
@@ -217,7 +217,7 @@
 	c.Assert(k.Leaving(), qt.DeepEquals, []string{leaver.entry.Id})
 	for name := range leaver.held {
 		c.Assert(s.copies(name) >= 2, qt.IsTrue, qt.Commentf("%s", name))
-		for _, h := range k.LookUp(s.nowMs, load.from, wire.MapLookUp{Service: llm, Model: name}).Holders {
+		for _, h := range k.LookUp(s.events.NowMs(), load.from, wire.MapLookUp{Service: llm, Model: name}).Holders {
 			c.Assert(h.Id, qt.Not(qt.Equals), leaver.entry.Id)
 		}
 	}
--- a/holdings/offer_test.go
+++ b/holdings/offer_test.go
@@ -15,7 +15,7 @@
 func manyHolders(t testing.TB, count int) *Keeper {
 	s := newStand(t, 1, newMap(4, 8, 4.2), 0)
 	k := s.keeper("one")
-	k.Begin(s.nowMs, 1, s.nowMs+1_000_000)
+	k.Begin(s.events.NowMs(), 1, s.events.NowMs()+1_000_000)
 	var list []wire.RunnerEntry
 	for i := range count {
 		e := wire.RunnerEntry{
@@ -27,7 +27,7 @@
 		}
 		list = append(list, e)
 	}
-	k.Fleet(s.nowMs, wire.Fleet{Ok: true, Runners: list})
+	k.Fleet(s.events.NowMs(), wire.Fleet{Ok: true, Runners: list})
 	return k
 }
 
@@ -163,7 +163,7 @@
 	s.fill(0)
 	s.lossIn, s.lossOut = 0.1, 0.1
 	k := s.keeper("one")
-	k.Begin(s.nowMs, 1, s.nowMs)
+	k.Begin(s.events.NowMs(), 1, s.events.NowMs())
 	load := newTraffic(s, k)
 	seen := 0
 	play(s, load, 20, func(ms int64) {
--- a/holdings/planner_bench_test.go
+++ b/holdings/planner_bench_test.go
@@ -12,7 +12,7 @@
 	s := newStand(b, 1, m, 140)
 	s.fill(0, 1)
 	k := s.keeper("one")
-	k.Begin(s.nowMs, 1, s.nowMs)
+	k.Begin(s.events.NowMs(), 1, s.events.NowMs())
 	load := newTraffic(s, k)
 	ask := func(int64) {
 		for range 4 {
@@ -37,8 +37,8 @@
 			load.ask(fmt.Sprintf("m%03d", s.rnd.IntN(747)), "")
 		}
 		k.replan = true
-		k.Tick(s.nowMs, s.nowMs+2000)
-		s.nowMs += 50
-		s.events = nil
+		k.Tick(s.events.NowMs(), s.events.NowMs()+2000)
+		s.events.Clear()
+		s.events.RunFor(50)
 	}
 }
--- a/holdings/planner_test.go
+++ b/holdings/planner_test.go
@@ -173,7 +173,7 @@
 	s := newStand(t, 9, newMap(12, 8, 4.2), 8)
 	s.fill(0, 1)
 	k := s.keeper("one")
-	k.Begin(s.nowMs, 1, s.nowMs)
+	k.Begin(s.events.NowMs(), 1, s.events.NowMs())
 	load := newTraffic(s, k)
 	ask := func(int64) {
 		if s.poisson(30) {
--- a/holdings/stand_test.go
+++ b/holdings/stand_test.go
@@ -3,10 +3,10 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"testing"
 
 	"myrtlewinch/bounds"
+	"myrtlewinch/eventqueue"
 	"myrtlewinch/servicemap"
 	"myrtlewinch/wire"
 )
@@ -51,22 +51,13 @@
 	return wire.RunnerState{Models: r.models(), Busy: r.finish != nil, Calls: r.calls, Active: active, CacheTotal: 100_000, CacheUsed: int64(active) * 1000}
 }
 
-// event is something that happens at a time.
-type event struct {
-	atMs int64
-	seq  int
-	do   func()
-}
-
 type stand struct {
 	t       testing.TB
 	rnd     *rand.Rand
 	m       *servicemap.Map
 	engine  *servicemap.Engine
 	bounds  bounds.Bounds
-	nowMs   int64
-	seq     int
-	events  []event
+	events  *eventqueue.Queue
 	runners map[string]*standRunner
 	lists   []struct {
 		atMs int64
@@ -106,7 +97,7 @@
 var standBounds = bounds.Bounds{DrainMs: 3000, LeaseMs: 3000, ThawMs: 300, InTouchMs: 3000, OriginWindowMs: 5000, OriginOver: 1.1, Fenced: true}
 
 func newStand(t testing.TB, seed uint64, m *servicemap.Map, runners int) *stand {
-	s := &stand{t: t, rnd: rand.New(rand.NewPCG(seed, 7)), m: m, engine: m.Services[0].Engine, bounds: standBounds, nowMs: 1000, runners: map[string]*standRunner{}, holdMs: map[*Keeper]int64{}}
+	s := &stand{t: t, rnd: rand.New(rand.NewPCG(seed, 7)), m: m, engine: m.Services[0].Engine, bounds: standBounds, events: eventqueue.New(1000), runners: map[string]*standRunner{}, holdMs: map[*Keeper]int64{}}
 	zones := []string{"a", "b", "c", "d"}
 	for i := range runners {
 		s.start(fmt.Sprintf("10.0.0.%d:80", i), zones[i%len(zones)])
@@ -165,18 +156,6 @@
 	return sum
 }
 
-func (s *stand) after(ms int64, do func()) {
-	s.seq++
-	e := event{s.nowMs + ms, s.seq, do}
-	at, _ := slices.BinarySearchFunc(s.events, e, func(a, b event) int {
-		if a.atMs != b.atMs {
-			return int(a.atMs - b.atMs)
-		}
-		return a.seq - b.seq
-	})
-	s.events = slices.Insert(s.events, at, e)
-}
-
 func (s *stand) keeper(name string) *Keeper {
 	k := New(s.bounds, name, "list", 47)
 	k.SetMap(s.m)
@@ -195,7 +174,7 @@
 	s.lists = append(s.lists, struct {
 		atMs int64
 		list []wire.RunnerEntry
-	}{s.nowMs, list})
+	}{s.events.NowMs(), list})
 	if len(s.lists) > 40 {
 		s.lists = s.lists[1:]
 	}
@@ -205,7 +184,7 @@
 func (s *stand) list(lagMs int64) []wire.RunnerEntry {
 	out := s.lists[0].list
 	for _, l := range s.lists {
-		if l.atMs <= s.nowMs-lagMs {
+		if l.atMs <= s.events.NowMs()-lagMs {
 			out = l.list
 		}
 	}
@@ -214,29 +193,24 @@
 
 // step goes on by some ms: 10 at a time.
 func (s *stand) step() {
-	s.nowMs += 10
-	for len(s.events) > 0 && s.events[0].atMs <= s.nowMs {
-		e := s.events[0]
-		s.events = s.events[1:]
-		e.do()
-	}
-	if s.nowMs%100 == 0 {
+	s.events.RunFor(10)
+	if s.events.NowMs()%100 == 0 {
 		s.noteList()
 	}
 	for _, r := range s.runners {
-		if r.finish != nil && s.nowMs >= r.busyMs {
+		if r.finish != nil && s.events.NowMs() >= r.busyMs {
 			finish := r.finish
 			r.finish = nil
 			finish()
 		}
-		if s.nowMs%20 == 0 {
-			r.past = append(r.past, snapshot{s.nowMs, r.state()})
+		if s.events.NowMs()%20 == 0 {
+			r.past = append(r.past, snapshot{s.events.NowMs(), r.state()})
 			if len(r.past) > 20 {
 				r.past = r.past[1:]
 			}
 		}
 	}
-	if s.nowMs%50 == 0 {
+	if s.events.NowMs()%50 == 0 {
 		for _, k := range s.keepers {
 			s.tick(k)
 		}
@@ -244,11 +218,11 @@
 }
 
 func (s *stand) tick(k *Keeper) []Tell {
-	holdMs := s.nowMs + 2000
+	holdMs := s.events.NowMs() + 2000
 	if until, ok := s.holdMs[k]; ok {
 		holdMs = until
 	}
-	calls, tells := k.Tick(s.nowMs, holdMs)
+	calls, tells := k.Tick(s.events.NowMs(), holdMs)
 	for _, call := range calls {
 		s.call(k, call)
 	}
@@ -259,9 +233,9 @@
 	way := int64(1 + s.rnd.IntN(4))
 	switch body := call.Body.(type) {
 	case wire.FleetCall:
-		s.after(2*way, func() { k.Fleet(s.nowMs, wire.Fleet{Ok: true, Runners: s.list(800)}) })
+		s.events.After(2*way, func() { k.Fleet(s.events.NowMs(), wire.Fleet{Ok: true, Runners: s.list(800)}) })
 	case wire.StateCall:
-		s.after(2*way, func() {
+		s.events.After(2*way, func() {
 			r := s.at(call.Address)
 			said := wire.StateSaid{Runner: body.Runner, Number: body.Number}
 			if r != nil && !r.dead && r.entry.Id == body.Runner && s.rnd.Float64() >= s.lossOut && len(r.past) > 0 {
@@ -269,31 +243,31 @@
 				lagMs := int64(100 + s.rnd.IntN(100))
 				said.State = r.past[0].state
 				for _, p := range r.past {
-					if p.atMs <= s.nowMs-lagMs {
+					if p.atMs <= s.events.NowMs()-lagMs {
 						said.State = p.state
 					}
 				}
 			}
-			k.State(s.nowMs, said)
+			k.State(s.events.NowMs(), said)
 		})
 	case wire.CommandCall:
 		s.orders++
 		if s.rnd.Float64() < s.lossIn/2 {
-			s.after(300, func() { k.Commanded(s.nowMs, wire.CommandSaid{Runner: body.Runner, Number: body.Number}) })
+			s.events.After(300, func() { k.Commanded(s.events.NowMs(), wire.CommandSaid{Runner: body.Runner, Number: body.Number}) })
 			return
 		}
 		if s.rnd.Float64() < s.lossIn {
 			// It comes late, long after its sender gave it up.
 			way = int64(s.rnd.IntN(900))
 		}
-		s.after(way, func() {
+		s.events.After(way, func() {
 			outcome := s.command(call.Address, body)
 			lost := s.rnd.Float64() < s.lossOut || way > 300
-			s.after(way, func() {
+			s.events.After(way, func() {
 				if lost {
 					outcome = wire.CommandUnknown
 				}
-				k.Commanded(s.nowMs, wire.CommandSaid{Runner: body.Runner, Number: body.Number, Outcome: outcome})
+				k.Commanded(s.events.NowMs(), wire.CommandSaid{Runner: body.Runner, Number: body.Number, Outcome: outcome})
 			})
 		})
 	}
@@ -341,13 +315,13 @@
 	case c.Load && c.Adapter == "":
 		s.loads++
 		if s.takenMb(r)+m.Mb > s.engine.RoomMb {
-			s.breaches = append(s.breaches, fmt.Sprintf("%d ms: %s overfilled with %s", s.nowMs, r.entry.Id, c.Model))
+			s.breaches = append(s.breaches, fmt.Sprintf("%d ms: %s overfilled with %s", s.events.NowMs(), r.entry.Id, c.Model))
 		}
 		took = m.LoadMs
 		if r.disk[c.Model] {
 			took = 380
 		} else {
-			s.starts = append(s.starts, s.nowMs)
+			s.starts = append(s.starts, s.events.NowMs())
 		}
 		r.finish = func() { r.held[c.Model] = map[string]bool{}; r.disk[c.Model] = true }
 	case c.Load:
@@ -356,7 +330,7 @@
 			adapters += len(held)
 		}
 		if adapters >= s.engine.AdapterRoom || s.takenMb(r)+m.AdapterMb > s.engine.RoomMb {
-			s.breaches = append(s.breaches, fmt.Sprintf("%d ms: %s overfilled with %s %s", s.nowMs, r.entry.Id, c.Model, c.Adapter))
+			s.breaches = append(s.breaches, fmt.Sprintf("%d ms: %s overfilled with %s %s", s.events.NowMs(), r.entry.Id, c.Model, c.Adapter))
 		}
 		r.finish = func() { r.held[c.Model][c.Adapter] = true }
 	case c.Adapter == "":
@@ -366,7 +340,7 @@
 		took = int64(5 + s.rnd.IntN(30))
 		r.finish = func() { delete(r.held[c.Model], c.Adapter) }
 	}
-	r.busyMs = s.nowMs + took
+	r.busyMs = s.events.NowMs() + took
 	return wire.CommandTaken
 }
 
@@ -410,10 +384,10 @@
 func (t *traffic) ask(model, adapter string) {
 	key := demandKey{llm, model, adapter}
 	t.asked[key]++
-	index := t.k.LookUp(t.s.nowMs, t.from, wire.MapLookUp{Id: 1, Service: llm, Model: model, Adapter: adapter, Tokens: 1000, Waits: !t.try(key)})
+	index := t.k.LookUp(t.s.events.NowMs(), t.from, wire.MapLookUp{Id: 1, Service: llm, Model: model, Adapter: adapter, Tokens: 1000, Waits: !t.try(key)})
 	_ = index
 	if !t.try(key) {
-		t.waiting[key] = append(t.waiting[key], t.s.nowMs)
+		t.waiting[key] = append(t.waiting[key], t.s.events.NowMs())
 	} else {
 		t.waitsMs = append(t.waitsMs, 0)
 		t.run(key)
@@ -422,7 +396,7 @@
 
 // try says whether a holder is offered.
 func (t *traffic) try(key demandKey) bool {
-	for _, h := range t.k.index(t.s.nowMs, key.Service, key.Model, key.Adapter).Holders {
+	for _, h := range t.k.index(t.s.events.NowMs(), key.Service, key.Model, key.Adapter).Holders {
 		if h.Adapter {
 			return true
 		}
@@ -432,7 +406,7 @@
 
 func (t *traffic) run(key demandKey) {
 	var best *standRunner
-	for _, h := range t.k.index(t.s.nowMs, key.Service, key.Model, key.Adapter).Holders {
+	for _, h := range t.k.index(t.s.events.NowMs(), key.Service, key.Model, key.Adapter).Holders {
 		if !h.Adapter {
 			continue
 		}
@@ -451,7 +425,7 @@
 	}
 	if best != nil {
 		best.active["all"]++
-		t.s.after(t.runMs, func() { best.active["all"]-- })
+		t.s.events.After(t.runMs, func() { best.active["all"]-- })
 	}
 }
 
@@ -460,8 +434,8 @@
 	for key, since := range t.waiting {
 		if t.try(key) {
 			for _, atMs := range since {
-				t.waitsMs = append(t.waitsMs, t.s.nowMs-atMs)
-				if t.s.nowMs-atMs > 3000 {
+				t.waitsMs = append(t.waitsMs, t.s.events.NowMs()-atMs)
+				if t.s.events.NowMs()-atMs > 3000 {
 					t.late[key]++
 				}
 				t.run(key)
@@ -481,7 +455,7 @@
 	}
 	for _, since := range t.waiting {
 		for _, atMs := range since {
-			if t.s.nowMs-atMs > ms {
+			if t.s.events.NowMs()-atMs > ms {
 				late++
 			}
 		}
