Split the keeper of placement by its jobs

Checked: the sorted lines of all files are those of before, but for package and import clauses and const brackets.

--- a/holdings/demand.go
+++ b/holdings/demand.go
@@ -1,6 +1,12 @@
 package holdings
 
-import "math"
+import (
+	"math"
+	"strconv"
+	"strings"
+
+	"myrtlewinch/servicemap"
+)
 
 const (
 	// The two half-lives of demand: one to see a shift, one to know the usual.
@@ -96,3 +102,29 @@
 	}
 	return nowMs - d.askedMs
 }
+
+// count adds to the demand.
+func (k *Keeper) count(nowMs int64, key demandKey, requests, tokens, waits float64) {
+	s := k.services[key.Service]
+	if s == nil || s.engine == nil {
+		return
+	}
+	m := s.models[key.Model]
+	if m == nil || !m.mapped {
+		return
+	}
+	m.want.add(nowMs, requests, tokens, waits)
+	if key.Adapter != "" && adapterOf(&m.spec, key.Adapter) {
+		m.adapter(key.Adapter).want.add(nowMs, requests, tokens, waits)
+	}
+	if waits > 0 {
+		k.replan = true
+	}
+}
+
+// adapterOf says whether a model has an adapter of that name.
+func adapterOf(m *servicemap.Model, name string) bool {
+	number, found := strings.CutPrefix(name, "a")
+	n, err := strconv.Atoi(number)
+	return found && err == nil && n >= 1 && n <= m.Adapters && number[0] != '+' && number[0] != '0'
+}
--- a/holdings/plan.go
+++ b/holdings/plan.go
@@ -1,5 +1,13 @@
 package holdings
 
+const (
+	// planFree runners may be planned for at each change; of more, planShare in
+	// each ms.
+	planFree, planShare = 20, 10
+	// planMs is how often all is planned anew though nothing changed.
+	planMs = 300
+)
+
 // plan works out what to order, and orders it.
 func (k *Keeper) plan(nowMs, holdUntilMs int64) {
 	k.planned, k.replan = nowMs, false
@@ -37,3 +45,7 @@
 		left = k.planner.budget.left
 	}
 }
+
+// planEachMs is the least time between two plans. A plan goes through all
+// runners, and changes come the more often the more there are.
+func (k *Keeper) planEachMs() int64 { return int64(max(0, len(k.sorted)-planFree) / planShare) }
