--- a/holdings/planner_adapters.go
+++ b/holdings/planner_adapters.go
@@ -7,11 +7,12 @@
 )
 
 const (
-	// adapterStayMs is the same for adapters, which come and go quickly.
+	// adapterStayMs is how long an adapter that was loaded stays at least.
 	adapterStayMs = 1_500
 	// adapterAskedKeptMs is for how long after a request an adapter is wanted.
 	adapterAskedKeptMs = 20_000
-	// busyAdapterRate earns an adapter a second copy.
+	// busyAdapterRate earns an adapter a second copy, and each adapterCopyRate
+	// a further one.
 	busyAdapterRate = 3.0
 	adapterCopyRate = 8.0
 )
--- a/holdings/runnerlist.go
+++ b/holdings/runnerlist.go
@@ -8,6 +8,7 @@
 )
 
 const (
+	// listMs is the shortest time between two reads of the list.
 	listMs = 450
 	// slowListMs is the longest pause between reads of the list when the
 	// platform wants fewer calls.
