--- /dev/null
+++ b/sim/disk.go
@@ -0,0 +1,60 @@
+package sim
+
+import (
+	"fmt"
+
+	"myrtlewinch/wire"
+)
+
+// simDisk is a disk: what is synced, and how it behaves.
+type simDisk struct {
+	keys          map[string]string
+	incarnation   string
+	slowMs        int64
+	stalled, full bool
+	wipes         int
+	// pending was asked for and is not synced yet.
+	pending []wire.Save
+}
+
+// Wipe empties a disk; the daemon must be down.
+func (w *World) Wipe(name string) {
+	d := w.nodes[name].disk
+	d.wipes++
+	d.keys = map[string]string{}
+	d.incarnation = fmt.Sprintf("%s-disk-%d", name, d.wipes)
+	d.full, d.stalled, d.slowMs = false, false, 0
+	w.note("%s loses its disk", name)
+}
+
+func (w *World) saveTo(n *node, life int, save wire.Save) {
+	n.disk.pending = append(n.disk.pending, save)
+	if len(n.disk.pending) == 1 {
+		w.saveNext(n, life)
+	}
+}
+
+// saveNext brings the first save that waits to the platter: one after the
+// other, as on the disk's own thread.
+func (w *World) saveNext(n *node, life int) {
+	d := n.disk
+	w.events.After(1+w.Random.Int63n(4)+d.slowMs, func() {
+		// What a power cut left was settled when it happened.
+		if !n.up || n.life != life {
+			return
+		}
+		if d.stalled {
+			w.saveNext(n, life)
+			return
+		}
+		save := d.pending[0]
+		d.pending = d.pending[1:]
+		if !d.full && !w.Breaks.UnsyncedDisk {
+			save.Write.Apply(d.keys)
+		}
+		if len(d.pending) > 0 {
+			w.saveNext(n, life)
+		}
+		w.put(n, life, wire.Saved{Number: save.Number, Ok: !d.full})
+	})
+}
