--- a/disk/disk_test.go
+++ b/disk/disk_test.go
@@ -14,6 +14,14 @@
 
 func set(key, value string) Write { return Write{Sets: map[string]string{key: value}} }
 
+// openNew opens the state of a new folder.
+func openNew(c *qt.C) (*Disk, string) {
+	folder := c.TempDir()
+	d, err := Open(folder, "zagreb")
+	c.Assert(err, qt.IsNil)
+	return d, folder
+}
+
 func reopen(c *qt.C, folder string) map[string]string {
 	d, err := Open(folder, "zagreb")
 	c.Assert(err, qt.IsNil)
@@ -23,13 +31,11 @@
 
 func TestDiskKeepsWhatItSaved(t *testing.T) {
 	c := qt.New(t)
-	folder := c.TempDir()
-	d, err := Open(folder, "zagreb")
-	c.Assert(err, qt.IsNil)
+	d, folder := openNew(c)
 	c.Assert(d.Save(set("state/a", "1")), qt.IsNil)
 	c.Assert(d.Save(set("witness", "w")), qt.IsNil)
 	c.Assert(d.Save(Write{Clear: "state/", Sets: map[string]string{"state/b": "2"}}), qt.IsNil)
-	_, err = Open(folder, "zagreb")
+	_, err := Open(folder, "zagreb")
 	c.Assert(err, qt.ErrorMatches, ".*in use.*")
 	d.Close()
 	keys := reopen(c, folder)
@@ -44,9 +50,7 @@
 // file ends at, the folder opens to a whole prefix of the changes.
 func TestDiskPowerCutAtEachByte(t *testing.T) {
 	c := qt.New(t)
-	folder := c.TempDir()
-	d, err := Open(folder, "zagreb")
-	c.Assert(err, qt.IsNil)
+	d, folder := openNew(c)
 	path := filepath.Join(folder, fileName)
 	sizes := []int64{fileSize(c, path)}
 	for n := range 2 {
@@ -97,9 +101,7 @@
 
 func TestDiskFull(t *testing.T) {
 	c := qt.New(t)
-	folder := c.TempDir()
-	d, err := Open(folder, "zagreb")
-	c.Assert(err, qt.IsNil)
+	d, folder := openNew(c)
 	defer d.Close()
 	// The kernel's always-full device stands in for a full disk: it is put
 	// under every descriptor that is open on the file.
@@ -121,9 +123,7 @@
 
 func TestDiskTornInside(t *testing.T) {
 	c := qt.New(t)
-	folder := c.TempDir()
-	d, err := Open(folder, "zagreb")
-	c.Assert(err, qt.IsNil)
+	d, folder := openNew(c)
 	c.Assert(d.Save(set("state/a", "first")), qt.IsNil)
 	c.Assert(d.Save(set("state/a", "second")), qt.IsNil)
 	d.Close()
@@ -145,9 +145,7 @@
 
 func TestDiskRewrite(t *testing.T) {
 	c := qt.New(t)
-	folder := c.TempDir()
-	d, err := Open(folder, "zagreb")
-	c.Assert(err, qt.IsNil)
+	d, folder := openNew(c)
 	c.Assert(d.Save(set("state/a", "1")), qt.IsNil)
 	// Reach the bound without thousands of syncs.
 	c.Assert(d.rewrite(), qt.IsNil)
--- a/disk/trim_test.go
+++ b/disk/trim_test.go
@@ -12,9 +12,7 @@
 // there, missing or torn, at any byte and in any manner; the folder still opens.
 func TestTornTail(t *testing.T) {
 	c := qt.New(t)
-	folder := c.TempDir()
-	d, err := Open(folder, "zagreb")
-	c.Assert(err, qt.IsNil)
+	d, folder := openNew(c)
 	c.Assert(d.Save(set("state/a", "first")), qt.IsNil)
 	path := filepath.Join(folder, fileName)
 	before, err := os.ReadFile(path)
@@ -48,9 +46,7 @@
 // A disk that failed and works again is written anew before it is trusted.
 func TestReopen(t *testing.T) {
 	c := qt.New(t)
-	folder := c.TempDir()
-	d, err := Open(folder, "zagreb")
-	c.Assert(err, qt.IsNil)
+	d, folder := openNew(c)
 	c.Assert(d.Save(set("state/a", "1")), qt.IsNil)
 	d.Spoil(func(*os.File) error { return os.ErrInvalid })
 	c.Assert(d.Save(set("state/a", "2")), qt.IsNotNil)
