Let a member leave only when the copies that stay know their record

Cause: a primary that stopped recruited another copy, yielded and went for good in the same step that recorded it.

Ruled out: witnesses that tell what they keep, as a reason to stand (it would help here; but a copy that knows its record needs no such help).

The tests of the lease give their machine the usual waits, which were constants.

--- a/control/copy.go
+++ b/control/copy.go
@@ -95,8 +95,9 @@
 	behindMs int64
 	// contact is the follower's clock as it was last told.
 	contact wire.Contact
-	// answered says that it was heard in this primacy.
+	// answered says that it was heard in this primacy, and epoch by which record.
 	answered bool
+	epoch    uint64
 	// leaving says that the follower is stopping as planned.
 	leaving bool
 }
@@ -351,7 +352,7 @@
 		m.count(defect.Overtaken)
 		return
 	}
-	f.at, f.answered = said.At, true
+	f.at, f.answered, f.epoch = said.At, true, said.Epoch
 	f.heardMs, f.fellowsSum, f.contact, f.leaving = m.nowMs, said.FellowsSum, said.Contact, said.Leaving
 	if !c.onChain(said.At) {
 		f.counted(m.nowMs, 0, m.state.Position.Number)
--- a/control/copy_test.go
+++ b/control/copy_test.go
@@ -25,7 +25,7 @@
 	for _, test := range cases {
 		t.Run(test.about, func(t *testing.T) {
 			f := &fellowCopy{incarnation: "1"}
-			c := copies{fellows: map[string]*fellowCopy{"b": f}}
+			c := copies{waits: usualTiming, fellows: map[string]*fellowCopy{"b": f}}
 			nowMs := int64(5000)
 			for _, acked := range test.told {
 				nowMs += 300
--- a/control/departure.go
+++ b/control/departure.go
@@ -82,7 +82,16 @@
 // mayLeave says, at the primary, whether a member has nothing left that some
 // other daemon could take over. A successor that still catches up is waited for.
 func (m *Machine) mayLeave(seat wire.Seat) bool {
-	return m.seat.proposal == nil && !m.copyIsAwaited(seat) && !m.voteIsAwaited(seat)
+	return m.seat.proposal == nil && !m.copyIsAwaited(seat) && !m.voteIsAwaited(seat) && m.copiesKnowRecord(seat)
+}
+
+// copiesKnowRecord says whether all other copies that stay know the record that
+// names them. One that does not would not take over, and might be the only one
+// left once the member is gone.
+func (m *Machine) copiesKnowRecord(but wire.Seat) bool {
+	return !slices.ContainsFunc(m.record.Pair, func(seat wire.Seat) bool {
+		return seat != but && seat != m.ownSeat() && m.staysCopy(seat) && m.copies.fellows[seat.Name].epoch != m.record.Epoch
+	})
 }
 
 // copyIsAwaited says whether another daemon is to hold the copy of a member
--- a/control/departure_test.go
+++ b/control/departure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -89,6 +90,66 @@
 	}
 }
 
+// A copy that was recruited for a member that leaves, and was not told yet, may
+// be the only one left: the member waits until it knows.
+func TestLeavingWaitsUntilTheNewCopyKnows(t *testing.T) {
+	for _, who := range []string{"primary", "backup"} {
+		t.Run(who, func(t *testing.T) {
+			w := served(qt.New(t), 1, 6)
+			w.write("kept")
+			primary, backup := w.primary(), w.backup()
+			leaver, other := primary, backup
+			if who == "backup" {
+				leaver, other = backup, primary
+			}
+			w.withoutVote(leaver)
+			n, p := w.nodes[leaver], w.nodes[primary].machine
+			n.departed = func() { n.gone = true }
+			before := p.record.Epoch
+			w.step(leaver, StepDown{Id: 1})
+			for p.record.Epoch == before {
+				w.run(1)
+			}
+			// The new record is complete, and no one has been told.
+			for name := range w.nodes {
+				if name != leaver && name != other {
+					w.cut[primary+">"+name] = true
+				}
+			}
+			w.run(200)
+			qt.Assert(t, n.gone, qt.IsFalse)
+			w.cut = map[string]bool{}
+			w.until(3000, "the answer", func() bool { return n.gone })
+			w.kill(leaver)
+			w.kill(other)
+			w.until(8000, "a take-over", w.serves)
+			qt.Assert(t, w.nodes[w.primary()].tenant.row, qt.Equals, "kept")
+		})
+	}
+}
+
+// withoutVote gives the vote of a member to one that has none, in what all know.
+func (w *core) withoutVote(member string) {
+	record := w.record()
+	for name, n := range w.nodes {
+		if _, sits := record.Names(name); !sits {
+			for i, seat := range record.Witnesses {
+				if seat.Name == member {
+					record.Witnesses = slices.Clone(record.Witnesses)
+					record.Witnesses[i] = wire.Seat{Name: name, Incarnation: n.place.Incarnation}
+				}
+			}
+		}
+	}
+	record.Before = record.Witnesses
+	primary := w.nodes[w.primary()].machine
+	for _, n := range w.nodes {
+		n.machine.record = record
+		n.machine.witness.Record, n.machine.witness.Kept = record, primary.seat.ballot
+		n.machine.witness.Promised = primary.seat.ballot
+	}
+}
+
 // Where nobody can take over, a member goes at once: it is a restart.
 func TestPlannedLeaveWithoutSuccessor(t *testing.T) {
 	w := served(qt.New(t), 1, 3)
--- a/control/seat_test.go
+++ b/control/seat_test.go
@@ -30,7 +30,7 @@
 	}
 	for _, test := range cases {
 		t.Run(test.about, func(t *testing.T) {
-			m := &Machine{record: wire.Record{Epoch: 1, Witnesses: test.witnesses, Before: test.before}}
+			m := &Machine{waits: usualTiming, record: wire.Record{Epoch: 1, Witnesses: test.witnesses, Before: test.before}}
 			m.seat.grants = test.grants
 			m.countHold()
 			untilMs := int64(0)
