--- a/disk/disk.go
+++ b/disk/disk.go
@@ -10,14 +10,10 @@
 
 import (
 	"crypto/rand"
-	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
-	"fmt"
 	"maps"
 	"os"
 	"path/filepath"
-	"strings"
 	"sync/atomic"
 	"syscall"
 
@@ -37,60 +33,6 @@
 	rewriteMost = 4096
 )
 
-// Write is one change of the disk: all of it lasts or none.
-type Write struct {
-	// Clear names a prefix whose keys are forgotten first, for an image.
-	Clear string `json:"clear,omitempty"`
-	// Sets holds the new values; an empty value forgets the key.
-	Sets map[string]string `json:"sets"`
-}
-
-// Apply brings the change into a table of keys.
-func (w Write) Apply(keys map[string]string) {
-	if w.Clear != "" {
-		for key := range keys {
-			if strings.HasPrefix(key, w.Clear) {
-				delete(keys, key)
-			}
-		}
-	}
-	for key, value := range w.Sets {
-		if value == "" {
-			delete(keys, key)
-			continue
-		}
-		keys[key] = value
-	}
-}
-
-// sealed is how a change lies in the file: with a sum of its text.
-type sealed struct {
-	Sum  string          `json:"sum"`
-	Text json.RawMessage `json:"text"`
-}
-
-func seal(value any) (string, error) {
-	text, err := json.Marshal(value)
-	if err != nil {
-		return "", err
-	}
-	sum := sha256.Sum256(text)
-	out, err := json.Marshal(sealed{hex.EncodeToString(sum[:8]), text})
-	return string(out), err
-}
-
-func unseal(text string, value any) error {
-	var s sealed
-	if err := json.Unmarshal([]byte(text), &s); err != nil {
-		return err
-	}
-	sum := sha256.Sum256(s.Text)
-	if hex.EncodeToString(sum[:8]) != s.Sum {
-		return errors.New("its sum does not fit its text")
-	}
-	return json.Unmarshal(s.Text, value)
-}
-
 // Disk is one open data folder.
 type Disk struct {
 	folder string
@@ -234,8 +176,6 @@
 	return errors.CombineErrors(fault, err)
 }
 
-func changeName(number int) string { return fmt.Sprintf("%s%08d", changeKey, number) }
-
 // Keys gives a copy of what the disk holds.
 func (d *Disk) Keys() map[string]string { return maps.Clone(d.keys) }
 
