Lose power at each moment of a disk's life; take a whole next file for the state

Cause: opening a folder removed state.next before it looked for state.db. Where a loss of power keeps the removal that a rename makes and loses the new name, the whole synced state lay under state.next alone and was thrown away: the disk came back blank under another incarnation.

The test follows a folder from sync to sync through the disk's own seam, and at each sync brings about every state that may be left: each name by itself as it was or as it became, each unsynced content there, missing, or torn at each byte (cut, noughts, one bit off). What opens must be one whole change, none older than the last that was acknowledged, under the same incarnation.

Not covered: a sync that fails and a kill before the disk is written anew.

--- a/disk/disk.go
+++ b/disk/disk.go
@@ -41,7 +41,9 @@
 	file   *os.File
 	keys   map[string]string
 	count  int
-	defect error
+	// rewriteAt is how many changes lie in the file before it is written anew.
+	rewriteAt int
+	defect    error
 	// sync is how a file is brought to the platter; Spoil makes it fail.
 	sync func(*os.File) error
 	// spoil replaces sync from the next save on.
@@ -56,6 +58,11 @@
 // incarnation; one of another site or one that can't be read is refused and
 // left as it was.
 func Open(folder, site string) (*Disk, error) {
+	return openWith(folder, site, (*os.File).Sync)
+}
+
+// openWith is Open with another way to bring a file to the platter.
+func openWith(folder, site string, sync func(*os.File) error) (*Disk, error) {
 	if err := os.MkdirAll(folder, 0o755); err != nil {
 		return nil, errors.Wrapf(err, "data folder %s", folder)
 	}
@@ -67,7 +74,7 @@
 		_ = lock.Close()
 		return nil, errors.Newf("data folder %s is in use by another process", folder)
 	}
-	d := &Disk{folder: folder, lock: lock, keys: map[string]string{}, sync: (*os.File).Sync}
+	d := &Disk{folder: folder, lock: lock, keys: map[string]string{}, rewriteAt: rewriteMost, sync: sync}
 	if err := d.load(site); err != nil {
 		d.Close()
 		return nil, err
@@ -93,14 +100,9 @@
 func (d *Disk) path(name string) string { return filepath.Join(d.folder, name) }
 
 func (d *Disk) load(site string) error {
-	// A next file that was never put in place holds nothing that counts.
-	if err := os.Remove(d.path(nextName)); err != nil && !os.IsNotExist(err) {
-		return errors.Wrapf(err, "data folder %s", d.folder)
-	}
-	_, statErr := os.Stat(d.path(fileName))
-	blank := os.IsNotExist(statErr)
-	if statErr != nil && !blank {
-		return errors.Wrapf(statErr, "data folder %s", d.folder)
+	blank, err := d.settleNames()
+	if err != nil {
+		return err
 	}
 	if !blank {
 		if err := d.open(); err != nil {
@@ -128,8 +130,41 @@
 	return d.rewrite()
 }
 
+// settleNames says whether the folder holds no state yet. A next file was
+// synced whole before its rename was tried, so where a loss of power left no
+// file under the name proper, it is the state; otherwise it holds nothing that
+// counts.
+func (d *Disk) settleNames() (blank bool, err error) {
+	blank, err = isAbsent(d.path(fileName))
+	if err != nil {
+		return false, errors.Wrapf(err, "data folder %s", d.folder)
+	}
+	if blank && isSnapshot(d.path(nextName)) {
+		err = os.Rename(d.path(nextName), d.path(fileName))
+		return false, errors.Wrapf(err, "data folder %s", d.folder)
+	}
+	if err := os.Remove(d.path(nextName)); err != nil && !os.IsNotExist(err) {
+		return false, errors.Wrapf(err, "data folder %s", d.folder)
+	}
+	return blank, nil
+}
+
+func isAbsent(path string) (bool, error) {
+	_, err := os.Stat(path)
+	if os.IsNotExist(err) {
+		return true, nil
+	}
+	return false, err
+}
+
+// isSnapshot says whether a file holds one whole snapshot and nothing else.
+func isSnapshot(path string) bool {
+	text, err := os.ReadFile(path)
+	return err == nil && len(text) > 0 && recordSize(text, imageKey) == len(text)
+}
+
 func (d *Disk) open() error {
-	if err := trim(d.path(fileName)); err != nil {
+	if err := trim(d.path(fileName), d.sync); err != nil {
 		return errors.Wrapf(err, "data folder %s", d.folder)
 	}
 	db, err := buntdb.Open(d.path(fileName))
@@ -197,7 +232,7 @@
 	if spoilt := d.spoil.Load(); spoilt != nil {
 		d.sync = *spoilt
 	}
-	if d.count >= rewriteMost {
+	if d.count >= d.rewriteAt {
 		if err := d.rewrite(); err != nil {
 			return err
 		}
--- a/disk/trim.go
+++ b/disk/trim.go
@@ -16,7 +16,7 @@
 // that was not synced was answered to nobody. Damage before a whole record is
 // another thing: then something that was trusted is gone, and the file is left
 // as it is.
-func trim(path string) error {
+func trim(path string, sync func(*os.File) error) error {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return err
@@ -41,7 +41,7 @@
 	if err := file.Truncate(int64(whole)); err != nil {
 		return errors.Wrap(err, "a torn tail")
 	}
-	return errors.Wrap(file.Sync(), "a torn tail")
+	return errors.Wrap(sync(file), "a torn tail")
 }
 
 // recordSize is how long the record at the start of the text is, or nought
