--- a/disk/disk.go
+++ b/disk/disk.go
@@ -27,10 +27,14 @@
 	lockName  = "lock"
 	probeName = "probe"
 	// probeBytes is more than one change usually takes.
-	probeBytes  = 64 << 10
-	imageKey    = "image"
-	changeKey   = "change/"
-	rewriteMost = 4096
+	probeBytes = 64 << 10
+	imageKey   = "image"
+	changeKey  = "change/"
+	// The log of changes is replaced by a snapshot once it holds so many, or so
+	// many bytes: it is read whole at each start, and it lies in memory as well
+	// as on the disk.
+	logCountMost = 4096
+	logBytesMost = 2 << 20
 )
 
 // Disk is one open data folder.
@@ -40,9 +44,11 @@
 	db     *buntdb.DB
 	file   *os.File
 	keys   map[string]string
-	count  int
-	// rewriteAt is how many changes lie in the file before it is written anew.
-	rewriteAt int
+	// count is how many changes the log holds; logBytes and snapshotBytes are the
+	// lengths of their texts and of the snapshot's.
+	count, logBytes, snapshotBytes int
+	// countMost is how many changes the log may hold.
+	countMost int
 	defect    error
 	// sync is how a file is brought to the platter; Spoil makes it fail.
 	sync func(*os.File) error
@@ -74,7 +80,7 @@
 		_ = lock.Close()
 		return nil, errors.Newf("data folder %s is in use by another process", folder)
 	}
-	d := &Disk{folder: folder, lock: lock, keys: map[string]string{}, rewriteAt: rewriteMost, sync: sync}
+	d := &Disk{folder: folder, lock: lock, keys: map[string]string{}, countMost: logCountMost, sync: sync}
 	if err := d.load(site); err != nil {
 		d.Close()
 		return nil, err
@@ -90,7 +96,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := d.rewrite(); err != nil {
+	if err := d.rewrite(d.keys); err != nil {
 		d.Close()
 		return nil, err
 	}
@@ -127,7 +133,7 @@
 	}
 	d.keys["site"] = site
 	d.keys["incarnation"] = hex.EncodeToString(token)
-	return d.rewrite()
+	return d.rewrite(d.keys)
 }
 
 // settleNames says whether the folder holds no state yet. A next file was
@@ -192,6 +198,7 @@
 		if err := unseal(text, &d.keys); err != nil {
 			return errors.Wrapf(err, "data folder %s: torn image", d.folder)
 		}
+		d.snapshotBytes = len(text)
 		return tx.AscendKeys(changeKey+"*", func(key, text string) bool {
 			var w Write
 			if fault = unseal(text, &w); fault != nil {
@@ -205,6 +212,7 @@
 			}
 			w.Apply(d.keys)
 			d.count++
+			d.logBytes += len(text)
 			return true
 		})
 	})
@@ -232,15 +240,30 @@
 	if spoilt := d.spoil.Load(); spoilt != nil {
 		d.sync = *spoilt
 	}
-	if d.count >= d.rewriteAt {
-		if err := d.rewrite(); err != nil {
-			return err
-		}
-	}
 	text, err := seal(w)
 	if err != nil {
 		return err
 	}
+	if d.logFull(len(text)) {
+		keys := maps.Clone(d.keys)
+		w.Apply(keys)
+		return d.rewrite(keys)
+	}
+	if err := d.append(text); err != nil {
+		return err
+	}
+	w.Apply(d.keys)
+	return nil
+}
+
+// logFull says whether a change of so many bytes is too much for the log. A
+// large snapshot is not written for less than twice its own length of changes.
+func (d *Disk) logFull(more int) bool {
+	return d.count >= d.countMost || d.logBytes+more > max(logBytesMost, 2*d.snapshotBytes)
+}
+
+// append adds a change to the log and syncs it.
+func (d *Disk) append(text string) error {
 	if err := d.db.Update(func(tx *buntdb.Tx) error {
 		_, _, err := tx.Set(changeName(d.count), text, nil)
 		return err
@@ -250,15 +273,15 @@
 	if err := d.sync(d.file); err != nil {
 		return errors.Wrapf(err, "data folder %s: sync", d.folder)
 	}
-	w.Apply(d.keys)
 	d.count++
+	d.logBytes += len(text)
 	return nil
 }
 
-// rewrite puts a fresh file with only an image in place: written, synced,
-// renamed, and the folder synced.
-func (d *Disk) rewrite() error {
-	text, err := seal(d.keys)
+// rewrite puts a fresh file with only a snapshot of these keys in place:
+// written, synced, renamed, and the folder synced.
+func (d *Disk) rewrite(keys map[string]string) error {
+	text, err := seal(keys)
 	if err != nil {
 		return err
 	}
@@ -286,7 +309,7 @@
 	if err := d.syncPath(d.folder); err != nil {
 		return err
 	}
-	d.count = 0
+	d.keys, d.count, d.logBytes, d.snapshotBytes = keys, 0, 0, len(text)
 	return d.open()
 }
 
--- a/disk/disk_test.go
+++ b/disk/disk_test.go
@@ -148,7 +148,7 @@
 	d, folder := openNew(c)
 	c.Assert(d.Save(set("state/a", "1")), qt.IsNil)
 	// Reach the bound without thousands of syncs.
-	c.Assert(d.rewrite(), qt.IsNil)
+	c.Assert(d.rewrite(d.Keys()), qt.IsNil)
 	c.Assert(d.count, qt.Equals, 0)
 	c.Assert(d.Save(set("state/b", "2")), qt.IsNil)
 	d.Close()
--- /dev/null
+++ b/disk/growth_test.go
@@ -0,0 +1,66 @@
+package disk
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// folderBytes is what all files of a folder take.
+func folderBytes(c *qt.C, folder string) (total int64) {
+	entries, err := os.ReadDir(folder)
+	c.Assert(err, qt.IsNil)
+	for _, entry := range entries {
+		info, err := entry.Info()
+		c.Assert(err, qt.IsNil)
+		total += info.Size()
+	}
+	return total
+}
+
+// However many changes there are and however large, the folder holds at most a
+// log's worth and a few times what there is to keep, also while it is written
+// anew; a restart reads no more than that.
+func TestFolderStaysSmall(t *testing.T) {
+	for _, test := range []struct {
+		name               string
+		rowBytes, changes  int
+		most               int64
+		snapshotsFollowing bool
+	}{
+		{"many small ones", 200, 9_000, 3 << 20, false},
+		{"1,400 routes", 54_209, 300, 3 << 20, false},
+		{"3,000 routes", 115_453, 150, 3 << 20, false},
+		{"as large as may be", 750_000, 20, 6 << 20, false},
+		{"snapshots of another disk", 54_209, 150, 3 << 20, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			folder := c.Mkdir()
+			var most int64
+			d, err := openWith(folder, "zagreb", func(*os.File) error {
+				most = max(most, folderBytes(c, folder))
+				return nil
+			})
+			c.Assert(err, qt.IsNil)
+			row := strings.Repeat("r", test.rowBytes)
+			for n := range test.changes {
+				w := Write{Sets: map[string]string{"state/map": row, "state/position": fmt.Sprint(n)}}
+				if test.snapshotsFollowing {
+					w.Clear = "state/"
+				}
+				c.Assert(d.Save(w), qt.IsNil)
+				c.Assert(d.logBytes <= max(logBytesMost, 2*d.snapshotBytes), qt.IsTrue)
+			}
+			d.Close()
+			t.Logf("at most %d bytes", most)
+			c.Assert(most <= test.most, qt.IsTrue, qt.Commentf("%d bytes", most))
+			keys := reopen(c, folder)
+			c.Assert(keys["state/position"], qt.Equals, fmt.Sprint(test.changes-1))
+			c.Assert(len(keys["state/map"]), qt.Equals, test.rowBytes)
+		})
+	}
+}
--- a/disk/powerloss_test.go
+++ b/disk/powerloss_test.go
@@ -248,7 +248,7 @@
 func (r *recording) play(c *qt.C, changes int) {
 	d, err := openWith(r.folder, "zagreb", r.sync)
 	c.Assert(err, qt.IsNil)
-	d.rewriteAt = 3
+	d.countMost = 3
 	if !r.opened {
 		firstIncarnation = d.Keys()["incarnation"]
 	}
@@ -258,7 +258,7 @@
 			d.Close()
 			d, err = openWith(r.folder, "zagreb", r.sync)
 			c.Assert(err, qt.IsNil)
-			d.rewriteAt = 3
+			d.countMost = 3
 		}
 		r.begun++
 		c.Assert(d.Save(numbered(r.begun)), qt.IsNil)
