--- /dev/null
+++ b/endurance/routes_test.go
@@ -0,0 +1,71 @@
+package endurance
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand"
+
+	"myrtlewinch/platform"
+)
+
+// largeRoutes is the size of the largest configuration that is reckoned with.
+const largeRoutes = 1400
+
+// routeTable writes configurations as an operator does: with random names, so
+// that they pack no better than real ones.
+type routeTable struct {
+	random  *rand.Rand
+	routes  []map[string]any
+	version uint64
+}
+
+func newRouteTable(seed int64, count int) *routeTable {
+	table := &routeTable{random: rand.New(rand.NewSource(seed))}
+	for range count {
+		table.routes = append(table.routes, table.route())
+	}
+	return table
+}
+
+func (t *routeTable) word(length int) string {
+	const letters = "abcdefghijklmnopqrstuvwxyz0123456789"
+	word := make([]byte, length)
+	for i := range word {
+		word[i] = letters[t.random.Intn(len(letters))]
+	}
+	return string(word)
+}
+
+var services = []string{"s-2kx81a", "s-9qpw3e", "s-77dhu2"}
+
+func (t *routeTable) route() map[string]any {
+	return map[string]any{
+		"name": "r-" + t.word(7), "host": t.word(6) + ".example", "path_start": "/" + t.word(7) + "/", "kind": "safe",
+		"give_up_ms": 2500 + t.random.Intn(4000), "target_ms": 250, "priority": t.random.Intn(3),
+		"split": []map[string]any{
+			{"service": services[0], "weight": 50 + t.random.Intn(50)}, {"service": services[1+t.random.Intn(2)], "weight": 1 + t.random.Intn(50)},
+		},
+		"tries": 2,
+	}
+}
+
+// next changes one route and gives the whole text of the next version.
+func (t *routeTable) next() (version uint64, text string) {
+	t.version++
+	t.routes[t.random.Intn(len(t.routes))] = t.route()
+	var all []map[string]any
+	for _, name := range services {
+		all = append(all, map[string]any{"name": name, "health_path": "/health", "max_conns": 96, "protocol": "h1", "tls": false})
+	}
+	written, err := json.Marshal(map[string]any{
+		"version": t.version, "routes": t.routes, "services": all,
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_wait_ms": 3000, "idle_ms": 15000},
+	})
+	if err != nil {
+		panic(fmt.Sprintf("a configuration can't be written: %v", err))
+	}
+	if _, faults := (platform.Format{}).Read(written); len(faults) > 0 {
+		panic(fmt.Sprintf("a configuration is not valid: %v", faults))
+	}
+	return t.version, string(written)
+}
