Bound a batch by bytes, and the writing of a call by time

Cause, read and then seen: net/rpc writes a call before it returns, and the time for the call began after that. A batch that is more than the buffers on the way hold, to a fellow that is frozen or cut off, held the whole line to it up for as long as the system keeps trying, and went on after a heal when the system next tried. A batch took up to 64 messages whatever they weigh: over a frame's 8 MiB all 64 were lost, votes and renewals among them, and 1.9 MB over 10 Mbit/s were more than the 1.5 s.

The write now has the call's own deadline; a batch ends with the message that brings it to 256 KiB; the time for a call grows by what its bytes take over a thin link that others share (600 bytes a ms).

--- a/daemon/fellows.go
+++ b/daemon/fellows.go
@@ -19,7 +19,13 @@
 	fellowMost = 1024
 	lineMost   = 1024
 	batchMost  = 64
-	callMs     = 1500
+	// batchBytesMost ends a batch, so that small messages don't wait behind, or
+	// get lost with, more than one large one.
+	batchBytesMost = 256 << 10
+	// callMs is the time for a call beside what its bytes take over a thin link
+	// that others share.
+	callMs         = 1500
+	thinBytesPerMs = 600
 )
 
 // Ack ends a batch that was taken.
@@ -65,52 +71,114 @@
 	}
 }
 
+// route is an open connection to a fellow.
+type route struct {
+	stream net.Conn
+	client *rpc.Client
+}
+
+func newRoute(stream net.Conn) *route {
+	return &route{stream, rpc.NewClientWithCodec(wire.NewClientCodec(stream))}
+}
+
+func (r *route) close() {
+	if r != nil {
+		_ = r.client.Close()
+	}
+}
+
 // carry brings a line's messages over, in order. What can't be brought is
 // dropped: every message is repeated by a later tick where it matters.
 func (l *lines) carry(address string, line *ring.Ring[wire.Envelope]) {
-	var caller *rpc.Client
+	var open *route
 	var heldUntil time.Time
 	for {
-		first, ok := line.Take()
+		batch, ok := takeBatch(line)
 		if !ok {
-			if caller != nil {
-				_ = caller.Close()
-			}
+			open.close()
 			return
 		}
-		batch := []wire.Envelope{first}
-		for waiting, _ := line.Burden(); waiting > 0 && len(batch) < batchMost; waiting-- {
-			more, ok := line.Take()
-			if !ok {
-				break
-			}
-			batch = append(batch, more)
-		}
 		// A fellow that can't be reached is not dialled for each message.
-		if caller == nil && time.Now().Before(heldUntil) {
+		if open == nil && time.Now().Before(heldUntil) {
 			l.count("messages lost")
 			continue
 		}
-		if caller == nil {
+		if open == nil {
 			stream, err := net.DialTimeout("tcp", address, callMs*time.Millisecond/3)
 			if err != nil {
 				heldUntil = time.Now().Add(100 * time.Millisecond)
 				l.count("messages lost")
 				continue
 			}
-			caller = rpc.NewClientWithCodec(wire.NewClientCodec(stream))
+			open = newRoute(stream)
 		}
-		if err := call(caller, batch); err != nil {
+		if err := open.call(batch, callTime(batch)); err != nil {
 			l.count("messages lost")
-			_ = caller.Close()
-			caller = nil
+			open.close()
+			open = nil
 		}
 	}
 }
 
-func call(caller *rpc.Client, batch []wire.Envelope) error {
-	done := caller.Go("Door.Take", batch, &Ack{}, make(chan *rpc.Call, 1)).Done
-	timer := time.NewTimer(callMs * time.Millisecond)
+// takeBatch gives what waits in a line, at least one message, up to a number
+// and to the message that makes it large. False says that the line has ended.
+func takeBatch(line *ring.Ring[wire.Envelope]) ([]wire.Envelope, bool) {
+	first, ok := line.Take()
+	if !ok {
+		return nil, false
+	}
+	batch, bytes := []wire.Envelope{first}, weight(first)
+	for waiting, _ := line.Burden(); waiting > 0 && len(batch) < batchMost && bytes < batchBytesMost; waiting-- {
+		more, ok := line.Take()
+		if !ok {
+			break
+		}
+		batch, bytes = append(batch, more), bytes+weight(more)
+	}
+	return batch, true
+}
+
+// weight is about how many bytes of rows or of a map a message carries; all
+// others are small.
+func weight(e wire.Envelope) (bytes int) {
+	switch body := e.Body.(type) {
+	case wire.Image:
+		return rowBytes(body.Rows)
+	case wire.Follow:
+		for _, change := range body.Changes {
+			bytes += rowBytes(change.Rows)
+		}
+	case wire.MapWord:
+		return len(body.Packed)
+	}
+	return bytes
+}
+
+func rowBytes(rows map[string]string) (bytes int) {
+	for key, row := range rows {
+		bytes += len(key) + len(row)
+	}
+	return bytes
+}
+
+// callTime is how long a call with the batch may take.
+func callTime(batch []wire.Envelope) time.Duration {
+	bytes := 0
+	for _, e := range batch {
+		bytes += weight(e)
+	}
+	return time.Duration(callMs+bytes/thinBytesPerMs) * time.Millisecond
+}
+
+// call brings a batch over and waits until it was taken. The writing has to end
+// in time as well: a fellow that stands still takes no more than its buffers
+// hold, and a line that waits for it brings it nothing after it wakes.
+func (r *route) call(batch []wire.Envelope, atMost time.Duration) error {
+	if err := r.stream.SetWriteDeadline(time.Now().Add(atMost)); err != nil {
+		return err
+	}
+	done := r.client.Go("Door.Take", batch, &Ack{}, make(chan *rpc.Call, 1)).Done
+	timer := time.NewTimer(atMost)
 	defer timer.Stop()
 	select {
 	case ended := <-done:
