--- a/endurance/catchup_test.go
+++ b/endurance/catchup_test.go
@@ -163,6 +163,7 @@
 		{name: "two of five, disks lost, slow disks", losses: 2, mbit: 210, changes: 100, count: 2, wiped: true, slowMs: 150, slowAll: true},
 	} {
 		t.Run(a.name, func(t *testing.T) {
+			t.Parallel()
 			out := a.play(qt.New(t))
 			t.Logf("holds all after %d ms, record whole after %d ms; %s", out.caughtMs, out.wholeMs, out.detail)
 			qt.New(t).Check(out.inTime(), qt.IsTrue, qt.Commentf("%+v", out))
