Lose power twice, and in the midst of merged writes; sync a new folder's parent

The check leaves out the one state in which a rename loses its file under both names.

A data folder that the process makes itself was not synced in its parent: all of it could have been lost by its name. TestNewFolderIsSyncedInItsParent fails without.

--- a/disk/disk.go
+++ b/disk/disk.go
@@ -69,7 +69,7 @@
 
 // openWith is Open with another way to bring a file to the platter.
 func openWith(folder, site string, sync func(*os.File) error) (*Disk, error) {
-	if err := os.MkdirAll(folder, 0o755); err != nil {
+	if err := makeFolder(folder, sync); err != nil {
 		return nil, errors.Wrapf(err, "data folder %s", folder)
 	}
 	lock, err := os.OpenFile(filepath.Join(folder, lockName), os.O_CREATE|os.O_RDWR, 0o644)
@@ -88,6 +88,23 @@
 	return d, nil
 }
 
+// makeFolder makes the folder where there is none, so that its name lasts.
+func makeFolder(folder string, sync func(*os.File) error) error {
+	absent, err := isAbsent(folder)
+	if err != nil || !absent {
+		return err
+	}
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return err
+	}
+	parent, err := os.Open(filepath.Dir(folder))
+	if err != nil {
+		return err
+	}
+	defer parent.Close()
+	return sync(parent)
+}
+
 // Reopen opens a folder whose disk failed before. After a sync that failed the
 // system may hold as clean what never reached the platter, so all of it is
 // written anew before anything of it is trusted.
@@ -169,10 +186,16 @@
 	return err == nil && len(text) > 0 && recordSize(text, imageKey) == len(text)
 }
 
+// open opens a file that a process or a loss of power may have left torn.
 func (d *Disk) open() error {
 	if err := trim(d.path(fileName), d.sync); err != nil {
 		return errors.Wrapf(err, "data folder %s", d.folder)
 	}
+	return d.attach()
+}
+
+// attach opens a file that is whole.
+func (d *Disk) attach() error {
 	db, err := buntdb.Open(d.path(fileName))
 	if err != nil {
 		return errors.Wrapf(err, "data folder %s holds a torn %s; it is left as it is", d.folder, fileName)
@@ -320,7 +343,7 @@
 		return err
 	}
 	d.keys, d.count, d.logBytes, d.snapshotBytes = keys, 0, 0, len(text)
-	return d.open()
+	return d.attach()
 }
 
 func (d *Disk) syncPath(path string) error {
--- a/disk/growth_test.go
+++ b/disk/growth_test.go
@@ -30,12 +30,15 @@
 		rowBytes, changes  int
 		most               int64
 		snapshotsFollowing bool
+		// orders are small rows that lie there already and stay.
+		orders int
 	}{
-		{"many small ones", 200, 9_000, 3 << 20, false},
-		{"1,400 routes", 54_209, 300, 3 << 20, false},
-		{"3,000 routes", 115_453, 150, 3 << 20, false},
-		{"as large as may be", 750_000, 20, 6 << 20, false},
-		{"snapshots of another disk", 54_209, 150, 3 << 20, true},
+		{"many small ones", 200, 9_000, 3 << 20, false, 0},
+		{"1,400 routes", 54_209, 300, 3 << 20, false, 0},
+		{"3,000 routes", 115_453, 150, 3 << 20, false, 0},
+		{"as large as may be", 750_000, 20, 6 << 20, false, 0},
+		{"snapshots of another disk", 54_209, 150, 3 << 20, true, 0},
+		{"the end of a day of 11,000 orders", 54_209, 150, 6 << 20, false, 11_000},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
@@ -47,6 +50,11 @@
 			})
 			c.Assert(err, qt.IsNil)
 			row := strings.Repeat("r", test.rowBytes)
+			orders := map[string]string{}
+			for n := range test.orders {
+				orders[fmt.Sprintf("state/kept/taken/%016d", n)] = strings.Repeat("o", 64)
+			}
+			c.Assert(d.Save(Write{Sets: orders}), qt.IsNil)
 			for n := range test.changes {
 				w := Write{Sets: map[string]string{"state/map": row, "state/position": fmt.Sprint(n)}}
 				if test.snapshotsFollowing {
@@ -61,6 +69,7 @@
 			keys := reopen(c, folder)
 			c.Assert(keys["state/position"], qt.Equals, fmt.Sprint(test.changes-1))
 			c.Assert(len(keys["state/map"]), qt.Equals, test.rowBytes)
+			c.Assert(keys["state/kept/taken/"+strings.Repeat("0", 16)] != "", qt.Equals, test.orders > 0)
 		})
 	}
 }
--- a/disk/powerloss_test.go
+++ b/disk/powerloss_test.go
@@ -28,7 +28,8 @@
 	pinned map[uint64]*os.File
 	// acknowledged and begun are the last change that was answered and asked.
 	acknowledged, begun int
-	opened              bool
+	// incarnation is the disk's, once it was told to anyone.
+	incarnation string
 	// skip names what a broken disk leaves out of its syncs.
 	skip func(file *os.File) bool
 	// lost gets each state that may be found after a loss of power now.
@@ -39,9 +40,9 @@
 
 // state is what a folder holds after a loss of power, and what must be there.
 type state struct {
-	files      map[string][]byte
-	least, top int
-	opened     bool
+	files       map[string][]byte
+	least, top  int
+	incarnation string
 }
 
 func newRecording(folder string, lost func(state)) *recording {
@@ -129,11 +130,12 @@
 
 func (r *recording) choose(names []string, files map[string][]byte) {
 	if len(names) == 0 {
-		// Nothing can be kept on a disk that loses both names of a rename.
-		if files[fileName] == nil && files[nextName] == nil && r.names[fileName] != nil && r.names[fileName][0] != 0 {
+		// A rename leaves its file under one of the two names; on a disk that
+		// loses both nothing can be kept.
+		if files[fileName] == nil && files[nextName] == nil && (r.lay(fileName) || r.lay(nextName)) {
 			return
 		}
-		r.lost(state{files: maps.Clone(files), least: r.acknowledged, top: r.begun, opened: r.opened})
+		r.lost(state{files: maps.Clone(files), least: r.acknowledged, top: r.begun, incarnation: r.incarnation})
 		return
 	}
 	name := names[0]
@@ -157,6 +159,9 @@
 	}
 }
 
+// lay says whether the name stood for a file when the folder was last synced.
+func (r *recording) lay(name string) bool { return len(r.names[name]) > 0 && r.names[name][0] != 0 }
+
 // leftOf lists what may be left of a file: what was synced, each later content,
 // and each tear of a later write.
 func (r *recording) leftOf(held [][]byte) [][]byte {
@@ -234,25 +239,23 @@
 		return n, errors.Newf("goes back: change %d, though %d was acknowledged", n, s.least)
 	case n > s.top:
 		return n, errors.Newf("change %d, though only %d was asked for", n, s.top)
-	case s.opened && keys["incarnation"] != firstIncarnation:
+	case s.incarnation != "" && keys["incarnation"] != s.incarnation:
 		return n, errors.Newf("another incarnation: %q", keys["incarnation"])
 	}
 	return n, nil
 }
 
-// firstIncarnation is the one of the recorded disk.
-var firstIncarnation string
-
 // play makes changes until the disk has been rewritten more than once, with a
 // process killed between two of them.
 func (r *recording) play(c *qt.C, changes int) {
 	d, err := openWith(r.folder, "zagreb", r.sync)
 	c.Assert(err, qt.IsNil)
 	d.countMost = 3
-	if !r.opened {
-		firstIncarnation = d.Keys()["incarnation"]
-	}
-	r.opened = true
+	// What it read and synced may be told to others from now on.
+	n, err := holds(d.Keys(), state{least: r.acknowledged, top: r.begun, incarnation: r.incarnation})
+	c.Assert(err, qt.IsNil)
+	r.incarnation = d.Keys()["incarnation"]
+	r.acknowledged, r.begun = n, n
 	for range changes {
 		if r.begun%5 == 4 {
 			d.Close()
@@ -260,8 +263,12 @@
 			c.Assert(err, qt.IsNil)
 			d.countMost = 3
 		}
-		r.begun++
-		c.Assert(d.Save(numbered(r.begun)), qt.IsNil)
+		writes := []Write{numbered(r.begun + 1)}
+		if r.begun%4 == 2 {
+			writes = append(writes, numbered(r.begun+2))
+		}
+		r.begun += len(writes)
+		c.Assert(d.Save(writes...), qt.IsNil)
 		r.acknowledged = r.begun
 		r.observe()
 		r.lose()
@@ -302,6 +309,42 @@
 	c.Assert(broken, qt.HasLen, 0)
 }
 
+// Power may be lost again while what an earlier loss left is taken up.
+func TestPowerLossTwice(t *testing.T) {
+	c := qt.New(t)
+	states, _ := faults(c, 5, true, nil)
+	scratch, count := c.Mkdir(), 0
+	for _, first := range states {
+		folder := c.Mkdir()
+		for name, content := range first.files {
+			c.Assert(os.WriteFile(filepath.Join(folder, name), content, 0o644), qt.IsNil)
+		}
+		r := newRecording(folder, func(s state) {
+			count++
+			_, err := check(scratch, s)
+			c.Assert(err, qt.IsNil, qt.Commentf("after %v, least %d", slices.Sorted(maps.Keys(first.files)), first.least))
+		})
+		r.coarse, r.incarnation, r.acknowledged, r.begun = true, first.incarnation, first.least, first.top
+		r.play(c, 2)
+		r.close()
+	}
+	t.Logf("%d states after a loss, %d after a second one", len(states), count)
+}
+
+// A folder that was not there lasts under its name.
+func TestNewFolderIsSyncedInItsParent(t *testing.T) {
+	c := qt.New(t)
+	parent := c.Mkdir()
+	var synced []string
+	d, err := openWith(filepath.Join(parent, "data"), "zagreb", func(file *os.File) error {
+		synced = append(synced, file.Name())
+		return nil
+	})
+	c.Assert(err, qt.IsNil)
+	d.Close()
+	c.Assert(synced[0], qt.Equals, parent)
+}
+
 // The check fires on a disk that breaks its promises.
 func TestPowerLossOnBrokenDisks(t *testing.T) {
 	isFolder := func(file *os.File) bool { return must(file.Stat()).IsDir() }
