Keep each accepted order in its own row, under the version it was built on

Cause: the last 128 accepted orders lay in one row that was written anew with each change. An order that was sent again after 128 others was answered 412, although it had been acknowledged.

The configuration is one register with compare-and-set: each version has at most one successor. The list of an earlier release is migrated once, by the next primary, before any order is looked at.

An order on top of a version that has not been in force was refused with 412 and accepted when that version came and a copy of the order arrived late. Such a refusal is now written before it is told, and dropped once the version is passed.

A follower no longer reads the map anew with each change of the state.

Ruled out: rewriting one list (1 MB per change at 11,000 changes); keys by sequence or by sum, which need a listing or a chain of pointers to forget the oldest; answering 503 to a version ahead, which leaves a bad order without a clear answer.

--- /dev/null
+++ b/steward/history_test.go
@@ -0,0 +1,237 @@
+package steward
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"myrtlewinch/defect"
+)
+
+// begunHeld is a steward that serves, on a machine whose writes wait.
+func begunHeld(rows map[string]string) (*heldHost, *Steward) {
+	h := newHeldHost()
+	// No order to runners is at stake here.
+	h.rows[ordererRow] = wordSelf.Name
+	for key, text := range rows {
+		h.rows[key] = text
+	}
+	s := New(Settings{Self: wordSelf}, wordFormat{})
+	s.Began(h)
+	return h, s
+}
+
+// chain accepts versions 1 to last, each on top of the one before.
+func chain(h *heldHost, s *Steward, last uint64) {
+	for version := s.maps.current.version + 1; version <= last; version++ {
+		s.Input(h, chained(1000+version, version))
+		h.end(true)
+	}
+}
+
+func chained(id, version uint64) HandOver {
+	return HandOver{Id: id, BuiltOn: version - 1, Text: fmt.Sprintf("version %d", version)}
+}
+
+// lastTold gives the answer to an order that is not written, in words.
+func lastTold(h *heldHost, s *Steward, in HandOver) string {
+	delete(h.told, in.Id)
+	s.Input(h, in)
+	return strings.Join(h.told[in.Id], ", ")
+}
+
+// Each of hundreds of accepted orders is acknowledged again, also at the next
+// primary.
+func TestEachAcceptedOrderIsAcknowledgedAgain(t *testing.T) {
+	const accepted = 700
+	h, s := begunHeld(nil)
+	chain(h, s, accepted)
+	next := New(Settings{Self: wordSelf}, wordFormat{})
+	next.Began(h)
+	for version := uint64(1); version <= accepted; version++ {
+		for _, primary := range []*Steward{s, next} {
+			qt.Assert(t, lastTold(h, primary, chained(1, version)), qt.Equals, fmt.Sprintf("taken %d", version))
+		}
+	}
+	qt.Assert(t, h.writes, qt.HasLen, 0)
+	qt.Assert(t, h.counts[countRepeated], qt.Equals, 2*accepted)
+}
+
+// An order that is older than what is kept gets no clear answer, and what is
+// kept stays bounded.
+func TestHistoryIsBounded(t *testing.T) {
+	const most, accepted = 5, 12
+	const first = uint64(accepted - most + 1)
+	h, s := begunHeld(nil)
+	s.maps.historyMost = most
+	chain(h, s, accepted)
+	for version := uint64(1); version <= accepted; version++ {
+		want := string(defect.AcceptanceUnknown) + " 12"
+		if version >= first {
+			want = fmt.Sprintf("taken %d", version)
+		}
+		qt.Check(t, lastTold(h, s, chained(1, version)), qt.Equals, want)
+	}
+	rows := 0
+	for key, text := range h.rows {
+		if strings.HasPrefix(key, successorPrefix) && text != "" {
+			rows++
+		}
+	}
+	qt.Assert(t, rows, qt.Equals, most)
+	qt.Assert(t, h.counts[countUnknown], qt.Equals, int(first-1))
+	// What can't be read was never accepted, however old.
+	qt.Assert(t, lastTold(h, s, HandOver{Id: 1, BuiltOn: 2, Text: "nonsense"}), qt.Equals, string(defect.FaultyDescription))
+}
+
+// A bound that was lowered takes all surplus rows away with the next order.
+func TestHistoryShrinks(t *testing.T) {
+	h, s := begunHeld(nil)
+	chain(h, s, 9)
+	s.maps.historyMost = 3
+	chain(h, s, 10)
+	qt.Assert(t, lastTold(h, s, chained(1, 8)), qt.Equals, "taken 8")
+	qt.Assert(t, lastTold(h, s, chained(1, 7)), qt.Equals, string(defect.AcceptanceUnknown)+" 10")
+	qt.Assert(t, readHistory(h, 10), qt.Equals, history{OldestBase: 7, Count: 3})
+}
+
+// An accepted order writes a few short rows beside the map, however many were
+// accepted before.
+func TestAnOrderWritesFewBytes(t *testing.T) {
+	h, s := begunHeld(nil)
+	chain(h, s, 500)
+	s.Input(h, chained(1, 501))
+	bytes := 0
+	for _, key := range h.writes[0].keys {
+		if key != mapRow {
+			bytes += len(key) + len(h.rows[key])
+		}
+	}
+	qt.Assert(t, len(h.writes[0].keys), qt.Equals, 3)
+	qt.Assert(t, bytes < 200, qt.IsTrue, qt.Commentf("%d bytes", bytes))
+}
+
+// What an earlier release kept is read once: its orders are acknowledged
+// again, and what it forgot gets no clear answer.
+func TestHistoryOfAnEarlierRelease(t *testing.T) {
+	_, old := begunHeld(nil)
+	var legacy []legacyOrder
+	for version := uint64(200); version <= 327; version++ {
+		legacy = append(legacy, legacyOrder{Sum: chained(1, version).sum(), Version: version})
+	}
+	text, err := json.Marshal(legacy)
+	qt.Assert(t, err, qt.IsNil)
+	inForce, faults := old.maps.build(wordFormat{}, HandOver{Text: "version 327"})
+	qt.Assert(t, faults, qt.HasLen, 0)
+	h, s := begunHeld(map[string]string{legacyRow: string(text), mapRow: encode(keptMap{327, inForce.packed})})
+
+	// Orders wait until the rows are safe.
+	s.Input(h, chained(1, 300))
+	qt.Assert(t, h.told, qt.HasLen, 0)
+	h.end(true)
+	qt.Assert(t, h.told[1], qt.DeepEquals, []string{"taken 300"})
+	qt.Assert(t, h.rows[legacyRow], qt.Equals, "")
+	for version := uint64(201); version <= 327; version++ {
+		qt.Assert(t, lastTold(h, s, chained(1, version)), qt.Equals, fmt.Sprintf("taken %d", version))
+	}
+	qt.Assert(t, lastTold(h, s, chained(1, 200)), qt.Equals, string(defect.AcceptanceUnknown)+" 327")
+	qt.Assert(t, lastTold(h, s, HandOver{Id: 1, BuiltOn: 300, Text: "version 305"}), qt.Equals, string(defect.StaleBase)+" 327")
+	chain(h, s, 328)
+	qt.Assert(t, lastTold(h, s, chained(1, 328)), qt.Equals, "taken 328")
+	qt.Assert(t, readHistory(h, 328), qt.Equals, history{OldestBase: 200, Count: 128})
+}
+
+// What an earlier release kept can't be read: none of it is refused.
+func TestUnreadableHistoryRefusesNothing(t *testing.T) {
+	inForce, _ := new(maps).build(wordFormat{}, HandOver{Text: "version 9"})
+	kept := encode(keptMap{9, inForce.packed})
+	for name, rows := range map[string]map[string]string{
+		"list of an earlier release": {legacyRow: "[", mapRow: kept},
+		"history":                    {historyRow: "[", mapRow: kept},
+		"no history":                 {mapRow: kept},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h, s := begunHeld(rows)
+			for len(h.writes) > 0 {
+				h.end(true)
+			}
+			qt.Assert(t, lastTold(h, s, chained(1, 4)), qt.Equals, string(defect.AcceptanceUnknown)+" 9")
+			chain(h, s, 10)
+			qt.Assert(t, lastTold(h, s, chained(1, 10)), qt.Equals, "taken 10")
+			qt.Assert(t, lastTold(h, s, chained(1, 4)), qt.Equals, string(defect.AcceptanceUnknown)+" 10")
+		})
+	}
+}
+
+// An order on top of a version that is yet to come is refused, and stays so
+// when that version is in force and a copy of the order comes late.
+func TestARefusedOrderStaysRefused(t *testing.T) {
+	c := qt.New(t)
+	stale := string(defect.StaleBase)
+	h, s := begunHeld(nil)
+	chain(h, s, 1)
+	early := HandOver{Id: 1, BuiltOn: 2, Text: "version 3 early"}
+	s.Input(h, early)
+	c.Assert(h.told[1], qt.HasLen, 0, qt.Commentf("the refusal is told before it is safe"))
+	h.end(true)
+	c.Assert(h.told[1], qt.DeepEquals, []string{stale + " 1"})
+	chain(h, s, 2)
+	next := New(Settings{Self: wordSelf}, wordFormat{})
+	next.Began(h)
+	for _, primary := range []*Steward{s, next} {
+		c.Assert(lastTold(h, primary, early), qt.Equals, stale+" 2")
+	}
+	c.Assert(h.writes, qt.HasLen, 0)
+	// Another order on that version is taken, and then nothing of the refusal
+	// needs to be kept.
+	chain(h, s, 3)
+	c.Assert(h.rows[refusedRow], qt.Equals, "")
+	c.Assert(lastTold(h, s, early), qt.Equals, stale+" 3")
+}
+
+// A refusal whose write has no known end is no clear answer.
+func TestARefusalOfUnknownEnd(t *testing.T) {
+	h, s := begunHeld(nil)
+	s.Input(h, HandOver{Id: 1, BuiltOn: 2, Text: "version 3"})
+	h.end(false)
+	qt.Assert(t, h.told[1], qt.DeepEquals, []string{string(defect.AcceptanceUnknown)})
+}
+
+// The refusals that are kept are bounded; what finds no room is not refused.
+func TestRefusalsAreBounded(t *testing.T) {
+	h, s := begunHeld(nil)
+	for i := range uint64(refusedMost) {
+		s.Input(h, HandOver{Id: i, BuiltOn: 7, Text: fmt.Sprintf("version 9 of %d", i)})
+		h.end(true)
+	}
+	qt.Assert(t, lastTold(h, s, HandOver{Id: 1, BuiltOn: 7, Text: "version 9"}), qt.Equals, string(defect.NotTaken))
+	qt.Assert(t, h.writes, qt.HasLen, 0)
+}
+
+// A follower whose state changes elsewhere does not read the map anew.
+func TestFollowerReadsAMapOnce(t *testing.T) {
+	h, s := begunHeld(nil)
+	chain(h, s, 1)
+	reads := &countingFormat{}
+	follower := New(Settings{Self: wordSelf}, reads)
+	for range 3 {
+		follower.Changed(h)
+	}
+	qt.Assert(t, reads.count, qt.Equals, 1)
+	chain(h, s, 2)
+	follower.Changed(h)
+	qt.Assert(t, reads.count, qt.Equals, 2)
+}
+
+type countingFormat struct {
+	wordFormat
+	count int
+}
+
+func (f *countingFormat) Read(text []byte) (*Document, []string) {
+	f.count++
+	return f.wordFormat.Read(text)
+}
--- a/steward/maps.go
+++ b/steward/maps.go
@@ -1,10 +1,8 @@
 package steward
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
-	"slices"
 	"strconv"
 	"strings"
 
@@ -13,17 +11,12 @@
 	"myrtlewinch/wire"
 )
 
-// Rows of the copied state.
-const (
-	mapRow   = "map"
-	takenRow = "taken"
-)
+// mapRow is the row of the copied state that holds the map in force.
+const mapRow = "map"
 
 const (
-	// takenMost is how many accepted orders are remembered, so that one that
-	// is sent again is acknowledged again.
-	takenMost = 128
-	lineMost  = 64
+	// queueMost bounds the orders that wait for the one before them.
+	queueMost = 64
 	// onWayMs is for how long a map that was sent to a router counts as on its
 	// way. A router asks several times before a large one has come over a thin
 	// link, and sending it again would only keep it from coming.
@@ -45,17 +38,21 @@
 	Packed  []byte `json:"packed"`
 }
 
-// accepted is an operator's order that was taken.
-type accepted struct {
-	Sum     string `json:"sum"`
-	Version uint64 `json:"version"`
-}
+// Counters of orders that were answered from the history.
+const (
+	countRepeated = "orders acknowledged again"
+	countStale    = "stale orders refused"
+	countUnknown  = "orders too old to tell"
+)
 
 // maps is the taking of service maps: one at a time, whole or not at all.
 type maps struct {
 	current inForce
-	taken   []accepted
-	line    []HandOver
+	// row is the text that current was read from.
+	row   string
+	queue []HandOver
+	// historyMost is how many accepted orders are kept.
+	historyMost int
 	// writing says that one is on its way to the copies.
 	writing bool
 	// told is the version and epoch that routers were last told.
@@ -69,7 +66,9 @@
 	atMs    int64
 }
 
-func newMaps() maps { return maps{sent: map[wire.Place]sentMap{}} }
+func newMaps() maps {
+	return maps{sent: map[wire.Place]sentMap{}, historyMost: historyMost}
+}
 
 // send says whether the map in force is to be sent to a router, and notes it.
 // Another life of the router is another place.
@@ -87,17 +86,15 @@
 // sentMost bounds the routers that are remembered, with their earlier lives.
 const sentMost = 4096
 
-// load reads the map in force from the copied state.
+// load reads the map in force from the copied state, unless it is the one that
+// was read last.
 func (m *maps) load(h control.Host, format Format) {
-	m.taken = nil
-	if text := h.Row(takenRow); text != "" {
-		if err := json.Unmarshal([]byte(text), &m.taken); err != nil {
-			h.Note("the accepted orders can't be read: %v", err)
-		}
-	}
 	text := h.Row(mapRow)
+	if text == m.row {
+		return
+	}
 	if text == "" {
-		m.current = inForce{}
+		m.current, m.row = inForce{}, ""
 		return
 	}
 	var kept keptMap
@@ -105,9 +102,6 @@
 		h.Note("the map in force can't be read: %v", err)
 		return
 	}
-	if kept.Version == m.current.version && bytes.Equal(kept.Packed, m.current.packed) {
-		return
-	}
 	whole, err := wire.Unpack(kept.Packed)
 	if err != nil {
 		h.Note("the map in force can't be read: %v", err)
@@ -118,7 +112,24 @@
 		h.Note("the map in force can't be read: %s", strings.Join(faults, "; "))
 		return
 	}
-	m.current = inForce{kept.Version, wire.Sum(whole), whole, kept.Packed, document}
+	m.current, m.row = inForce{kept.Version, wire.Sum(whole), whole, kept.Packed, document}, text
+}
+
+// begin takes over what earlier releases kept of accepted orders, and then the
+// first order that waits.
+func (m *maps) begin(s *Steward, h control.Host) {
+	rows := migratedRows(h, m.current.version)
+	if rows == nil {
+		m.next(s, h)
+		return
+	}
+	m.writing = true
+	h.Submit(rows, func(ok bool) {
+		m.writing = false
+		if ok {
+			m.next(s, h)
+		}
+	})
 }
 
 // sum names an operator's order, so that it is known when it comes again.
@@ -130,80 +141,145 @@
 	switch {
 	case !s.serving || !h.Active():
 		s.notPrimary(h, in.Id)
-	case len(m.line) >= lineMost:
+	case len(m.queue) >= queueMost:
 		h.Answer(in.Id, wire.Dropped{Kind: defect.NotTaken, Detail: "too many orders wait"})
 	default:
-		m.line = append(m.line, in)
+		m.queue = append(m.queue, in)
 		m.next(s, h)
 	}
 }
 
-// next takes the first of the line that has no fault. One at a time, so that
+// next takes the first order that waits and has no fault. One at a time, so that
 // of two on top of one version the second loses.
 func (m *maps) next(s *Steward, h control.Host) {
-	for !m.writing && len(m.line) > 0 && h.Active() {
-		in := m.line[0]
-		m.line = m.line[1:]
+	for !m.writing && len(m.queue) > 0 && h.Active() {
+		in := m.queue[0]
+		m.queue = m.queue[1:]
 		m.takeOne(s, h, in)
 	}
 }
 
+// takeOne answers an order by what became of it before, or accepts it.
 func (m *maps) takeOne(s *Steward, h control.Host, in HandOver) {
 	sum := in.sum()
-	// What was taken is acknowledged again, whatever is in force by now.
-	if i := slices.IndexFunc(m.taken, func(a accepted) bool { return a.Sum == sum }); i >= 0 {
-		h.Answer(in.Id, Taken{Version: m.taken[i].Version})
-		return
+	stands, version := standingOf(h, m.current.version, in.BuiltOn, sum)
+	switch stands {
+	case standingNext:
+		m.accept(s, h, in, sum)
+	case standingAccepted:
+		h.Count(countRepeated)
+		h.Answer(in.Id, Taken{Version: version})
+	case standingStale:
+		m.refuseStale(h, in)
+	case standingAhead:
+		m.refuseAhead(s, h, in, sum)
+	case standingUnknown:
+		m.answerUnknown(s, h, in)
 	}
-	if in.BuiltOn != m.current.version {
-		h.Answer(in.Id, wire.Dropped{Kind: defect.StaleBase, Detail: "another version is in force", Revision: m.current.version})
+}
+
+func (m *maps) refuseStale(h control.Host, in HandOver) {
+	h.Count(countStale)
+	h.Answer(in.Id, wire.Dropped{Kind: defect.StaleBase, Detail: "another version is in force", Revision: m.current.version})
+}
+
+// refuseAhead refuses an order on top of a version that has not been in force.
+// A copy of the order may still be on its way when that version is, so the
+// refusal is kept before it is told.
+func (m *maps) refuseAhead(s *Steward, h control.Host, in HandOver, sum string) {
+	if isRefused(h, sum) {
+		m.refuseStale(h, in)
 		return
 	}
-	text := []byte(in.Text)
-	var faults []string
-	if in.Part {
-		text, faults = s.format.Change([]byte(m.current.text), text)
-	}
-	var document *Document
-	if len(faults) == 0 {
-		document, faults = s.format.Read(text)
-	}
-	if len(faults) == 0 && document.Version <= m.current.version {
-		faults = append(faults, fmt.Sprintf("version: is %d; it must be above the one in force (%d)", document.Version, m.current.version))
-	}
-	if len(faults) > 0 {
-		h.Answer(in.Id, wire.Dropped{Kind: defect.FaultyDescription, Detail: "the map has no effect", Faults: faults})
+	rows, room := refusedRows(h, in.BuiltOn, sum)
+	if !room {
+		h.Answer(in.Id, wire.Dropped{Kind: defect.NotTaken, Detail: "too many orders build on versions that have not been in force"})
 		return
 	}
-	next := inForce{document.Version, wire.Sum(string(text)), string(text), wire.Pack(string(text)), document}
-	taken := append(slices.Clone(m.taken), accepted{sum, next.version})
-	taken = taken[max(0, len(taken)-takenMost):]
-	kept, _ := json.Marshal(keptMap{next.version, next.packed})
-	history, _ := json.Marshal(taken)
+	m.write(s, h, in, rows, func() { m.refuseStale(h, in) })
+}
+
+// answerUnknown answers an order that is older than what is kept. It may have
+// been accepted, unless it can't be read.
+func (m *maps) answerUnknown(s *Steward, h control.Host, in HandOver) {
+	if !in.Part {
+		if _, faults := s.format.Read([]byte(in.Text)); len(faults) > 0 {
+			refuseFaulty(h, in, faults)
+			return
+		}
+	}
+	h.Count(countUnknown)
+	h.Answer(in.Id, wire.Dropped{Kind: defect.AcceptanceUnknown, Detail: "it is older than the orders that are remembered", Revision: m.current.version})
+}
+
+func refuseFaulty(h control.Host, in HandOver, faults []string) {
+	h.Answer(in.Id, wire.Dropped{Kind: defect.FaultyDescription, Detail: "the map has no effect", Faults: faults})
+}
+
+// write brings rows to the copies, and goes on with then once they are safe.
+// No other order is looked at before.
+func (m *maps) write(s *Steward, h control.Host, in HandOver, rows map[string]string, then func()) {
 	m.writing = true
-	h.Submit(map[string]string{mapRow: string(kept), takenRow: string(history)}, func(ok bool) {
+	h.Submit(rows, func(ok bool) {
 		m.writing = false
 		if !ok {
 			// The copies may have it, so neither yes nor no would be true.
 			h.Answer(in.Id, wire.Dropped{Kind: defect.AcceptanceUnknown, Detail: "it may be in force; ask again"})
 			return
 		}
-		m.current, m.taken = next, taken
+		then()
+		m.next(s, h)
+	})
+}
+
+// accept puts an order that builds on the current version in force, unless it
+// has faults.
+func (m *maps) accept(s *Steward, h control.Host, in HandOver, sum string) {
+	next, faults := m.build(s.format, in)
+	if len(faults) > 0 {
+		refuseFaulty(h, in, faults)
+		return
+	}
+	rows := acceptedRows(h, in.BuiltOn, next.version, sum, m.historyMost)
+	row := encode(keptMap{next.version, next.packed})
+	rows[mapRow] = row
+	m.write(s, h, in, rows, func() {
+		m.current, m.row = next, row
 		h.Note("map version %d is in force", next.version)
 		s.keeper.SetMap(next.document)
 		// Routers are told first: the sooner they hear, the sooner it holds.
 		s.tellRouters(h)
 		h.Answer(in.Id, Taken{Version: next.version})
-		m.next(s, h)
 	})
 }
 
+// build makes the map that an order asks for, or gives its faults.
+func (m *maps) build(format Format, in HandOver) (inForce, []string) {
+	text := []byte(in.Text)
+	if in.Part {
+		changed, faults := format.Change([]byte(m.current.text), text)
+		if len(faults) > 0 {
+			return inForce{}, faults
+		}
+		text = changed
+	}
+	document, faults := format.Read(text)
+	if len(faults) > 0 {
+		return inForce{}, faults
+	}
+	if document.Version <= m.current.version {
+		return inForce{}, []string{fmt.Sprintf("version: is %d; it must be above the one in force (%d)", document.Version, m.current.version)}
+	}
+	whole := string(text)
+	return inForce{document.Version, wire.Sum(whole), whole, wire.Pack(whole), document}, nil
+}
+
 // end gives all that wait their answer at the end of a primacy.
 func (m *maps) end(h control.Host, s *Steward) {
-	line := m.line
-	m.line, m.writing, m.told = nil, false, nil
+	waiting := m.queue
+	m.queue, m.writing, m.told = nil, false, nil
 	clear(m.sent)
-	for _, in := range line {
+	for _, in := range waiting {
 		s.notPrimary(h, in.Id)
 	}
 }
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -80,7 +80,7 @@
 	s.leaving.take(s.keeper.Leaving())
 	// Routers hear at once who is primary now.
 	s.tellRouters(h)
-	s.maps.next(s, h)
+	s.maps.begin(s, h)
 }
 
 // Ended is the end of this daemon's primacy.
