Check what operators see as one register with compare-and-set

Each call of an operator, its answers and each read-back are recorded in every drill, and checked by porcupine when the run closes: an accepted order applies to the version it builds on, a refusal and a read-back look at the current version, an order without a clear answer takes effect later or never, and an order that is sent again is the same order, told by base and text. What does not fit is a breach of REGISTER, with the operations that could not be put in order. An answer that comes after the operator has gone on is checked too.

The search stays short by what holds for versions: a configuration never comes back, so of all looks at it the one that ended first and the one that began last bind, and it may be replaced only once both are in order.

Operators now follow two redirects a call, as the protocol says, and may lose answers or have calls held up on their way.

--- a/drill/campaign.go
+++ b/drill/campaign.go
@@ -56,6 +56,7 @@
 	w.clients.on = false
 	w.Run(6000)
 	w.CheckMaps()
+	w.CheckHistory()
 	for _, r := range w.clients.log {
 		if r.ended == "" {
 			w.Book.breach("ANSWER", w.NowMs, "%s never ended", r.try)
--- /dev/null
+++ b/drill/history.go
@@ -0,0 +1,325 @@
+package drill
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"myrtlewinch/wire"
+)
+
+// outcome is a clear answer to an order.
+type outcome int
+
+const (
+	outcomeAccepted outcome = iota
+	// outcomeStale: another version is current.
+	outcomeStale
+	outcomeFaulty
+)
+
+var outcomeNames = []string{"accepted", "stale", "faulty"}
+
+func (o outcome) String() string { return outcomeNames[o] }
+
+// orderKey tells orders apart as the system must: one that is sent again is the
+// same order, whoever sends it.
+type orderKey struct {
+	builtOn uint64
+	part    bool
+	text    string
+}
+
+// orderRecord is an order over all times that it was sent.
+type orderRecord struct {
+	orderKey
+	number  int
+	version uint64
+	sentMs  int64
+	answers []clearAnswer
+}
+
+// clearAnswer is what one call brought: current is the version that a refusal
+// named as the current one.
+type clearAnswer struct {
+	sentMs, atMs int64
+	outcome      outcome
+	current      uint64
+}
+
+func (r *orderRecord) String() string {
+	return fmt.Sprintf("order %d (version %d on top of %d, first sent at %d ms)", r.number, r.version, r.builtOn, r.sentMs)
+}
+
+// readRecord is a read-back.
+type readRecord struct {
+	sentMs, atMs int64
+	version      uint64
+	sum          string
+}
+
+// history records what operators sent and were told.
+type history struct {
+	byKey  map[orderKey]*orderRecord
+	orders []*orderRecord
+	reads  []readRecord
+}
+
+func newHistory() history { return history{byKey: map[orderKey]*orderRecord{}} }
+
+// sent notes a call with an order.
+func (h *history) sent(nowMs int64, key orderKey, version uint64) *orderRecord {
+	if known := h.byKey[key]; known != nil {
+		return known
+	}
+	r := &orderRecord{orderKey: key, number: len(h.orders) + 1, version: version, sentMs: nowMs}
+	h.byKey[key] = r
+	h.orders = append(h.orders, r)
+	return r
+}
+
+func (h *history) read(sentMs, atMs int64, version uint64, text string) {
+	h.reads = append(h.reads, readRecord{sentMs, atMs, version, wire.Sum(text)})
+}
+
+// check lists what does not fit one register with compare-and-set.
+func (h *history) check() []string {
+	var wrong []string
+	for _, r := range h.orders {
+		for _, holds := range []func() (string, bool){r.differs, r.isFaultlessRefused} {
+			if what, isWrong := holds(); isWrong {
+				wrong = append(wrong, what)
+			}
+		}
+	}
+	if what, fits := h.linearizable(); !fits {
+		wrong = append(wrong, what)
+	}
+	return wrong
+}
+
+// differs says whether an order was accepted and refused.
+func (r *orderRecord) differs() (string, bool) {
+	for _, a := range r.answers {
+		first := r.answers[0]
+		if (a.outcome == outcomeAccepted) != (first.outcome == outcomeAccepted) {
+			return fmt.Sprintf("%s: %s at %d ms and %s at %d ms", r, first.outcome, first.atMs, a.outcome, a.atMs), true
+		}
+	}
+	return "", false
+}
+
+// isFaultlessRefused says whether a whole configuration was called faulty that
+// has no fault.
+func (r *orderRecord) isFaultlessRefused() (string, bool) {
+	if len(r.answers) == 0 || r.answers[0].outcome != outcomeFaulty || r.part || r.isUnreadable() || r.version <= r.builtOn {
+		return "", false
+	}
+	return fmt.Sprintf("%s: faulty at %d ms, although it can be read and its version is above its base", r, r.answers[0].atMs), true
+}
+
+// isUnreadable says whether a whole configuration has faults of its own.
+func (r *orderRecord) isUnreadable() bool {
+	_, faults := format{}.Read([]byte(r.text))
+	return len(faults) > 0
+}
+
+// checkTime bounds the search. A history that fits takes far less; one that is
+// not decided in time counts as wrong.
+const checkTime = time.Minute
+
+func (h *history) linearizable() (string, bool) {
+	operations := h.operations()
+	result, info := porcupine.CheckOperationsVerbose(registerModel(operations), operations, checkTime)
+	if result == porcupine.Ok {
+		return "", true
+	}
+	var longest []porcupine.Operation
+	for _, partial := range info.PartialLinearizationsOperations()[0] {
+		if len(partial) > len(longest) {
+			longest = partial
+		}
+	}
+	return fmt.Sprintf("the history of %d operations fits no register (%s); %d can be put in order, and not then: %s",
+		len(operations), result, len(longest), strings.Join(leftOut(operations, longest), "; ")), false
+}
+
+// leftMost bounds the operations that a report lists.
+const leftMost = 6
+
+// leftOut lists the first operations that a partial order lacks.
+func leftOut(all, ordered []porcupine.Operation) []string {
+	var left []string
+	slices.SortStableFunc(all, func(a, b porcupine.Operation) int { return int(a.Return>>1 - b.Return>>1) })
+	for _, operation := range all {
+		in := operation.Input.(registerOperation)
+		isOrdered := slices.ContainsFunc(ordered, func(o porcupine.Operation) bool { return o.Input.(registerOperation) == in })
+		if !isOrdered && len(left) < leftMost {
+			left = append(left, in.String())
+		}
+	}
+	return left
+}
+
+// operations are the history as the register sees it. An order without a clear
+// answer may take effect at any later time, or never.
+func (h *history) operations() []porcupine.Operation {
+	var out []porcupine.Operation
+	add := func(in registerOperation) {
+		out = append(out, porcupine.Operation{ClientId: len(out), Input: in, Call: in.fromMs, Return: in.toMs})
+	}
+	for _, r := range h.orders {
+		if len(r.answers) == 0 {
+			continue
+		}
+		first := r.answers[0]
+		switch {
+		case first.outcome == outcomeAccepted:
+			add(registerOperation{kind: operationAccepted, order: r, fromMs: r.sentMs, toMs: first.atMs})
+		case first.outcome == outcomeStale && first.current == r.builtOn:
+			// Another version was current when some copy of the order was judged.
+			add(registerOperation{kind: operationStale, order: r, fromMs: r.sentMs, toMs: first.atMs})
+		case first.outcome == outcomeFaulty && r.part:
+			add(registerOperation{kind: operationFaulty, order: r, fromMs: first.sentMs, toMs: first.atMs})
+		}
+	}
+	for _, look := range binding(h.looks()) {
+		add(look)
+	}
+	for _, possible := range h.possible() {
+		add(possible)
+	}
+	return out
+}
+
+// looks are all looks at the current version: read-backs, and refusals, each of
+// which says what is current.
+func (h *history) looks() []registerOperation {
+	var out []registerOperation
+	for _, r := range h.orders {
+		for i, a := range r.answers {
+			look := registerOperation{kind: operationLook, fromMs: a.sentMs, toMs: a.atMs}
+			switch {
+			case a.outcome == outcomeStale:
+				look.version = a.current
+				out = append(out, look)
+			case a.outcome == outcomeFaulty && i == 0 && !r.part && !r.isUnreadable():
+				// Its number is not above that of the version it builds on.
+				look.version = r.builtOn
+				out = append(out, look)
+			}
+		}
+	}
+	for _, r := range h.reads {
+		out = append(out, registerOperation{kind: operationRead, version: r.version, sum: r.sum, fromMs: r.sentMs, toMs: r.atMs})
+	}
+	return out
+}
+
+// binding leaves out looks that the others imply. A configuration is in force
+// for one span of time, as its version never comes back. All looks at it fit
+// where the one that ended first and the one that began last do.
+func binding(looks []registerOperation) []registerOperation {
+	endedFirst, beganLast := map[lookKey]registerOperation{}, map[lookKey]registerOperation{}
+	var order []lookKey
+	for _, look := range looks {
+		key := look.lookKey()
+		known, found := endedFirst[key]
+		if !found {
+			order = append(order, key)
+		}
+		if !found || look.toMs < known.toMs {
+			endedFirst[key] = look
+		}
+		if known, found := beganLast[key]; !found || look.fromMs > known.fromMs {
+			beganLast[key] = look
+		}
+	}
+	var out []registerOperation
+	for _, key := range order {
+		out = append(out, endedFirst[key])
+		if beganLast[key] != endedFirst[key] {
+			out = append(out, beganLast[key])
+		}
+	}
+	return out
+}
+
+// possible lists the orders without a clear answer that somebody may have seen
+// the effect of. One whose version nobody saw is left out: it took effect after
+// all that anybody saw, or never.
+func (h *history) possible() []registerOperation {
+	open := h.openOrders()
+	isOnly := func(r *orderRecord) bool { return len(open[r.version]) == 1 }
+	// What was seen for certain comes from the only order that can have brought
+	// it; so the base of that order was in force too.
+	certain := h.seenVersions()
+	h.addBases(certain, open, isOnly)
+	maybe := maps.Clone(certain)
+	h.addBases(maybe, open, func(*orderRecord) bool { return true })
+	var out []registerOperation
+	for _, r := range h.orders {
+		if maybe[r.version] && slices.Contains(open[r.version], r) {
+			out = append(out, registerOperation{
+				kind: operationPossible, order: r, mayLapse: !certain[r.version] || !isOnly(r), fromMs: r.sentMs, toMs: math.MaxInt64,
+			})
+		}
+	}
+	return out
+}
+
+// openOrders are, by version, the orders that may have taken effect and got no
+// clear answer. A version that an accepted order has is no other's.
+func (h *history) openOrders() map[uint64][]*orderRecord {
+	open, accepted := map[uint64][]*orderRecord{}, map[uint64]bool{}
+	for _, r := range h.orders {
+		if len(r.answers) > 0 && r.answers[0].outcome == outcomeAccepted {
+			accepted[r.version] = true
+		}
+	}
+	for _, r := range h.orders {
+		if len(r.answers) == 0 && r.version > r.builtOn && !accepted[r.version] {
+			open[r.version] = append(open[r.version], r)
+		}
+	}
+	return open
+}
+
+// addBases adds the bases of open orders whose version is in the set.
+func (h *history) addBases(seen map[uint64]bool, open map[uint64][]*orderRecord, counts func(r *orderRecord) bool) {
+	for grown := true; grown; {
+		grown = false
+		for version, orders := range open {
+			for _, r := range orders {
+				if seen[version] && counts(r) && !seen[r.builtOn] {
+					seen[r.builtOn], grown = true, true
+				}
+			}
+		}
+	}
+}
+
+// seenVersions are the versions that somebody saw: in a read-back, in a refusal,
+// or as the base of an order that took effect.
+func (h *history) seenVersions() map[uint64]bool {
+	seen := map[uint64]bool{}
+	for _, r := range h.reads {
+		seen[r.version] = true
+	}
+	for _, r := range h.orders {
+		for _, a := range r.answers {
+			switch {
+			case a.outcome == outcomeStale:
+				seen[a.current] = true
+			case a.outcome == outcomeAccepted, r.part, !r.isUnreadable():
+				seen[r.builtOn] = true
+			}
+		}
+	}
+	return seen
+}
--- a/drill/operators.go
+++ b/drill/operators.go
@@ -11,8 +11,12 @@
 )
 
 const (
+	// callerMs is how long an operator waits for an answer, callerEnd how long
+	// it goes on with one order.
 	callerMs  = 1000
 	callerEnd = 20_000
+	// redirectsMost is how many redirects a call follows.
+	redirectsMost = 2
 )
 
 // operators hand maps over and read them back.
@@ -27,11 +31,14 @@
 	// doubt says that some order got no clear answer.
 	doubt    bool
 	outcomes []string
-	read     *steward.Text
+	history  history
+	// lostPart of the answers get lost; heldPart of the calls are held up on
+	// their way and arrive long after the operator has gone on.
+	lostPart, heldPart float64
 }
 
 func newOperators() operators {
-	return operators{calls: map[uint64]*attempt{}, texts: map[uint64]string{}}
+	return operators{calls: map[uint64]*attempt{}, texts: map[uint64]string{}, history: newHistory()}
 }
 
 // handing is one order of an operator until its end.
@@ -42,15 +49,25 @@
 	sentMs           int64
 	pauseMs          int64
 	done             bool
-	// read says that it only reads the map in force.
+	// read says that it only reads the map in force, which got then holds.
 	read bool
+	got  *steward.Text
+	// isRival says that another order may have the same version, so that the
+	// rules by version don't hold for it.
+	isRival bool
+	// isOnce says that the operator makes one call and gives up.
+	isOnce bool
 }
 
 // attempt is one call of it.
 type attempt struct {
-	h    *handing
-	n    *node
-	over bool
+	h         *handing
+	n         *node
+	over      bool
+	sentMs    int64
+	redirects int
+	// record is that of the order, and nil for a read-back.
+	record *orderRecord
 }
 
 // next takes the number of the next map; they rise by uneven steps.
@@ -108,7 +125,9 @@
 	}
 	o.handed = max(o.handed, h.version)
 	o.texts[h.version] = h.text
-	if h.part {
+	// The text that a change leads to, and which of two texts of one version was
+	// taken, is for the check of the history to say.
+	if h.part || h.isRival {
 		o.texts[h.version] = ""
 	}
 	w.note("operator hands version %d on top of %d to %s, part: %v", h.version, h.builtOn, at.name, h.part)
@@ -126,7 +145,10 @@
 }
 
 // callCore makes one call, and another elsewhere where it brings nothing.
-func (w *World) callCore(at *node, h *handing) {
+func (w *World) callCore(at *node, h *handing) { w.callAfter(at, h, 0) }
+
+// callAfter makes one call that follows some redirects.
+func (w *World) callAfter(at *node, h *handing, redirects int) {
 	o := &w.operators
 	if h.done {
 		return
@@ -139,13 +161,17 @@
 		at = w.someCore()
 	}
 	o.ids++
-	a := &attempt{h: h, n: at}
+	a := &attempt{h: h, n: at, sentMs: w.NowMs, redirects: redirects}
+	if !h.read {
+		a.record = o.history.sent(w.NowMs, orderKey{h.builtOn, h.part, h.text}, h.version)
+	}
 	o.calls[o.ids] = a
 	id := o.ids
 	if w.Breaks.EagerAnswer && !h.read {
+		o.record(w, a, steward.Taken{Version: h.version})
 		o.take(w, h)
 	}
-	w.pass("operator", at.name, func() {
+	arrive := func() {
 		if at.up {
 			if h.read {
 				w.put(at, at.life, steward.Read{Id: id})
@@ -155,23 +181,39 @@
 		} else {
 			w.after(5, func() { o.again(w, a, nil) })
 		}
-	}, nil)
+	}
+	w.pass("operator", at.name, func() { w.after(o.heldMs(w), arrive) }, nil)
 	w.after(callerMs, func() { o.again(w, a, nil) })
 }
 
+// heldMost bounds how long a call is held up on its way.
+const heldMost = 8000
+
+// heldMs is how long a call is held up on its way.
+func (o *operators) heldMs(w *World) int64 {
+	if o.heldPart == 0 || w.random.Float64() >= o.heldPart {
+		return 0
+	}
+	return w.random.Int63n(heldMost)
+}
+
 // again goes to another daemon after a pause that grows.
 func (o *operators) again(w *World, a *attempt, to *node) {
 	if a.over || a.h.done {
 		return
 	}
 	a.over = true
-	pauseMs := a.h.pauseMs
-	if to != nil {
-		pauseMs = 1
-	} else {
-		a.h.pauseMs = min(1000, 2*pauseMs)
+	if a.h.isOnce {
+		o.end(w, a.h, "no clear answer")
+		return
 	}
-	w.after(pauseMs, func() { w.callCore(to, a.h) })
+	if to != nil && a.redirects < redirectsMost {
+		w.after(1, func() { w.callAfter(to, a.h, a.redirects+1) })
+		return
+	}
+	pauseMs := a.h.pauseMs
+	a.h.pauseMs = min(1000, 2*pauseMs)
+	w.after(pauseMs, func() { w.callCore(nil, a.h) })
 }
 
 // broke ends the calls at a daemon that died.
@@ -190,13 +232,42 @@
 		return
 	}
 	delete(o.calls, answer.Id)
+	if o.lostPart > 0 && w.random.Float64() < o.lostPart {
+		return
+	}
 	w.pass(n.name, "operator", func() {
+		// What is told too late for the operator must be right all the same.
+		o.record(w, a, answer.Body)
 		if !a.h.done {
 			o.hear(w, a, answer.Body)
 		}
 	}, nil)
 }
 
+// record notes a clear answer in the history.
+func (o *operators) record(w *World, a *attempt, body any) {
+	answer := clearAnswer{sentMs: a.sentMs, atMs: w.NowMs}
+	switch said := body.(type) {
+	case steward.Text:
+		o.history.read(a.sentMs, w.NowMs, said.Version, said.Text)
+		return
+	case steward.Taken:
+		answer.outcome = outcomeAccepted
+	case wire.Dropped:
+		switch said.Kind {
+		case defect.StaleBase:
+			answer.outcome, answer.current = outcomeStale, said.Revision
+		case defect.FaultyDescription:
+			answer.outcome = outcomeFaulty
+		default:
+			return
+		}
+	default:
+		return
+	}
+	a.record.answers = append(a.record.answers, answer)
+}
+
 func (o *operators) hear(w *World, a *attempt, body any) {
 	h := a.h
 	switch said := body.(type) {
@@ -207,7 +278,7 @@
 		o.take(w, h)
 	case steward.Text:
 		h.done = true
-		o.read = &said
+		h.got = &said
 	case wire.Dropped:
 		switch said.Kind {
 		case defect.NotPrimary:
@@ -225,7 +296,9 @@
 			if said.Kind == defect.StaleBase {
 				o.base = max(o.base, said.Revision)
 			}
-			w.Book.notTaken(h.version, string(said.Kind))
+			if !h.isRival {
+				w.Book.notTaken(h.version, string(said.Kind))
+			}
 			o.end(w, h, string(said.Kind))
 		default:
 			o.again(w, a, nil)
@@ -237,7 +310,9 @@
 	if h.done {
 		return
 	}
-	w.Book.taken(h.version, h.builtOn)
+	if !h.isRival {
+		w.Book.taken(h.version, h.builtOn)
+	}
 	o.newest = max(o.newest, h.version)
 	o.base = max(o.base, h.version)
 	o.end(w, h, "taken")
@@ -256,32 +331,45 @@
 	w.note("operator: version %d: %s", h.version, how)
 }
 
+// readBack reads the map in force, from a daemon or from any.
+func (w *World) readBack(at *node) *handing {
+	h := &handing{read: true, sentMs: w.NowMs, pauseMs: 100}
+	w.callCore(at, h)
+	return h
+}
+
 // CheckMaps reads the map back: what was accepted must be there, as it was
 // sent, and what was refused must not.
 func (w *World) CheckMaps() {
 	o := &w.operators
 	for range 3 {
-		o.read = nil
-		h := &handing{read: true, sentMs: w.NowMs, pauseMs: 100}
-		w.callCore(nil, h)
+		h := w.readBack(nil)
 		for range 60 {
-			if w.Run(100); o.read != nil {
+			if w.Run(100); h.done {
 				break
 			}
 		}
 		h.done = true
-		if o.read == nil {
+		if h.got == nil {
 			w.Book.breach("CONFIG", w.NowMs, "the map can't be read back")
 			return
 		}
-		if o.read.Version < o.newest {
-			w.Book.breach("CONFIG", w.NowMs, "version %d is read back and %d was accepted", o.read.Version, o.newest)
+		if h.got.Version < o.newest {
+			w.Book.breach("CONFIG", w.NowMs, "version %d is read back and %d was accepted", h.got.Version, o.newest)
 		}
-		if why, not := w.Book.ineffect[o.read.Version]; not {
-			w.Book.breach("CONFIG", w.NowMs, "version %d is read back and was answered with %q", o.read.Version, why)
+		if why, not := w.Book.ineffect[h.got.Version]; not {
+			w.Book.breach("CONFIG", w.NowMs, "version %d is read back and was answered with %q", h.got.Version, why)
 		}
-		if text := o.texts[o.read.Version]; text != "" && text != o.read.Text {
-			w.Book.breach("CONFIG", w.NowMs, "version %d is read back with another text", o.read.Version)
+		if text := o.texts[h.got.Version]; text != "" && text != h.got.Text {
+			w.Book.breach("CONFIG", w.NowMs, "version %d is read back with another text", h.got.Version)
 		}
 	}
 }
+
+// CheckHistory checks all that operators sent and were told as one register
+// with compare-and-set.
+func (w *World) CheckHistory() {
+	for _, what := range w.operators.history.check() {
+		w.Book.breach("REGISTER", w.NowMs, "%s", what)
+	}
+}
