Play contests between operators, and draw them

A contest sends up to eight orders at once, two orders under one number on one version, stale, early and faulty ones, read-backs and earlier orders again to each controller, while answers get lost, calls are held up to 8 s on their way and the core has its faults, all killed at once among them. At its end every order is sent again and every controller is read.

Shown to fire, each with REGISTER: accepted orders forgotten, two orders accepted on one version, yes before any copy has it, read back from any copy, refused by any copy, disks that keep saves back (TestHistoryCheckFires).

TestOrderAtTheOldPrimaryAlone puts an order on the primary's disk alone and cuts it off, kills or freezes it, and TestRivalsAcrossATakeOver two rivals with all answers lost; both hold.

--- /dev/null
+++ b/drill/contest_test.go
@@ -0,0 +1,267 @@
+package drill
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"myrtlewinch/wire"
+)
+
+// Operators contend while the core has its faults; cmd/drill plays more seeds.
+func TestContests(t *testing.T) {
+	for seed := int64(1); seed <= 9; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			r := Contest(seed, 100)
+			sound(t, r)
+			qt.Check(t, len(r.World.operators.history.orders) > 50, qt.IsTrue)
+		})
+	}
+}
+
+// A day of hundreds of changes, with a few faults, and each order sent again.
+func TestContestOfHundredsOfChanges(t *testing.T) {
+	w := New(1, Breaks{})
+	var steps []contestStep
+	for i := range 500 {
+		step := contestStep{Kind: contestOrders, Count: 1, PauseMs: 60}
+		if i%100 == 99 {
+			step = contestStep{Kind: contestFault, Fault: "primary killed", PauseMs: 5000}
+		}
+		steps = append(steps, step)
+	}
+	r := playContest(w, steps)
+	sound(t, r)
+	qt.Assert(t, countOf(w, outcomeAccepted) > 400, qt.IsTrue, qt.Commentf("%d", countOf(w, outcomeAccepted)))
+}
+
+func countOf(w *World, first outcome) int {
+	count := 0
+	for _, r := range w.operators.history.orders {
+		if len(r.answers) > 0 && r.answers[0].outcome == first {
+			count++
+		}
+	}
+	return count
+}
+
+// The check of the history fires on each broken variant of the system.
+func TestHistoryCheckFires(t *testing.T) {
+	orders := contestStep{Kind: contestOrders, Count: 3, PauseMs: 30}
+	read := contestStep{Kind: contestRead, Count: 4, PauseMs: 5}
+	fault := func(name string, pauseMs int64) contestStep {
+		return contestStep{Kind: contestFault, Fault: name, PauseMs: pauseMs}
+	}
+	for _, test := range []struct {
+		name   string
+		breaks Breaks
+		steps  []contestStep
+	}{
+		{"accepted orders are forgotten", Breaks{ForgetOrders: true}, []contestStep{orders}},
+		{"two orders on one version are accepted", Breaks{IgnoreBase: true}, []contestStep{orders, orders}},
+		{"yes before any copy has it", Breaks{EagerAnswer: true}, []contestStep{orders, orders}},
+		{"read back from any copy", Breaks{StaleRead: true}, []contestStep{fault("primary cut off", 0), orders, read, orders, read, orders, read, read}},
+		{"refused by any copy", Breaks{StaleRefusal: true}, []contestStep{orders, fault("primary killed", 0), orders, orders}},
+		{"disks keep saves back", Breaks{CachedDisk: true}, []contestStep{orders, orders, orders, orders, fault("core killed", 5000), orders, read}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			fired := false
+			for seed := int64(1); seed <= 12 && !fired; seed++ {
+				r := playContest(newContest(seed, test.breaks), test.steps)
+				for _, breach := range r.Breaches {
+					fired = fired || breach.Rule == "REGISTER"
+				}
+			}
+			qt.Check(t, fired, qt.IsTrue)
+		})
+	}
+}
+
+// drawnSeed is what CI draws from, the same each time; the flags of rapid draw
+// from others.
+const drawnSeed = "20261202"
+
+// fixDraws has rapid draw the same each time, unless its flags say otherwise.
+func fixDraws(t *testing.T, checks string) {
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{"rapid.checks": checks, "rapid.seed": drawnSeed, "rapid.nofailfile": "true"} {
+		if !given[name] {
+			qt.Assert(t, flag.Lookup(name).Value.Set(value), qt.IsNil)
+		}
+	}
+	t.Logf("seed %s, %s checks", flag.Lookup("rapid.seed").Value, flag.Lookup("rapid.checks").Value)
+}
+
+// Drawn contests fit one register. One that does not is shrunk to the fewest
+// steps that show it.
+func TestDrawnContests(t *testing.T) {
+	fixDraws(t, "25")
+	steps := rapid.SliceOfN(rapid.Custom(drawStep), 1, 40)
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Int64Range(1, 1<<20).Draw(t, "seed")
+		r := playContest(newContest(seed, Breaks{}), steps.Draw(t, "steps"))
+		if len(r.Breaches) > 0 {
+			t.Fatalf("%s", r.Report())
+		}
+	})
+}
+
+func drawStep(t *rapid.T) contestStep {
+	return contestStep{
+		Kind:    contestKind(rapid.IntRange(0, int(contestKinds)-1).Draw(t, "kind")),
+		Count:   rapid.IntRange(1, underMost).Draw(t, "count"),
+		PauseMs: rapid.Int64Range(0, 800).Draw(t, "pause"),
+		Fault:   rapid.SampledFrom(contestFaults).Draw(t, "fault"),
+	}
+}
+
+// begun is a site of a map in force.
+func begun(seed int64) *World {
+	w := New(seed, Breaks{})
+	w.Run(1500)
+	w.replaceMap(w.nodes["core-1"])
+	w.Run(3000)
+	return w
+}
+
+// settleContest sends every order again to every controller, and checks.
+func settleContest(t *testing.T, w *World) {
+	w.Run(callerEnd)
+	for _, r := range w.operators.history.orders {
+		for _, name := range w.names(wire.Controller) {
+			w.resend(r, w.nodes[name])
+		}
+		w.readBack(nil)
+		w.Run(500)
+	}
+	w.Run(callerEnd)
+	w.CheckMaps()
+	w.CheckHistory()
+	sound(t, Result{w, w.Book.Breaches()})
+}
+
+// An order reaches the primary alone, which is cut off or killed a moment later
+// and comes back. Meanwhile operators do nothing, send it elsewhere, or put
+// another in force; or the next primary is lost too.
+func TestOrderAtTheOldPrimaryAlone(t *testing.T) {
+	for _, meanwhile := range []string{"nothing", "sent again", "another in force", "the next primary lost"} {
+		for _, how := range []string{"cut off", "killed", "frozen"} {
+			t.Run(meanwhile+", "+how, func(t *testing.T) {
+				t.Parallel()
+				accepted, alone := 0, 0
+				for afterMs := int64(0); afterMs <= 18; afterMs += 3 {
+					w := begun(2 + afterMs%2)
+					old := w.primary()
+					w.slowOthers(old, 40)
+					order := w.newContender(w.operators.base, w.operators.next(w), false)
+					order.isOnce = true
+					w.hand(old, order)
+					sent := w.operators.history.orders[1]
+					w.Run(afterMs)
+					w.takeAway(old, how)
+					if w.mapIsAloneAt(old) {
+						alone++
+					}
+					w.slowOthers(old, 0)
+					w.Run(3000)
+					w.meanwhile(meanwhile, sent)
+					w.bringBack(old, how)
+					settleContest(t, w)
+					if len(sent.answers) > 0 && sent.answers[0].outcome == outcomeAccepted {
+						accepted++
+					}
+				}
+				qt.Check(t, alone >= 3, qt.IsTrue, qt.Commentf("%d", alone))
+				t.Logf("alone on the old primary's disk in %d of 7, accepted in the end in %d", alone, accepted)
+			})
+		}
+	}
+}
+
+// slowOthers makes the disks of all other core machines slower.
+func (w *World) slowOthers(n *node, ms int64) {
+	for _, name := range w.names(wire.Controller) {
+		if other := w.nodes[name]; other != n {
+			other.disk.slowMs = ms
+		}
+	}
+}
+
+// mapIsAloneAt says whether a disk holds another map than all other disks.
+func (w *World) mapIsAloneAt(n *node) bool {
+	const key = "state/kept/map"
+	for _, name := range w.names(wire.Controller) {
+		if other := w.nodes[name]; other != n && other.disk.keys[key] == n.disk.keys[key] {
+			return false
+		}
+	}
+	return true
+}
+
+func (w *World) takeAway(n *node, how string) {
+	switch how {
+	case "cut off":
+		w.cut([]string{n.name}, w.others(n.name), false)
+	case "killed":
+		w.kill(n)
+	case "frozen":
+		w.freeze(n)
+	}
+}
+
+func (w *World) bringBack(n *node, how string) {
+	switch how {
+	case "cut off":
+		w.heal()
+	case "killed":
+		w.start(n, false)
+	case "frozen":
+		w.thaw(n)
+	}
+}
+
+func (w *World) meanwhile(what string, sent *orderRecord) {
+	switch what {
+	case "sent again":
+		w.resend(sent, nil)
+		w.Run(2000)
+	case "another in force":
+		w.contender(w.operators.base, w.operators.next(w), false)
+		w.Run(2000)
+	case "the next primary lost":
+		if next := w.primary(); next != nil {
+			w.kill(next)
+			w.after(1500, func() { w.start(next, false) })
+		}
+	}
+}
+
+// Two operators send different orders under one number on one version; all
+// answers get lost, the primary is lost at some moment, and each order is sent
+// again to each controller.
+func TestRivalsAcrossATakeOver(t *testing.T) {
+	for _, how := range []string{"cut off", "killed", "frozen"} {
+		t.Run(how, func(t *testing.T) {
+			t.Parallel()
+			for afterMs := int64(0); afterMs <= 15; afterMs += 3 {
+				w := begun(2 + afterMs%2)
+				old := w.primary()
+				w.operators.lostPart = 1
+				w.contendOnce(contestStep{Kind: contestRivals})
+				w.Run(afterMs)
+				w.takeAway(old, how)
+				w.Run(4000)
+				w.operators.lostPart = 0
+				w.bringBack(old, how)
+				settleContest(t, w)
+				qt.Check(t, countOf(w, outcomeAccepted), qt.Equals, 2, qt.Commentf("after %d ms: the first map and one of the two", afterMs))
+			}
+		})
+	}
+}
--- a/drill/faults.go
+++ b/drill/faults.go
@@ -57,15 +57,19 @@
 	}
 }
 
-// maybe gives a core machine that the site must be able to lose now: one at a
-// time, and a lost one counts until it has caught up.
+// maybe gives a core machine that the site must be able to lose now: a lost one
+// counts until it has caught up.
 func (w *World) maybe(n *node) *node {
+	lost := 0
 	for _, name := range w.names(wire.Controller) {
 		lastMs, ever := w.touch.nodes[name]
 		if w.nodes[name] != n && (!w.nodes[name].well() || ever && w.NowMs-lastMs < w.Bounds.CatchUpMs) {
-			return nil
+			lost++
 		}
 	}
+	if lost >= w.losses {
+		return nil
+	}
 	if !n.up || n.frozen || n.removed {
 		return nil
 	}
--- a/drill/node.go
+++ b/drill/node.go
@@ -45,6 +45,8 @@
 	wipes  int
 	// pending was asked for and is not synced yet.
 	pending []wire.Save
+	// cached is what a broken disk called saved and has not written.
+	cached []wire.Save
 }
 
 func (n *node) core() bool { return n.part == wire.Controller }
@@ -111,7 +113,7 @@
 			Self: self, Bounds: w.Bounds, ListAddress: listAddress, ListPerSec: listPerSec, ControlPort: "80",
 		}, format{})
 		machine, err := control.New(control.Settings{
-			Site: site, Self: self, Seeds: slices.Clone(w.seeds), Tenant: tenant, Losses: 1, Founds: first,
+			Site: site, Self: self, Seeds: slices.Clone(w.seeds), Tenant: w.broken(tenant), Losses: w.losses, Founds: first,
 			GapMs: w.Bounds.LeaseMs + w.Bounds.ThawMs, AwayMs: control.AwayMsFor(w.Bounds.CatchUpMs),
 			ShowMs: control.ShowMsFor(w.Bounds.CatchUpMs), Timing: control.TimingFor(w.Bounds.CatchUpMs),
 			LeaveMs: steward.LeaveMs(w.Bounds),
@@ -148,7 +150,22 @@
 	if d.torn != nil {
 		d.torn.Write.Apply(d.keys)
 	}
-	d.failed, d.torn, d.pending = false, nil, nil
+	for _, save := range d.cached {
+		save.Write.Apply(d.keys)
+	}
+	d.failed, d.torn, d.pending, d.cached = false, nil, nil, nil
+}
+
+// cachedMost is how many saves a broken disk holds back.
+const cachedMost = 12
+
+// keep writes a save, or with a cache the one that has lain there longest.
+func (d *simDisk) keep(save wire.Save, isCached bool) {
+	d.cached = append(d.cached, save)
+	for len(d.cached) > 0 && (!isCached || len(d.cached) > cachedMost) {
+		d.cached[0].Write.Apply(d.keys)
+		d.cached = d.cached[1:]
+	}
 }
 
 const tickMs = 50
@@ -231,7 +248,7 @@
 			w.after(probeMs, func() { w.renew(n, life) })
 		}
 		if !d.failed && !w.Breaks.UnsyncedDisk {
-			save.Write.Apply(d.keys)
+			d.keep(save, w.Breaks.CachedDisk)
 		}
 		if len(d.pending) > 0 {
 			w.saveNext(n, made)
@@ -256,7 +273,7 @@
 				save.Write.Apply(n.disk.keys)
 			}
 		}
-		n.disk.pending = nil
+		n.disk.pending, n.disk.cached = nil, nil
 	}
 	for _, id := range slices.Sorted(maps.Keys(n.passages)) {
 		n.passages[id].broke()
--- a/drill/world.go
+++ b/drill/world.go
@@ -85,6 +85,16 @@
 	// NoRetryTime leaves out of refusals when to come back; TwoAnswers gives
 	// some requests a second answer.
 	NoRetryTime, TwoAnswers bool
+	// CachedDisk makes disks say that they saved what a loss of power then takes
+	// back: the last few saves.
+	CachedDisk bool
+	// ForgetOrders makes controllers forget which orders were accepted.
+	ForgetOrders bool
+	// IgnoreBase accepts orders whatever they are built on.
+	IgnoreBase bool
+	// StaleRead makes every controller answer read-backs from its own copy,
+	// StaleRefusal refuse orders by it.
+	StaleRead, StaleRefusal bool
 }
 
 // World is a whole site in virtual time.
@@ -115,6 +125,8 @@
 	trace     []string
 	faults    []string
 	machines  int
+	// losses is how many core machines may be lost at once.
+	losses int
 }
 
 // usualBounds are those of a small deployment.
@@ -124,11 +136,16 @@
 	RecoverMs: 12_000, PassMs: 120, Fenced: true, LeaseMs: 3000, ThawMs: 300, OriginWindowMs: 5000, OriginOver: 1.1,
 }
 
-// New makes the world of a small site at its very first start. Half of the
-// seeds have runners that check no fences, so that these hide nothing.
-func New(seed int64, breaks Breaks) *World {
+// New makes the world of a small site at its very first start: of three or four
+// core machines, of which one may be lost.
+func New(seed int64, breaks Breaks) *World { return newSized(seed, breaks, 3+int(seed%2), 1) }
+
+// newSized makes a site of some core machines, of which some may be lost. Half
+// of the seeds have runners that check no fences, so that these hide nothing.
+func newSized(seed int64, breaks Breaks, count, losses int) *World {
 	w := &World{
-		Seed: seed, NowMs: 1_000_000, Bounds: usualBounds, Breaks: breaks, random: rand.New(rand.NewSource(seed)),
+		losses: losses,
+		Seed:   seed, NowMs: 1_000_000, Bounds: usualBounds, Breaks: breaks, random: rand.New(rand.NewSource(seed)),
 		nodes: map[string]*node{}, cuts: map[[2]string]bool{}, thawedMs: map[string]int64{}, healedMs: never,
 	}
 	w.Bounds.Fenced = seed%2 == 0
@@ -137,7 +154,6 @@
 	w.fleet = newFleet(w)
 	w.clients = newClients()
 	w.operators = newOperators()
-	count := 3 + int(seed%2)
 	for i := range count {
 		n := w.addNode(fmt.Sprintf("core-%d", i+1), fmt.Sprintf("10.0.0.%d", i+1), fmt.Sprintf("zone-%d", i%3), wire.Controller)
 		if i < 3 {
