--- a/drill/campaign.go
+++ b/drill/campaign.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 )
 
@@ -133,13 +134,13 @@
 	return w.End()
 }
 
-// Names lists the faults that Play knows, disasters last.
+// Names lists the faults that Play knows, disasters last, and the contest.
 func Names() []string {
 	var names []string
 	for _, f := range append(append([]fault{}, faults...), disasters...) {
 		names = append(names, f.name)
 	}
-	return names
+	return append(names, contestName)
 }
 
 // Pairs lists each fault with each other one that may follow it.
@@ -169,9 +170,12 @@
 	return fault{}, false, false
 }
 
-// Play brings faults about on a serving site, each soon after the one before;
-// false says that one is unknown.
+// Play brings faults about on a serving site, each soon after the one before,
+// or plays a contest; false says that one is unknown.
 func Play(seed int64, names ...string) (Result, bool) {
+	if slices.Equal(names, []string{contestName}) {
+		return Contest(seed, contestSteps), true
+	}
 	return play(seed, Breaks{}, names...)
 }
 
--- a/drill/contest.go
+++ b/drill/contest.go
@@ -40,6 +40,13 @@
 	Fault   string
 }
 
+const (
+	// contestName is what Play knows a contest by, and contestSteps how long it
+	// then is.
+	contestName  = "operators contend"
+	contestSteps = 150
+)
+
 // underMost is how many orders may be under way at once.
 const underMost = 8
 
--- a/drill/contest_test.go
+++ b/drill/contest_test.go
@@ -11,7 +11,8 @@
 	"myrtlewinch/wire"
 )
 
-// Operators contend while the core has its faults; cmd/drill plays more seeds.
+// Operators contend while the core has its faults; "drill --scenario" with the
+// name of the contest plays more seeds.
 func TestContests(t *testing.T) {
 	for seed := int64(1); seed <= 9; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
--- a/steward/history_test.go
+++ b/steward/history_test.go
@@ -3,12 +3,14 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
 	"myrtlewinch/defect"
+	"myrtlewinch/wire"
 )
 
 // begunHeld is a steward that serves, on a machine whose writes wait.
@@ -192,6 +194,25 @@
 	c.Assert(lastTold(h, s, early), qt.Equals, stale+" 3")
 }
 
+// Refusals as stale are counted.
+func TestStaleOrdersAreCounted(t *testing.T) {
+	h, s := begunHeld(nil)
+	chain(h, s, 3)
+	for id, base := range []uint64{0, 1, 2} {
+		s.Input(h, HandOver{Id: uint64(id), BuiltOn: base, Text: "version 9"})
+	}
+	qt.Assert(t, h.counts[countStale], qt.Equals, 3)
+}
+
+// The copied state stays small enough for a snapshot in one message, beside the
+// largest map.
+func TestHistoryFitsASnapshot(t *testing.T) {
+	row := encode(successor{math.MaxUint64, wire.Sum("")})
+	bytes := historyMost * (len(successorKey(math.MaxUint64)) + len(row) + len("state/kept/"))
+	t.Logf("%d bytes", bytes)
+	qt.Assert(t, bytes < wire.FrameMost/4, qt.IsTrue)
+}
+
 // A refusal whose write has no known end is no clear answer.
 func TestARefusalOfUnknownEnd(t *testing.T) {
 	h, s := begunHeld(nil)
--- a/steward/maps_test.go
+++ b/steward/maps_test.go
@@ -96,6 +96,30 @@
 			give(x, put(1, 0, "version 1"))
 			x.h.end(false)
 		}, told{1: {unknown}}, 0, 0},
+		{"a write of unknown end, sent again to a later primacy that has it", func(x scene) {
+			give(x, put(1, 0, "version 1"))
+			x.h.end(false)
+			x.s.Ended(x.h)
+			x.s.Began(x.h)
+			give(x, put(2, 0, "version 1"), put(3, 0, "version 2"))
+		}, told{1: {unknown}, 2: {"taken 1"}, 3: {stale + " 1"}}, 1, 0},
+		{"a write of unknown end, sent again to a later primacy that lacks it", func(x scene) {
+			give(x, put(1, 0, "version 1"))
+			x.h.end(false)
+			x.s.Ended(x.h)
+			for _, key := range []string{mapRow, historyRow, successorKey(0)} {
+				delete(x.h.rows, key)
+			}
+			x.s.Began(x.h)
+			give(x, put(2, 0, "version 2"), put(3, 0, "version 1"))
+			x.h.end(true)
+		}, told{1: {unknown}, 2: {"taken 2"}, 3: {stale + " 2"}}, 2, 0},
+		{"faulty, sent again, stays without effect", func(x scene) {
+			inForce(x, "version 1")
+			give(x, put(1, 1, "nonsense"), put(2, 1, "version 1 other"), put(3, 1, "nonsense"))
+			inForce(x, "version 2")
+			give(x, put(4, 1, "nonsense"), put(5, 1, "version 1 other"))
+		}, told{1: {faulty}, 2: {faulty}, 3: {faulty}, 4: {stale + " 2"}, 5: {stale + " 2"}}, 2, 0},
 		{"the end of a primacy answers all", func(x scene) {
 			give(x, put(1, 0, "version 1"), put(2, 1, "version 2"), put(3, 0, "version 1"))
 			// The machine ends the writes first.
