Call it a workload where operators compete

Names only: contest becomes workload, the word that checkers of registers use, and the files follow. The drawn draws and the seeds are the same.

--- a/drill/campaign.go
+++ b/drill/campaign.go
@@ -134,13 +134,13 @@
 	return w.End()
 }
 
-// Names lists the faults that Play knows, disasters last, and the contest.
+// Names lists the faults that Play knows, disasters last, and the workload.
 func Names() []string {
 	var names []string
 	for _, f := range append(append([]fault{}, faults...), disasters...) {
 		names = append(names, f.name)
 	}
-	return append(names, contestName)
+	return append(names, workloadName)
 }
 
 // Pairs lists each fault with each other one that may follow it.
@@ -171,10 +171,10 @@
 }
 
 // Play brings faults about on a serving site, each soon after the one before,
-// or plays a contest; false says that one is unknown.
+// or plays a workload; false says that one is unknown.
 func Play(seed int64, names ...string) (Result, bool) {
-	if slices.Equal(names, []string{contestName}) {
-		return Contest(seed, contestSteps), true
+	if slices.Equal(names, []string{workloadName}) {
+		return Workload(seed, workloadSteps), true
 	}
 	return play(seed, Breaks{}, names...)
 }
--- a/drill/contest.go
+++ b/drill/workload.go
@@ -6,78 +6,78 @@
 	"myrtlewinch/wire"
 )
 
-// contestKind is what a step of a contest between operators does.
-type contestKind int
+// workloadKind is what a step of a workload of competing operators does.
+type workloadKind int
 
 const (
-	// contestOrders sends several orders at once on the version that operators
+	// workloadOrders sends several orders at once on the version that operators
 	// take for the current one.
-	contestOrders contestKind = iota
-	// contestRivals sends two orders with one number on one version, with
+	workloadOrders workloadKind = iota
+	// workloadRivals sends two orders with one number on one version, with
 	// different texts.
-	contestRivals
-	// contestStale sends an order on a version that was replaced, contestAhead
+	workloadRivals
+	// workloadStale sends an order on a version that was replaced, workloadAhead
 	// one on a version that is only about to come.
-	contestStale
-	contestAhead
-	// contestFaulty sends an order that can't be valid.
-	contestFaulty
-	contestRead
-	// contestResend sends an earlier order again, to every controller.
-	contestResend
-	contestFault
-	// contestLose loses answers and contestHold holds calls up, for a while.
-	contestLose
-	contestHold
-	contestKinds
+	workloadStale
+	workloadAhead
+	// workloadFaulty sends an order that can't be valid.
+	workloadFaulty
+	workloadRead
+	// workloadResend sends an earlier order again, to every controller.
+	workloadResend
+	workloadFault
+	// workloadLose loses answers and workloadHold holds calls up, for a while.
+	workloadLose
+	workloadHold
+	workloadKinds
 )
 
-// contestStep is one step; count is how many orders or reads it sends.
-type contestStep struct {
-	Kind    contestKind
+// workloadStep is one step; count is how many orders or reads it sends.
+type workloadStep struct {
+	Kind    workloadKind
 	Count   int
 	PauseMs int64
 	Fault   string
 }
 
 const (
-	// contestName is what Play knows a contest by, and contestSteps how long it
+	// workloadName is what Play knows a workload by, and workloadSteps how long it
 	// then is.
-	contestName  = "operators contend"
-	contestSteps = 150
+	workloadName  = "operators contend"
+	workloadSteps = 150
 )
 
 // underMost is how many orders may be under way at once.
 const underMost = 8
 
-// contestFaults are the faults of the core that a contest brings about.
-var contestFaults = []string{
+// workloadFaults are the faults of the core that a workload brings about.
+var workloadFaults = []string{
 	"primary killed", "backup killed", "primary loses its disk", "backup loses its disk", "core machine replaced", "primary replaced",
 	"primary frozen", "backup frozen", "core stopped in turn", "disk stalls", "disk slow", "disk full", "primary cut off",
 	"primary heard by nobody", "primary hears nobody", "core in pieces", "messages lost", "messages doubled", "messages late", "core killed", "all killed, one disk lost",
 }
 
-// drawContest draws the steps of a contest.
-func (w *World) drawContest(count int) []contestStep {
-	var steps []contestStep
+// drawWorkload draws the steps of a workload.
+func (w *World) drawWorkload(count int) []workloadStep {
+	var steps []workloadStep
 	for range count {
-		step := contestStep{Kind: contestOrders, Count: 1 + w.random.Intn(underMost), PauseMs: w.random.Int63n(30)}
+		step := workloadStep{Kind: workloadOrders, Count: 1 + w.random.Intn(underMost), PauseMs: w.random.Int63n(30)}
 		if w.random.Intn(2) == 0 {
-			step.Kind = contestKind(w.random.Intn(int(contestKinds)))
+			step.Kind = workloadKind(w.random.Intn(int(workloadKinds)))
 		}
 		if w.random.Intn(2) == 0 {
 			step.PauseMs = w.random.Int63n(800)
 		}
-		step.Fault = contestFaults[w.random.Intn(len(contestFaults))]
+		step.Fault = workloadFaults[w.random.Intn(len(workloadFaults))]
 		steps = append(steps, step)
 	}
 	return steps
 }
 
-// contend plays a contest, then has every order sent again and reads back.
-func (w *World) contend(steps []contestStep) {
+// runWorkload plays a workload, then has every order sent again and reads back.
+func (w *World) runWorkload(steps []workloadStep) {
 	for _, step := range steps {
-		w.contendOnce(step)
+		w.runStep(step)
 		w.Run(step.PauseMs)
 	}
 	w.operators.lostPart, w.operators.heldPart = 0, 0
@@ -92,46 +92,46 @@
 	w.Run(callerEnd)
 }
 
-func (w *World) contendOnce(step contestStep) {
+func (w *World) runStep(step workloadStep) {
 	o := &w.operators
 	switch step.Kind {
-	case contestOrders:
+	case workloadOrders:
 		for range min(step.Count, o.free()) {
-			w.contender(o.base, o.next(w), w.random.Intn(2) == 0)
+			w.sendOrder(o.base, o.next(w), w.random.Intn(2) == 0)
 		}
-	case contestRivals:
+	case workloadRivals:
 		if o.free() >= 2 {
 			version, part := o.next(w), w.random.Intn(2) == 0
-			w.contender(o.base, version, part)
-			w.contender(o.base, version, part)
+			w.sendOrder(o.base, version, part)
+			w.sendOrder(o.base, version, part)
 		}
-	case contestStale:
+	case workloadStale:
 		orders := o.history.orders
 		old := orders[w.random.Intn(len(orders))].builtOn
-		w.contender(old, o.next(w), false)
-	case contestAhead:
+		w.sendOrder(old, o.next(w), false)
+	case workloadAhead:
 		coming := o.next(w)
-		w.contender(coming, o.next(w), w.random.Intn(2) == 0)
+		w.sendOrder(coming, o.next(w), w.random.Intn(2) == 0)
 		w.Run(w.random.Int63n(20))
-		w.contender(o.base, coming, false)
-	case contestFaulty:
+		w.sendOrder(o.base, coming, false)
+	case workloadFaulty:
 		w.faultyMap(w.someCore())
-	case contestRead:
+	case workloadRead:
 		for range step.Count {
 			w.readBack(w.someCore())
 		}
-	case contestResend:
+	case workloadResend:
 		r := o.history.orders[w.random.Intn(len(o.history.orders))]
 		for _, name := range w.names(wire.Controller) {
 			w.resend(r, w.nodes[name])
 		}
-	case contestFault:
+	case workloadFault:
 		f, _, _ := named(step.Fault)
 		w.bring(f)
-	case contestLose:
+	case workloadLose:
 		o.lostPart = 0.5
 		w.after(w.soon(), func() { o.lostPart = 0 })
-	case contestHold:
+	case workloadHold:
 		o.heldPart = 0.3
 		w.after(w.soon(), func() { o.heldPart = 0 })
 	}
@@ -148,12 +148,12 @@
 	return max(0, underMost-under)
 }
 
-// contender sends an order whose text differs from that of any other order.
-func (w *World) contender(builtOn, version uint64, part bool) {
-	w.hand(w.someCore(), w.newContender(builtOn, version, part))
+// sendOrder sends an order whose text differs from that of any other order.
+func (w *World) sendOrder(builtOn, version uint64, part bool) {
+	w.hand(w.someCore(), w.newOrder(builtOn, version, part))
 }
 
-func (w *World) newContender(builtOn, version uint64, part bool) *handing {
+func (w *World) newOrder(builtOn, version uint64, part bool) *handing {
 	o := &w.operators
 	aimMs := int64(400 + len(o.history.orders))
 	m := w.newMap(version)
@@ -176,26 +176,26 @@
 	})
 }
 
-// Contest is a run of many operators at once, with faults of the core and
+// Workload is a run of many operators at once, with faults of the core and
 // without clients, whose history is checked as one register.
-func Contest(seed int64, count int) Result { return contest(newContest(seed, Breaks{}), count) }
+func Workload(seed int64, count int) Result { return workload(newWorkloadSite(seed, Breaks{}), count) }
 
-// newContest makes a site for a contest: of three seeds one has five core
+// newWorkloadSite makes a site for a workload: of three seeds one has five core
 // machines, of which two may be lost.
-func newContest(seed int64, breaks Breaks) *World {
+func newWorkloadSite(seed int64, breaks Breaks) *World {
 	if seed%3 == 0 {
 		return newSized(seed, breaks, 5, 2)
 	}
 	return New(seed, breaks)
 }
 
-func contest(w *World, count int) Result { return playContest(w, w.drawContest(count)) }
+func workload(w *World, count int) Result { return playWorkload(w, w.drawWorkload(count)) }
 
-func playContest(w *World, steps []contestStep) Result {
+func playWorkload(w *World, steps []workloadStep) Result {
 	w.Run(1500)
 	w.replaceMap(w.nodes["core-1"])
 	w.Run(3000)
-	w.contend(steps)
+	w.runWorkload(steps)
 	w.CheckMaps()
 	w.CheckHistory()
 	return Result{w, w.Book.Breaches()}
--- a/drill/contest_test.go
+++ b/drill/workload_test.go
@@ -12,12 +12,12 @@
 )
 
 // Operators contend while the core has its faults; "drill --scenario" with the
-// name of the contest plays more seeds.
-func TestContests(t *testing.T) {
+// name of the workload plays more seeds.
+func TestWorkloads(t *testing.T) {
 	for seed := int64(1); seed <= 9; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			r := Contest(seed, 100)
+			r := Workload(seed, 100)
 			sound(t, r)
 			qt.Check(t, len(r.World.operators.history.orders) > 50, qt.IsTrue)
 		})
@@ -25,17 +25,17 @@
 }
 
 // A day of hundreds of changes, with a few faults, and each order sent again.
-func TestContestOfHundredsOfChanges(t *testing.T) {
+func TestWorkloadOfHundredsOfChanges(t *testing.T) {
 	w := New(1, Breaks{})
-	var steps []contestStep
+	var steps []workloadStep
 	for i := range 500 {
-		step := contestStep{Kind: contestOrders, Count: 1, PauseMs: 60}
+		step := workloadStep{Kind: workloadOrders, Count: 1, PauseMs: 60}
 		if i%100 == 99 {
-			step = contestStep{Kind: contestFault, Fault: "primary killed", PauseMs: 5000}
+			step = workloadStep{Kind: workloadFault, Fault: "primary killed", PauseMs: 5000}
 		}
 		steps = append(steps, step)
 	}
-	r := playContest(w, steps)
+	r := playWorkload(w, steps)
 	sound(t, r)
 	qt.Assert(t, countOf(w, outcomeAccepted) > 400, qt.IsTrue, qt.Commentf("%d", countOf(w, outcomeAccepted)))
 }
@@ -52,28 +52,28 @@
 
 // The check of the history fires on each broken variant of the system.
 func TestHistoryCheckFires(t *testing.T) {
-	orders := contestStep{Kind: contestOrders, Count: 3, PauseMs: 30}
-	read := contestStep{Kind: contestRead, Count: 4, PauseMs: 5}
-	fault := func(name string, pauseMs int64) contestStep {
-		return contestStep{Kind: contestFault, Fault: name, PauseMs: pauseMs}
+	orders := workloadStep{Kind: workloadOrders, Count: 3, PauseMs: 30}
+	read := workloadStep{Kind: workloadRead, Count: 4, PauseMs: 5}
+	fault := func(name string, pauseMs int64) workloadStep {
+		return workloadStep{Kind: workloadFault, Fault: name, PauseMs: pauseMs}
 	}
 	for _, test := range []struct {
 		name   string
 		breaks Breaks
-		steps  []contestStep
+		steps  []workloadStep
 	}{
-		{"accepted orders are forgotten", Breaks{ForgetOrders: true}, []contestStep{orders}},
-		{"two orders on one version are accepted", Breaks{IgnoreBase: true}, []contestStep{orders, orders}},
-		{"yes before any copy has it", Breaks{EagerAnswer: true}, []contestStep{orders, orders}},
-		{"read back from any copy", Breaks{StaleRead: true}, []contestStep{fault("primary cut off", 0), orders, read, orders, read, orders, read, read}},
-		{"refused by any copy", Breaks{StaleRefusal: true}, []contestStep{orders, fault("primary killed", 0), orders, orders}},
-		{"disks keep saves back", Breaks{CachedDisk: true}, []contestStep{orders, orders, orders, orders, fault("core killed", 5000), orders, read}},
+		{"accepted orders are forgotten", Breaks{ForgetOrders: true}, []workloadStep{orders}},
+		{"two orders on one version are accepted", Breaks{IgnoreBase: true}, []workloadStep{orders, orders}},
+		{"yes before any copy has it", Breaks{EagerAnswer: true}, []workloadStep{orders, orders}},
+		{"read back from any copy", Breaks{StaleRead: true}, []workloadStep{fault("primary cut off", 0), orders, read, orders, read, orders, read, read}},
+		{"refused by any copy", Breaks{StaleRefusal: true}, []workloadStep{orders, fault("primary killed", 0), orders, orders}},
+		{"disks keep saves back", Breaks{CachedDisk: true}, []workloadStep{orders, orders, orders, orders, fault("core killed", 5000), orders, read}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			fired := false
 			for seed := int64(1); seed <= 12 && !fired; seed++ {
-				r := playContest(newContest(seed, test.breaks), test.steps)
+				r := playWorkload(newWorkloadSite(seed, test.breaks), test.steps)
 				for _, breach := range r.Breaches {
 					fired = fired || breach.Rule == "REGISTER"
 				}
@@ -99,26 +99,26 @@
 	t.Logf("seed %s, %s checks", flag.Lookup("rapid.seed").Value, flag.Lookup("rapid.checks").Value)
 }
 
-// Drawn contests fit one register. One that does not is shrunk to the fewest
+// Drawn workloads fit one register. One that does not is shrunk to the fewest
 // steps that show it.
-func TestDrawnContests(t *testing.T) {
+func TestDrawnWorkloads(t *testing.T) {
 	fixDraws(t, "25")
 	steps := rapid.SliceOfN(rapid.Custom(drawStep), 1, 40)
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Int64Range(1, 1<<20).Draw(t, "seed")
-		r := playContest(newContest(seed, Breaks{}), steps.Draw(t, "steps"))
+		r := playWorkload(newWorkloadSite(seed, Breaks{}), steps.Draw(t, "steps"))
 		if len(r.Breaches) > 0 {
 			t.Fatalf("%s", r.Report())
 		}
 	})
 }
 
-func drawStep(t *rapid.T) contestStep {
-	return contestStep{
-		Kind:    contestKind(rapid.IntRange(0, int(contestKinds)-1).Draw(t, "kind")),
+func drawStep(t *rapid.T) workloadStep {
+	return workloadStep{
+		Kind:    workloadKind(rapid.IntRange(0, int(workloadKinds)-1).Draw(t, "kind")),
 		Count:   rapid.IntRange(1, underMost).Draw(t, "count"),
 		PauseMs: rapid.Int64Range(0, 800).Draw(t, "pause"),
-		Fault:   rapid.SampledFrom(contestFaults).Draw(t, "fault"),
+		Fault:   rapid.SampledFrom(workloadFaults).Draw(t, "fault"),
 	}
 }
 
@@ -131,8 +131,8 @@
 	return w
 }
 
-// settleContest sends every order again to every controller, and checks.
-func settleContest(t *testing.T, w *World) {
+// settleWorkload sends every order again to every controller, and checks.
+func settleWorkload(t *testing.T, w *World) {
 	w.Run(callerEnd)
 	for _, r := range w.operators.history.orders {
 		for _, name := range w.names(wire.Controller) {
@@ -160,7 +160,7 @@
 					w := begun(2 + afterMs%2)
 					old := w.primary()
 					w.slowOthers(old, 40)
-					order := w.newContender(w.operators.base, w.operators.next(w), false)
+					order := w.newOrder(w.operators.base, w.operators.next(w), false)
 					order.isOnce = true
 					w.hand(old, order)
 					sent := w.operators.history.orders[1]
@@ -173,7 +173,7 @@
 					w.Run(3000)
 					w.meanwhile(meanwhile, sent)
 					w.bringBack(old, how)
-					settleContest(t, w)
+					settleWorkload(t, w)
 					if len(sent.answers) > 0 && sent.answers[0].outcome == outcomeAccepted {
 						accepted++
 					}
@@ -233,7 +233,7 @@
 		w.resend(sent, nil)
 		w.Run(2000)
 	case "another in force":
-		w.contender(w.operators.base, w.operators.next(w), false)
+		w.sendOrder(w.operators.base, w.operators.next(w), false)
 		w.Run(2000)
 	case "the next primary lost":
 		if next := w.primary(); next != nil {
@@ -254,13 +254,13 @@
 				w := begun(2 + afterMs%2)
 				old := w.primary()
 				w.operators.lostPart = 1
-				w.contendOnce(contestStep{Kind: contestRivals})
+				w.runStep(workloadStep{Kind: workloadRivals})
 				w.Run(afterMs)
 				w.takeAway(old, how)
 				w.Run(4000)
 				w.operators.lostPart = 0
 				w.bringBack(old, how)
-				settleContest(t, w)
+				settleWorkload(t, w)
 				qt.Check(t, countOf(w, outcomeAccepted), qt.Equals, 2, qt.Commentf("after %d ms: the first map and one of the two", afterMs))
 			}
 		})
