--- a/control/copy.go
+++ b/control/copy.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"maps"
+
 	"myrtlewinch/defect"
 	"myrtlewinch/disk"
 	"myrtlewinch/ledger"
@@ -419,22 +421,34 @@
 		m.hearPrimary(said.Contact)
 		m.heedWord(said)
 	}
+	if !m.takeChanges(e.From, said.Changes) {
+		m.tellFollowed(e.From)
+	}
+}
+
+// takeChanges takes those that go on from what this disk has, and says whether
+// there were any. What is compiled from the state, such as a large
+// configuration, is brought up to it once for all of them.
+func (m *Machine) takeChanges(from wire.Place, changes []wire.Change) bool {
+	changed := map[string]string{}
 	took := false
-	for _, change := range said.Changes {
+	for _, change := range changes {
 		if change.Before != m.copies.taken || m.broken {
 			continue
 		}
-		if err := m.takeRows(change.Rows); err != nil {
+		if err := m.state.Take(change.Rows); err != nil {
 			m.note("a change can't be read: %v", err)
 			m.count(defect.Malformed)
 			break
 		}
 		took = true
-		m.keepRows(disk.Write{Sets: change.Rows}, change.At, func() { m.tellFollowed(e.From) })
+		maps.Copy(changed, change.Rows)
+		m.keepRows(disk.Write{Sets: change.Rows}, change.At, func() { m.tellFollowed(from) })
 	}
-	if !took {
-		m.tellFollowed(e.From)
+	if took {
+		m.stateChanged(changed)
 	}
+	return took
 }
 
 // heedWord takes what a primary's message says beside the changes.
@@ -499,14 +513,6 @@
 	m.keepRows(disk.Write{Clear: ledger.Prefix, Sets: said.Rows}, said.At, func() { m.tellFollowed(e.From) })
 }
 
-func (m *Machine) takeRows(rows map[string]string) error {
-	if err := m.state.Take(rows); err != nil {
-		return err
-	}
-	m.stateChanged(rows)
-	return nil
-}
-
 // tellFollowed says how far this disk is. One that takes no writes any more
 // says nothing, so that another takes its part.
 func (m *Machine) tellFollowed(to wire.Place) {
