Send each request on a connection of our own that is kept only without doubt

Cause: the standard transport gave a connection back before its caller had looked at the id (an answer without a body) and while surplus bytes stood behind an answer, took 101 and statuses below 100 for final answers, kept one after an informational answer, heeded no Keep-Alive time, and sent a POST without a body again by itself where its Idempotency-Key header was there but empty (Header.Get does not tell that from none).

Now outward holds one exchange at a time on a connection, by construction. A connection goes back to its pool only after a response that was read to its told end, was accepted by the caller, and left nothing behind; the socket is asked once more before it is used again. Nothing sends again but where no byte was written. Before the first byte the caller's check still comes last.

Ruled out: a guard round the standard transport (its reader takes surplus bytes into a buffer that the guard can't see); asking the socket alone (bytes in the buffer are not seen by it).

HTTP/1.0 kept open is no fault, only stricter now. Renamed on the way: Errand is Request, Sent is Exchange, Single is Fresh, streams are connections.

--- /dev/null
+++ b/outward/exchange_test.go
@@ -0,0 +1,390 @@
+package outward
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	qt "github.com/frankban/quicktest"
+
+	"myrtlewinch/crew"
+)
+
+// scriptedPeer answers the first request with a script and each later one with
+// a good answer. It notes on which connection each request came.
+type scriptedPeer struct {
+	listener net.Listener
+	script   string
+	// closes says that the connection ends after the script.
+	closes bool
+
+	mu          sync.Mutex
+	connections []int
+}
+
+func newScriptedPeer(c *qt.C, script string, closes bool) *scriptedPeer {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = listener.Close() })
+	p := &scriptedPeer{listener: listener, script: script, closes: closes}
+	crew.Side(p.accept)
+	return p
+}
+
+func (p *scriptedPeer) accept() {
+	for number := 0; ; number++ {
+		connection, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		crew.Side(func() { p.serve(connection, number) })
+	}
+}
+
+func (p *scriptedPeer) serve(connection net.Conn, number int) {
+	defer connection.Close()
+	reader := bufio.NewReader(connection)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		p.mu.Lock()
+		p.connections = append(p.connections, number)
+		isFirst := len(p.connections) == 1
+		p.mu.Unlock()
+		if !isFirst {
+			_, _ = io.WriteString(connection, answer)
+			continue
+		}
+		_, _ = io.WriteString(connection, p.script)
+		if p.closes {
+			return
+		}
+	}
+}
+
+func (p *scriptedPeer) seen() []int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.connections
+}
+
+func (p *scriptedPeer) request() Request {
+	return Request{Method: http.MethodGet, Address: p.listener.Addr().String(), Path: "/", Host: "h", Header: http.Header{}}
+}
+
+// use makes one exchange as a caller does.
+func use(t *Transport, r Request, accepts bool) (body string, err error) {
+	x, err := t.Send(context.Background(), r, yes)
+	if err != nil {
+		return "", err
+	}
+	defer x.Response.Body.Close()
+	if accepts {
+		x.Accept()
+	}
+	text, err := io.ReadAll(x.Response.Body)
+	return string(text), err
+}
+
+func TestAConnectionIsUsedAgainOnlyWithoutDoubt(t *testing.T) {
+	const empty = "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"
+	chunked := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+	with := func(line string) string { return strings.Replace(answer, "\r\n", "\r\n"+line+"\r\n", 1) }
+	cases := []struct {
+		about, script string
+		closes        bool
+		refuses       bool
+		body          string
+		fails         bool
+		reused        bool
+	}{
+		{about: "a whole answer", script: answer, body: "ok", reused: true},
+		{about: "in chunks", script: chunked, body: "ok", reused: true},
+		{about: "without a body", script: empty, reused: true},
+		{about: "not accepted", script: answer, refuses: true, body: "ok"},
+		{about: "not accepted, without a body", script: empty, refuses: true},
+		{about: "surplus bytes", script: answer + "x", body: "ok"},
+		{about: "a doubled answer", script: answer + answer, body: "ok"},
+		{about: "a doubled answer without a body", script: empty + empty},
+		{about: "surplus after chunks", script: chunked + answer, body: "ok"},
+		{about: "chunks and a length", script: strings.Replace(chunked, "\r\n", "\r\nContent-Length: 3\r\n", 1), body: "ok", reused: true},
+		{about: "chunks and a length, surplus", script: strings.Replace(chunked, "\r\n", "\r\nContent-Length: 3\r\n", 1) + "x", body: "ok"},
+		{about: "two lengths", script: with("Content-Length: 3"), fails: true},
+		{about: "a length that is none", script: "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", fails: true},
+		{about: "no length", script: "HTTP/1.1 200 OK\r\n\r\nok", closes: true, body: "ok"},
+		{about: "it ends early", script: "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok", closes: true, body: "ok", fails: true},
+		{about: "chunks end early", script: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", closes: true, body: "ok", fails: true},
+		{about: "a spoilt chunk", script: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", fails: true},
+		{about: "the head ends early", script: "HTTP/1.1 200 OK\r\nContent-", closes: true, fails: true},
+		{about: "no answer", closes: true, fails: true},
+		{about: "bytes that form no answer", script: "garbage\r\n\r\n", fails: true},
+		{about: "a spoilt head", script: "HTTP/1.1 200 OK\r\nno colon\r\n\r\n", fails: true},
+		{about: "a head without end", script: "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", clientHeadBytes), fails: true},
+		{about: "a status below 100", script: "HTTP/1.1 099 X\r\nContent-Length: 0\r\n\r\n", fails: true},
+		{about: "a status with a sign", script: "HTTP/1.1 +20 X\r\nContent-Length: 0\r\n\r\n", fails: true},
+		{about: "another protocol", script: "HTTP/1.1 101 X\r\nUpgrade: x\r\n\r\n", fails: true},
+		{about: "an informational one before", script: "HTTP/1.1 103 X\r\n\r\n" + answer, body: "ok"},
+		{about: "informational ones alone", script: strings.Repeat("HTTP/1.1 100 X\r\n\r\n", informationalMost+1) + answer, fails: true},
+		{about: "it says that it closes", script: with("Connection: close"), body: "ok"},
+		{about: "HTTP/1.0", script: strings.Replace(answer, "1.1", "1.0", 1), body: "ok"},
+		{about: "HTTP/1.0 that keeps it open", script: strings.Replace(with("Connection: keep-alive"), "1.1", "1.0", 1), body: "ok"},
+		{about: "kept for no time", script: with("Keep-Alive: timeout=0"), body: "ok"},
+		{about: "kept for a time that is none", script: with("Keep-Alive: max=3, timeout=soon"), body: "ok"},
+		{about: "kept for long", script: with("Keep-Alive: timeout=60"), body: "ok", reused: true},
+	}
+	for _, test := range cases {
+		t.Run(test.about, func(t *testing.T) {
+			c := qt.New(t)
+			peer := newScriptedPeer(c, test.script, test.closes)
+			transport := New()
+			defer transport.Close()
+			body, err := use(transport, peer.request(), !test.refuses)
+			c.Assert(err != nil, qt.Equals, test.fails, qt.Commentf("%v", err))
+			c.Assert(body, qt.Equals, test.body)
+			body, err = use(transport, peer.request(), true)
+			c.Assert(err, qt.IsNil)
+			c.Assert(body, qt.Equals, "ok")
+			want := []int{0, 1}
+			if test.reused {
+				want = []int{0, 0}
+			}
+			c.Assert(peer.seen(), qt.DeepEquals, want)
+		})
+	}
+}
+
+// An answer that nobody asked for may come while a connection is idle, and the
+// peer may end or reset it: such a connection carries no further request.
+func TestAnIdleConnectionThatIsNotQuietIsNotUsed(t *testing.T) {
+	cases := []struct {
+		about string
+		spoil func(peer net.Conn) error
+	}{
+		{"a late answer", func(peer net.Conn) error { _, err := io.WriteString(peer, answer); return err }},
+		{"its end", func(peer net.Conn) error { return peer.(*net.TCPConn).CloseWrite() }},
+		{"a reset", func(peer net.Conn) error {
+			if err := peer.(*net.TCPConn).SetLinger(0); err != nil {
+				return err
+			}
+			return peer.Close()
+		}},
+	}
+	for _, test := range cases {
+		t.Run(test.about, func(t *testing.T) {
+			c := qt.New(t)
+			client, peer := tcpPair(c)
+			p := newPool(time.Second, time.Hour, headBytes)
+			idle := p.newConn("a", client)
+			c.Assert(idle.isQuiet(), qt.IsTrue)
+			p.put(idle, time.Hour)
+			c.Assert(test.spoil(peer), qt.IsNil)
+			// The wait is for the bytes to have crossed, not for a time.
+			_, _ = idle.reader.Peek(1)
+			c.Assert(p.take("a"), qt.IsNil)
+		})
+	}
+}
+
+// tcpPair gives both ends of a connection.
+func tcpPair(c *qt.C) (client, peer net.Conn) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer listener.Close()
+	client, err = net.Dial("tcp", listener.Addr().String())
+	c.Assert(err, qt.IsNil)
+	peer, err = listener.Accept()
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _, _ = client.Close(), peer.Close() })
+	return client, peer
+}
+
+// The socket itself is asked too, not only what was read from it already.
+func TestTheSocketIsAskedBeforeItIsUsed(t *testing.T) {
+	c := qt.New(t)
+	client, peer := tcpPair(c)
+	raw, err := client.(*net.TCPConn).SyscallConn()
+	c.Assert(err, qt.IsNil)
+	look := func() (quiet bool) {
+		c.Assert(raw.Control(func(fd uintptr) { quiet = nothingToRead(fd) }), qt.IsNil)
+		return quiet
+	}
+	c.Assert(look(), qt.IsTrue)
+	_, err = io.WriteString(peer, "xy")
+	c.Assert(err, qt.IsNil)
+	_, err = io.ReadFull(client, make([]byte, 1))
+	c.Assert(err, qt.IsNil)
+	c.Assert(look(), qt.IsFalse)
+	c.Assert(peer.Close(), qt.IsNil)
+	_, err = client.Read(make([]byte, 1))
+	c.Assert(err, qt.Equals, io.EOF)
+	c.Assert(look(), qt.IsFalse)
+}
+
+// A header may make the standard transport resend a request without a body;
+// each attempt here reaches the peer once, whatever its headers say.
+func TestNoHeaderMakesARequestBeSentAgain(t *testing.T) {
+	for _, name := range []string{"Idempotency-Key", "X-Idempotency-Key"} {
+		for _, value := range []string{"", "k"} {
+			t.Run(name+"="+value, func(t *testing.T) {
+				c := qt.New(t)
+				address, heads := raw(c, answer, "", answer)
+				transport := New()
+				defer transport.Close()
+				request := Request{Method: http.MethodPost, Address: address, Path: "/", Host: "h", Header: http.Header{name: {value}}}
+				_, err := use(transport, request, true)
+				c.Assert(err, qt.IsNil)
+				_, err = use(transport, request, true)
+				c.Assert(err, qt.IsNotNil)
+				c.Assert(heads, qt.HasLen, 2)
+			})
+		}
+	}
+}
+
+// A peer may answer without reading a large body. The answer counts, and the
+// connection is closed.
+func TestAnAnswerBeforeTheRequestWasWritten(t *testing.T) {
+	c := qt.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer listener.Close()
+	done := make(chan struct{})
+	crew.Side(func() {
+		connection, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer connection.Close()
+		// Little room makes sure that the body does not fit in between.
+		_ = connection.(*net.TCPConn).SetReadBuffer(4 << 10)
+		_, _ = bufio.NewReaderSize(connection, 16).ReadSlice('\n')
+		_, _ = io.WriteString(connection, answer)
+		<-done
+	})
+	transport := New()
+	x, err := transport.Send(context.Background(), Request{
+		Method: http.MethodPost, Address: listener.Addr().String(), Path: "/", Host: "h", Header: http.Header{}, Body: make([]byte, 64<<20),
+	}, yes)
+	c.Assert(err, qt.IsNil)
+	c.Assert(x.Wrote, qt.IsTrue)
+	x.Accept()
+	text, err := io.ReadAll(x.Response.Body)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(text), qt.Equals, "ok")
+	c.Assert(x.Response.Body.Close(), qt.IsNil)
+	c.Assert(transport.clients.idle, qt.HasLen, 0)
+	x.waitWritten()
+	close(done)
+}
+
+// A request that broke before its first byte goes on over a new connection; no
+// byte of it was written before.
+func TestABrokenConnectionBeforeTheFirstByte(t *testing.T) {
+	c := qt.New(t)
+	peer := newScriptedPeer(c, answer, false)
+	transport := New()
+	defer transport.Close()
+	client, _ := tcpPair(c)
+	idle := transport.clients.newConn(peer.listener.Addr().String(), client)
+	transport.clients.put(idle, time.Hour)
+	request := peer.request()
+	request.Method, request.Body = http.MethodPost, []byte("the body")
+	// The check runs right before the write, when the connection was found fit.
+	checks := 0
+	x, err := transport.Send(context.Background(), request, func() bool {
+		if checks++; checks == 1 {
+			_ = client.Close()
+		}
+		return true
+	})
+	c.Assert(err, qt.IsNil)
+	c.Assert(x.Response.Body.Close(), qt.IsNil)
+	c.Assert(checks, qt.Equals, 2)
+	c.Assert(peer.seen(), qt.HasLen, 1)
+}
+
+// A cancelled context closes the connection, also after a whole answer.
+func TestACancelledExchangeGivesNoConnectionBack(t *testing.T) {
+	c := qt.New(t)
+	peer := newScriptedPeer(c, answer, false)
+	transport := New()
+	defer transport.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	x, err := transport.Send(ctx, peer.request(), yes)
+	c.Assert(err, qt.IsNil)
+	x.Accept()
+	_, err = io.ReadAll(x.Response.Body)
+	c.Assert(err, qt.IsNil)
+	cancel()
+	c.Assert(x.Response.Body.Close(), qt.IsNil)
+	c.Assert(transport.clients.idle, qt.HasLen, 0)
+}
+
+// The time in here is virtual.
+func TestIdleConnectionsAreBoundedInTimeAndNumber(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p := newPool(time.Second, time.Second, headBytes)
+		var peers []net.Conn
+		add := func(idleTimeout time.Duration) {
+			client, peer := net.Pipe()
+			peers = append(peers, peer)
+			p.put(p.newConn("a", client), idleTimeout)
+		}
+		count := func() int {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return len(p.idle["a"])
+		}
+		add(300 * time.Millisecond)
+		add(600 * time.Millisecond)
+		c.Assert(count(), qt.Equals, 2)
+		time.Sleep(400 * time.Millisecond)
+		synctest.Wait()
+		c.Assert(count(), qt.Equals, 1)
+		time.Sleep(300 * time.Millisecond)
+		synctest.Wait()
+		c.Assert(count(), qt.Equals, 0)
+		for range idlePerAddress + 1 {
+			add(time.Second)
+		}
+		c.Assert(count(), qt.Equals, idlePerAddress)
+		p.closeIdle()
+		c.Assert(count(), qt.Equals, 0)
+		for _, peer := range peers {
+			_, err := peer.Read(make([]byte, 1))
+			c.Assert(errors.Is(err, io.EOF), qt.IsTrue)
+		}
+	})
+}
+
+func TestPromisedIdle(t *testing.T) {
+	cases := []struct {
+		value string
+		want  time.Duration
+	}{
+		{"timeout=1", 750 * time.Millisecond},
+		{"max=5, Timeout=4", 3 * time.Second},
+		{"timeout=0", 0},
+		{"timeout=-1", 0},
+		{"timeout=99999999999", 0},
+		{"max=5", time.Hour},
+		{"", time.Hour},
+	}
+	for _, test := range cases {
+		t.Run(test.value, func(t *testing.T) {
+			qt.Assert(t, promisedIdle(http.Header{"Keep-Alive": {test.value}}), qt.Equals, test.want)
+		})
+	}
+}
--- a/outward/send_test.go
+++ b/outward/send_test.go
@@ -52,14 +52,14 @@
 func TestSendKeepsTheClientsBytes(t *testing.T) {
 	cases := []struct {
 		about string
-		e     Errand
+		e     Request
 		want  string
 	}{
-		{"plain", Errand{Method: "GET", Path: "/a/b", Host: "h.example"}, "GET /a/b HTTP/1.1\r\nHost: h.example\r\n\r\n"},
-		{"escapes", Errand{Method: "GET", Path: "/a%2fb/%7E/c|d", Query: "x=1&&y=%zz", Host: "h"}, "GET /a%2fb/%7E/c|d?x=1&&y=%zz HTTP/1.1\r\nHost: h\r\n\r\n"},
-		{"an empty query", Errand{Method: "GET", Path: "/a", HasQuery: true, Host: "h"}, "GET /a? HTTP/1.1\r\nHost: h\r\n\r\n"},
-		{"two slashes", Errand{Method: "GET", Path: "//a%2Fb", Host: "h"}, "GET //a%2Fb HTTP/1.1\r\nHost: h\r\n\r\n"},
-		{"an empty body", Errand{Method: "POST", Path: "/a", Host: "h"}, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"},
+		{"plain", Request{Method: "GET", Path: "/a/b", Host: "h.example"}, "GET /a/b HTTP/1.1\r\nHost: h.example\r\n\r\n"},
+		{"escapes", Request{Method: "GET", Path: "/a%2fb/%7E/c|d", Query: "x=1&&y=%zz", Host: "h"}, "GET /a%2fb/%7E/c|d?x=1&&y=%zz HTTP/1.1\r\nHost: h\r\n\r\n"},
+		{"an empty query", Request{Method: "GET", Path: "/a", HasQuery: true, Host: "h"}, "GET /a? HTTP/1.1\r\nHost: h\r\n\r\n"},
+		{"two slashes", Request{Method: "GET", Path: "//a%2Fb", Host: "h"}, "GET //a%2Fb HTTP/1.1\r\nHost: h\r\n\r\n"},
+		{"an empty body", Request{Method: "POST", Path: "/a", Host: "h"}, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"},
 	}
 	for _, test := range cases {
 		t.Run(test.about, func(t *testing.T) {
@@ -70,27 +70,28 @@
 			test.e.Address, test.e.Header = address, http.Header{}
 			sent, err := transport.Send(context.Background(), test.e, yes)
 			c.Assert(err, qt.IsNil)
-			_, _ = io.ReadAll(sent.Answer.Body)
+			_, _ = io.ReadAll(sent.Response.Body)
 			c.Assert(<-heads, qt.Equals, test.want)
 		})
 	}
 }
 
-// A kept stream that the other side closes after a second request was written
+// A kept connection that the other side closes after a second request was written
 // leaves it unknown whether that ran; it is not sent again.
-func TestSendNeverRepeatsOnAKeptStream(t *testing.T) {
+func TestSendNeverRepeatsOnAKeptConnection(t *testing.T) {
 	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodTrace} {
 		t.Run(method, func(t *testing.T) {
 			c := qt.New(t)
 			address, heads := raw(c, answer, "", answer)
 			transport := New()
 			defer transport.Close()
-			errand := Errand{Method: method, Address: address, Path: "/", Host: "h", Header: http.Header{}}
-			sent, err := transport.Send(context.Background(), errand, yes)
+			request := Request{Method: method, Address: address, Path: "/", Host: "h", Header: http.Header{}}
+			sent, err := transport.Send(context.Background(), request, yes)
 			c.Assert(err, qt.IsNil)
-			_, _ = io.ReadAll(sent.Answer.Body)
-			_ = sent.Answer.Body.Close()
-			sent, err = transport.Send(context.Background(), errand, yes)
+			sent.Accept()
+			_, _ = io.ReadAll(sent.Response.Body)
+			_ = sent.Response.Body.Close()
+			sent, err = transport.Send(context.Background(), request, yes)
 			c.Assert(err, qt.IsNotNil)
 			c.Assert(sent.Wrote, qt.IsTrue)
 			c.Assert(heads, qt.HasLen, 2)
--- /dev/null
+++ b/outward/usertimeout_other.go
@@ -0,0 +1,7 @@
+//go:build !linux
+
+package outward
+
+import "syscall"
+
+func setUserTimeout(_, _ string, _ syscall.RawConn) error { return nil }
--- a/relay/passage.go
+++ b/relay/passage.go
@@ -66,9 +66,9 @@
 	s.Go.LeftMs = max(1, s.DeadlineMs-nowMs)
 	header := http.Header{}
 	g.tongue.Dress(header, p.r.Header, s.Go)
-	sent, err := g.shell.Outward().Send(ctx, outward.Errand{
+	sent, err := g.shell.Outward().Send(ctx, outward.Request{
 		Method: p.r.Method, Address: s.Address, Path: p.path, Query: p.query, HasQuery: p.hasQuery,
-		Host: p.r.Host, Header: header, Body: p.body, Single: s.Single,
+		Host: p.r.Host, Header: header, Body: p.body, Fresh: s.Single,
 	}, g.shell.MaySend(func(nowMs int64) bool { return nowMs < s.UntilMs }))
 	switch {
 	case errors.Is(err, outward.ErrTooLate) && !sent.Wrote:
@@ -85,16 +85,17 @@
 		return p.ended(p.broken(Lost))
 	}
 	g.hearing.heard(g.shell.Clock().NowMs(), s.Go.Runner)
-	answer := sent.Answer
+	answer := sent.Response
 	defer answer.Body.Close()
 	heard := g.tongue.Hear(answer)
 	// An answer that names another request, or none, may be a surplus one that
 	// stands where ours is expected: nothing on this stream is believed.
 	if heard.Try != p.asked.Try || heard.Encoded || answer.StatusCode/100 == 2 && !heard.Sealed || !ends(answer) {
-		sent.Break()
+		sent.Reject()
 		g.shell.Count("answers that are none")
 		return p.ended(p.broken(Nonsense))
 	}
+	sent.Accept()
 	if heard.HasLoad || s.Route.Kind == servicemap.Stream {
 		g.shell.Put(Told{Id: p.id, Runner: s.Go.Runner, Heard: heard})
 	}
@@ -115,7 +116,7 @@
 	}
 	text, err := p.read(answer)
 	if err != nil {
-		sent.Break()
+		sent.Reject()
 		return p.ended(Lost)
 	}
 	got := &whole{answer.StatusCode, answer.Header, text}
