Test what a client gets for statuses that are none, 1xx, both framings, trailers

Cause: an answer of status 099 made the router's handler panic (the standard server refuses to write it), and one of 101 was passed on as a final answer.

--- a/relay/gate_test.go
+++ b/relay/gate_test.go
@@ -135,6 +135,10 @@
 	return fmt.Sprintf("%sContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s", head, len(body), body)
 }
 
+func chunks(body string) string {
+	return fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(body), body)
+}
+
 // events is a stream of the events from the first to the last id; whole says
 // whether it ends well.
 func events(first, last int, whole bool) string {
@@ -221,6 +225,8 @@
 	unsealed := strings.Replace(plain("bare"), "Seal: s\r\n", "", 1)
 	full := "HTTP/1.1 503 Full\r\nTry: TRY\r\nContent-Length: 0\r\n\r\n"
 	endless := head + "\r\nno length" + end
+	status := func(line string) string { return strings.Replace(plain("hello"), "200 OK", line, 1) }
+	hints := "HTTP/1.1 103 Hints\r\nTry: TRY\r\n\r\n"
 	cases := []struct {
 		about, path string
 		scripts     []string
@@ -244,6 +250,13 @@
 		{"no answer in the protocol", "/safe/x", []string{"garbage\r\n\r\n" + end, plain("hello")}, 200, "hello", false, 2, ""},
 		{"an encoding nobody asked for", "/safe/x", []string{encoded, plain("hello")}, 200, "hello", false, 2, ""},
 		{"no seal", "/safe/x", []string{unsealed, plain("hello")}, 200, "hello", false, 2, ""},
+		{"a status that is none, safe", "/safe/x", []string{status("099 X"), plain("hello")}, 200, "hello", false, 2, ""},
+		{"a status that is none, unsafe", "/unsafe/x", []string{status("099 X")}, 502, "", false, 1, ""},
+		{"another protocol, safe", "/safe/x", []string{status("101 X"), plain("hello")}, 200, "hello", false, 2, ""},
+		{"another protocol, unsafe", "/unsafe/x", []string{status("101 X")}, 502, "", false, 1, ""},
+		{"an informational answer before", "/unsafe/x", []string{hints + plain("hello")}, 200, "hello", false, 1, ""},
+		{"chunks and a length", "/unsafe/x", []string{strings.Replace(chunks("hello"), "Try:", "Content-Length: 2\r\nTry:", 1)}, 200, "hello", false, 1, ""},
+		{"trailers", "/unsafe/x", []string{strings.TrimSuffix(chunks("hello"), "\r\n") + "Try: t0\r\n\r\n"}, 200, "hello", false, 1, ""},
 		{"no end to be told", "/unsafe/x", []string{endless}, 502, "", false, 1, ""},
 		{"failed, unsafe", "/unsafe/x", []string{failed}, 500, "oops", false, 1, ""},
 		{"failed, safe", "/safe/x", []string{failed, plain("hello")}, 200, "hello", false, 2, ""},
