Let the waits for clients and the bound of a head follow the map in use

Cause: clients take up connections that rested for up to four fifths of the map's idle_ms, and the router closed them after a fixed 20 s: any idle_ms above 25 s broke requests. header_wait_ms and max_header_bytes were not applied.

The standard server's times are fields that can't change while it serves, so the connection itself sets its read deadlines (net/http with no times of its own sets none but to clear them), told by ConnState when it rests and when a head is whole. A limit that is raised meanwhile holds at once, a lowered one from the next rest on. 2 s are added: a map may be that late. A connection whose time is over is read once more for 10 ms, so that a process that stood still finds what came meanwhile. A head beyond the map's bound gets 431.

Tests, in virtual time: TestNoAllowedRestIsCutOff runs the fixed times of before as its broken variant, which fails from a rest of 20 s on as expected; TestWaitsForClientsFollowTheMap, TestTheHeadIsBoundByTheMap (its row of 431 needs the new kind), TestLimitsOf, TestWhatCameWhileTheProcessStoodStillIsRead.

--- a/defect/kind.go
+++ b/defect/kind.go
@@ -15,6 +15,7 @@
 	ModelNotAllowed Kind = "model not allowed"
 	BadRequest      Kind = "bad request"
 	TooLarge        Kind = "too large"
+	HeadTooLarge    Kind = "head too large"
 	WrongMethod     Kind = "wrong method"
 	UnknownPage     Kind = "unknown page"
 	NoWord          Kind = "no word from control"
@@ -74,6 +75,7 @@
 	ModelNotAllowed: {http.StatusUnprocessableEntity, 0, true},
 	BadRequest:      {http.StatusBadRequest, 0, true},
 	TooLarge:        {http.StatusRequestEntityTooLarge, 0, true},
+	HeadTooLarge:    {http.StatusRequestHeaderFieldsTooLarge, 0, true},
 	WrongMethod:     {http.StatusMethodNotAllowed, 0, true},
 	UnknownPage:     {http.StatusNotFound, 0, true},
 	NoWord:          {http.StatusServiceUnavailable, 2, true},
--- /dev/null
+++ b/relay/clientconn_test.go
@@ -0,0 +1,276 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"myrtlewinch/crew"
+	"myrtlewinch/servicemap"
+	"myrtlewinch/wire"
+)
+
+// pipeListener hands out one in-memory connection.
+type pipeListener struct{ connections chan net.Conn }
+
+func (l pipeListener) Accept() (net.Conn, error) {
+	connection, open := <-l.connections
+	if !open {
+		return nil, net.ErrClosed
+	}
+	return connection, nil
+}
+
+func (l pipeListener) Close() error   { return nil }
+func (l pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// waitBed is a server of the standard library behind the router's connections,
+// in virtual time.
+type waitBed struct {
+	client net.Conn
+	reader *bufio.Reader
+	limits atomic.Pointer[servicemap.Limits]
+}
+
+const wholeRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+// playWaits plays one connection; serve makes the server for its listener.
+func playWaits(t *testing.T, serve func(b *waitBed, front net.Listener) (*http.Server, net.Listener), play func(b *waitBed)) {
+	synctest.Test(t, func(t *testing.T) {
+		client, accepted := net.Pipe()
+		b := &waitBed{client: client, reader: bufio.NewReader(client)}
+		b.idle(10_000)
+		front := pipeListener{make(chan net.Conn, 1)}
+		front.connections <- accepted
+		server, listener := serve(b, front)
+		server.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
+		done := make(chan struct{})
+		crew.Side(func() { defer close(done); _ = server.Serve(listener) })
+		play(b)
+		_ = client.Close()
+		close(front.connections)
+		<-done
+		_ = server.Close()
+	})
+}
+
+func byTheMap(b *waitBed, front net.Listener) (*http.Server, net.Listener) {
+	limits := func() clientLimits { return limitsOf(&servicemap.Map{Limits: *b.limits.Load()}) }
+	return &http.Server{ConnState: trackClientConn}, clientListener{front, limits}
+}
+
+// byFixedTimes is how the router waited before.
+func byFixedTimes(_ *waitBed, front net.Listener) (*http.Server, net.Listener) {
+	return &http.Server{ReadHeaderTimeout: defaultHeadWait, IdleTimeout: defaultIdle}, front
+}
+
+func (b *waitBed) idle(ms int64) { b.limits.Store(&servicemap.Limits{IdleMs: ms, HeaderWaitMs: 3000}) }
+
+// ask says whether a request on the connection is answered.
+func (b *waitBed) ask(pieces ...string) bool {
+	for i, piece := range pieces {
+		if i > 0 {
+			wait(1000)
+		}
+		if _, err := io.WriteString(b.client, piece); err != nil {
+			return false
+		}
+	}
+	answer, err := http.ReadResponse(b.reader, nil)
+	if err != nil {
+		return false
+	}
+	text, err := io.ReadAll(answer.Body)
+	// The server is back to rest once it has nothing more to do.
+	synctest.Wait()
+	return err == nil && string(text) == "ok"
+}
+
+// wait lets virtual time pass; nothing really sleeps.
+func wait(ms int64) { time.Sleep(time.Duration(ms) * time.Millisecond); synctest.Wait() }
+
+// How long a connection may rest and a head may take follows the map.
+func TestWaitsForClientsFollowTheMap(t *testing.T) {
+	slackMs := waitSlack.Milliseconds()
+	cases := []struct {
+		about string
+		play  func(b *waitBed) bool
+		want  bool
+	}{
+		{"it rests as long as it may", func(b *waitBed) bool {
+			ok := b.ask(wholeRequest)
+			wait(8_000)
+			return ok && b.ask(wholeRequest)
+		}, true},
+		{"again and again", func(b *waitBed) bool {
+			for range 5 {
+				if !b.ask(wholeRequest) {
+					return false
+				}
+				wait(8_000)
+			}
+			return true
+		}, true},
+		{"it rests too long", func(b *waitBed) bool {
+			b.ask(wholeRequest)
+			wait(10_000 + slackMs + 100)
+			return b.ask(wholeRequest)
+		}, false},
+		{"a new one may rest too", func(b *waitBed) bool { wait(8_000); return b.ask(wholeRequest) }, true},
+		{"a new one rests too long", func(b *waitBed) bool { wait(10_000 + slackMs + 100); return b.ask(wholeRequest) }, false},
+		{"the limit is raised meanwhile", func(b *waitBed) bool {
+			b.ask(wholeRequest)
+			wait(5_000)
+			b.idle(60_000)
+			wait(43_000)
+			return b.ask(wholeRequest)
+		}, true},
+		{"the limit is lowered meanwhile", func(b *waitBed) bool {
+			b.ask(wholeRequest)
+			b.idle(500)
+			wait(8_000)
+			return b.ask(wholeRequest)
+		}, true},
+		{"the next rest is bound by the lower one", func(b *waitBed) bool {
+			b.ask(wholeRequest)
+			b.idle(500)
+			b.ask(wholeRequest)
+			wait(500 + slackMs + 100)
+			return b.ask(wholeRequest)
+		}, false},
+		{"a head in pieces", func(b *waitBed) bool { return b.ask("GET / HTTP/1.1\r\n", "Host: h\r\n", "\r\n") }, true},
+		{"a head in pieces after a rest", func(b *waitBed) bool {
+			b.ask(wholeRequest)
+			wait(8_000)
+			return b.ask("GET / HTTP/1.1\r\n", "Host: h\r\n", "\r\n")
+		}, true},
+		{"a head that takes too long", func(b *waitBed) bool {
+			return b.ask("GET ", "/ HTTP/1.1\r\n", "Host:", " h\r\n", "A: b\r\n", "C: d\r\n", "\r\n")
+		}, false},
+		{"two requests at once", func(b *waitBed) bool { return b.ask(wholeRequest+wholeRequest) && b.ask() }, true},
+	}
+	for _, test := range cases {
+		t.Run(test.about, func(t *testing.T) {
+			answered := false
+			playWaits(t, byTheMap, func(b *waitBed) { answered = test.play(b) })
+			qt.Assert(t, answered, qt.Equals, test.want)
+		})
+	}
+}
+
+// A client may take up a connection that rested for four fifths of the map's
+// time, whatever that is. The fixed time of before fails this.
+func TestNoAllowedRestIsCutOff(t *testing.T) {
+	for _, idleMs := range []int64{1, 100, 1000, 15_000, 30_000, 600_000, waitCeiling.Milliseconds(), 1 << 62} {
+		t.Run(fmt.Sprint(idleMs), func(t *testing.T) {
+			restMs := min(idleMs, waitCeiling.Milliseconds()) / 5 * 4
+			answered := func(serve func(*waitBed, net.Listener) (*http.Server, net.Listener)) (answered bool) {
+				playWaits(t, serve, func(b *waitBed) {
+					b.idle(idleMs)
+					b.ask(wholeRequest)
+					wait(restMs)
+					answered = b.ask(wholeRequest)
+				})
+				return answered
+			}
+			qt.Assert(t, answered(byTheMap), qt.IsTrue)
+			qt.Assert(t, answered(byFixedTimes), qt.Equals, restMs < defaultIdle.Milliseconds())
+		})
+	}
+}
+
+// frozen gives its bytes only after its deadline has passed, as a connection
+// does whose reader stood still.
+type frozen struct {
+	net.Conn
+	text  string
+	reads int
+}
+
+func (f *frozen) SetReadDeadline(time.Time) error { return nil }
+
+func (f *frozen) Read(p []byte) (int, error) {
+	if f.reads++; f.reads == 1 {
+		return 0, os.ErrDeadlineExceeded
+	}
+	return copy(p, f.text), nil
+}
+
+func TestWhatCameWhileTheProcessStoodStillIsRead(t *testing.T) {
+	c := qt.New(t)
+	connection := &clientConn{Conn: &frozen{text: "GET"}, limits: func() clientLimits { return limitsOf(nil) }}
+	connection.rest()
+	buffer := make([]byte, 8)
+	n, err := connection.Read(buffer)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(buffer[:n]), qt.Equals, "GET")
+	c.Assert(connection.phase, qt.Equals, connReadingHead)
+}
+
+// The head is counted as it was sent; a map's bound is answered with 431.
+func TestTheHeadIsBoundByTheMap(t *testing.T) {
+	c := qt.New(t)
+	head := "POST /safe/x?q=1 HTTP/1.1\r\nHost: h\r\nTry: t1\r\nX-Long: " + strings.Repeat("x", 200) + "\r\nX-Long: y\r\nContent-Length: 2\r\n\r\n"
+	r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(head + "ok")))
+	c.Assert(err, qt.IsNil)
+	c.Assert(headBytes(r), qt.Equals, int64(len(head)))
+	for _, test := range []struct {
+		bytes  int64
+		status int
+	}{{int64(len(head)), 200}, {int64(len(head)) - 1, 431}, {0, 200}} {
+		runner := newPlayed(c, plain("hello"))
+		g, server := gateBed(c, runner)
+		document := exampleMap(2)
+		document.Limits.HeaderBytes = test.bytes
+		text, err := json.Marshal(document)
+		c.Assert(err, qt.IsNil)
+		g.shell.Put(wire.Envelope{Site: "site", From: primaryPlace, To: selfPlace.Name, Body: wire.MapWord{
+			EchoMs: g.shell.Clock().NowMs(), Epoch: 3, Version: 2, Sum: "2", Text: string(text), Routers: 1,
+		}})
+		// The machine takes one input after the other, so this one is behind.
+		_, ok := g.shell.Ask(context.Background(), func(id uint64) any { return Look{Id: id} })
+		c.Assert(ok, qt.IsTrue)
+		connection, err := net.Dial("tcp", strings.TrimPrefix(server.URL, "http://"))
+		c.Assert(err, qt.IsNil)
+		_, err = io.WriteString(connection, head+"ok")
+		c.Assert(err, qt.IsNil)
+		answer, err := http.ReadResponse(bufio.NewReader(connection), nil)
+		c.Assert(err, qt.IsNil)
+		c.Assert(answer.StatusCode, qt.Equals, test.status)
+		c.Assert(answer.Close, qt.Equals, test.status == 431)
+		c.Assert(connection.Close(), qt.IsNil)
+	}
+}
+
+func TestLimitsOf(t *testing.T) {
+	cases := []struct {
+		about  string
+		limits servicemap.Limits
+		want   clientLimits
+	}{
+		{"none", servicemap.Limits{}, clientLimits{defaultIdle, defaultHeadWait, defaultHeadBytes}},
+		{"all", servicemap.Limits{HeaderBytes: 16384, HeaderWaitMs: 3000, IdleMs: 15_000}, clientLimits{17 * time.Second, 5 * time.Second, 16384}},
+		{
+			"beyond what can be held", servicemap.Limits{HeaderBytes: 1 << 40, HeaderWaitMs: 1 << 60, IdleMs: 1 << 60},
+			clientLimits{waitCeiling + waitSlack, waitCeiling + waitSlack, headBytesCeiling},
+		},
+	}
+	for _, test := range cases {
+		t.Run(test.about, func(t *testing.T) {
+			qt.Assert(t, limitsOf(&servicemap.Map{Limits: test.limits}) == test.want, qt.IsTrue)
+		})
+	}
+	qt.Assert(t, limitsOf(nil), qt.Equals, limitsOf(&servicemap.Map{}))
+}
--- a/relay/gate.go
+++ b/relay/gate.go
@@ -22,13 +22,10 @@
 
 const (
 	tickMs = 25
-	// Limits where the map says nothing.
-	headMost     = 64 << 10
-	bodyMost     = 4 << 20
-	smallBody    = 64 << 10
-	headWaitMs   = 5000
-	bodyWaitMs   = 10_000
-	streamIdleMs = 20_000
+	// bodyMost bounds a body where the map says nothing.
+	bodyMost   = 4 << 20
+	smallBody  = 64 << 10
+	bodyWaitMs = 10_000
 	// spareFiles are kept for what is not a client's request; each request
 	// takes two streams.
 	spareFiles  = 400
@@ -81,8 +78,8 @@
 		Site: set.Site, Self: set.Self, Clock: clock, Log: logger, TickMs: tickMs, Exchanger: exchanger,
 	}, g.machine, nil, fellows, ready, http.HandlerFunc(g.page))
 	g.server = &http.Server{
-		Handler: g, ReadHeaderTimeout: headWaitMs * time.Millisecond, IdleTimeout: streamIdleMs * time.Millisecond,
-		MaxHeaderBytes: headMost, DisableGeneralOptionsHandler: true,
+		// How long a connection may rest and a head may take, clientConn knows.
+		Handler: g, ConnState: trackClientConn, MaxHeaderBytes: headBytesCeiling, DisableGeneralOptionsHandler: true,
 		ErrorLog: logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
 	return g, nil
@@ -92,7 +89,7 @@
 func (g *Gate) Join(c *crew.Crew) {
 	g.shell.Join(c)
 	c.Duty(func() error {
-		if err := g.server.Serve(g.front); !errors.Is(err, http.ErrServerClosed) {
+		if err := g.server.Serve(clientListener{g.front, g.limits}); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		return nil
@@ -105,6 +102,9 @@
 	})
 }
 
+// limits are those of the map in use.
+func (g *Gate) limits() clientLimits { return limitsOf(g.machine.Map()) }
+
 // Reseed gives the seeds anew.
 func (g *Gate) Reseed(seeds []string) { g.shell.Put(Reseed{Seeds: seeds}) }
 
@@ -180,6 +180,11 @@
 		g.tongue.Refuse(w, defect.HoldingFull, 300)
 		return
 	}
+	if headBytes(r) > g.limits().headBytes {
+		w.Header().Set("Connection", "close")
+		g.tongue.Refuse(w, defect.HeadTooLarge, 0)
+		return
+	}
 	path, query, hasQuery := strings.Cut(r.RequestURI, "?")
 	if !strings.HasPrefix(path, "/") {
 		g.tongue.Refuse(w, defect.BadRequest, 0)
