Test that a slow answer to a pipelined request outlasts the rest

The standard server tells that a request is active also where its head stood in the buffer already, so no read of the background is bound by the rest's time. Passed without a change of code.

--- a/relay/clientconn_test.go
+++ b/relay/clientconn_test.go
@@ -44,7 +44,10 @@
 	limits atomic.Pointer[servicemap.Limits]
 }
 
-const wholeRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+const (
+	wholeRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	slowRequest  = "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n"
+)
 
 // playWaits plays one connection; serve makes the server for its listener.
 func playWaits(t *testing.T, serve func(b *waitBed, front net.Listener) (*http.Server, net.Listener), play func(b *waitBed)) {
@@ -55,7 +58,15 @@
 		front := pipeListener{make(chan net.Conn, 1)}
 		front.connections <- accepted
 		server, listener := serve(b, front)
-		server.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
+		server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/slow" {
+				wait(60_000)
+			}
+			if r.Context().Err() != nil {
+				panic(http.ErrAbortHandler)
+			}
+			_, _ = io.WriteString(w, "ok")
+		})
 		done := make(chan struct{})
 		crew.Side(func() { defer close(done); _ = server.Serve(listener) })
 		play(b)
@@ -159,6 +170,10 @@
 		{"a head that takes too long", func(b *waitBed) bool {
 			return b.ask("GET ", "/ HTTP/1.1\r\n", "Host:", " h\r\n", "A: b\r\n", "C: d\r\n", "\r\n")
 		}, false},
+		{"a slow answer", func(b *waitBed) bool { return b.ask(slowRequest) && b.ask(wholeRequest) }, true},
+		{"a slow answer to one of two requests at once", func(b *waitBed) bool {
+			return b.ask(wholeRequest+slowRequest+wholeRequest) && b.ask() && b.ask()
+		}, true},
 		{"two requests at once", func(b *waitBed) bool { return b.ask(wholeRequest+wholeRequest) && b.ask() }, true},
 	}
 	for _, test := range cases {
