--- a/control/departure.go
+++ b/control/departure.go
@@ -37,7 +37,7 @@
 	if m.leaving.wanted {
 		return
 	}
-	m.leaving = departure{wanted: true, id: in.Id, untilMs: m.nowMs + m.set.LeaveMs}
+	m.leaving = departure{wanted: true, id: in.ID, untilMs: m.nowMs + m.set.LeaveMs}
 	// The older interface lists its members itself; there nobody takes over.
 	if m.set.Tenant == nil {
 		m.stepDown("planned stop")
--- a/control/founding.go
+++ b/control/founding.go
@@ -22,7 +22,7 @@
 // just what this very founding would give it, since an earlier go at it was
 // cut short. Nothing else ever takes a blank disk for a beginning.
 func (m *Machine) found(f Founding) {
-	drop := func(kind defect.Kind, detail string) { m.answer(f.Id, wire.Dropped{Kind: kind, Detail: detail}) }
+	drop := func(kind defect.Kind, detail string) { m.answer(f.ID, wire.Dropped{Kind: kind, Detail: detail}) }
 	if m.record.Epoch > 0 || m.state.Position.Number > 0 {
 		drop(defect.AlreadyFounded, "this controller belongs to a founded site")
 		return
@@ -88,7 +88,7 @@
 	if said.Record.Epoch == 0 || same(said.Record, s.first) {
 		return false
 	}
-	id := s.founding.Id
+	id := s.founding.ID
 	s.founding = nil
 	// Whoever keeps that record finishes it, if it is left the time.
 	m.retreat(foundAfterMs)
--- a/control/index.go
+++ b/control/index.go
@@ -33,7 +33,7 @@
 func (m *Machine) lookUp(e wire.Envelope, ask wire.LookUp) {
 	m.index.looked++
 	key := choice.Key{Service: ask.Service, Model: ask.Model, Adapter: ask.Adapter}
-	answer := wire.Index{Id: ask.Id, Key: key.String(), At: m.state.Position, AgeMs: m.ageMs(), Behind: m.described == nil}
+	answer := wire.Index{ID: ask.ID, Key: key.String(), At: m.state.Position, AgeMs: m.ageMs(), Behind: m.described == nil}
 	if m.described != nil {
 		if service, ok := m.described.Service(ask.Service); ok && (ask.Model == "" || service.Allows(ask.Model)) {
 			m.index.counts[key.String()]++
--- a/control/index_test.go
+++ b/control/index_test.go
@@ -13,7 +13,7 @@
 func asks(m *Machine, nowMs int64, service, model string) []wire.Index {
 	return indexed(m.Step(nowMs, wire.Envelope{
 		Site: "s", To: "a", From: wire.Place{Name: "e", Address: "e:1", Part: wire.Router, Incarnation: "1"},
-		Body: wire.LookUp{Id: 7, Service: service, Model: model},
+		Body: wire.LookUp{ID: 7, Service: service, Model: model},
 	}))
 }
 
@@ -66,7 +66,7 @@
 			answers := asks(m, m.nowMs+1, test.service, test.model)
 			qt.Assert(t, answers, qt.HasLen, 1)
 			got := answers[0]
-			qt.Assert(t, got.Id, qt.Equals, uint64(7))
+			qt.Assert(t, got.ID, qt.Equals, uint64(7))
 			qt.Assert(t, got.Holders, qt.HasLen, test.holders)
 			qt.Assert(t, got.Loading, qt.Equals, test.loading)
 			qt.Assert(t, got.TurnMs, qt.Equals, test.turnMs)
@@ -91,7 +91,7 @@
 		}
 		for _, index := range indexed(m.Step(nowMs, wire.Tick{})) {
 			qt.Assert(t, index.Holders, qt.HasLen, 1)
-			qt.Assert(t, index.Id, qt.Equals, uint64(0))
+			qt.Assert(t, index.ID, qt.Equals, uint64(0))
 			told++
 		}
 	}
--- a/control/machine.go
+++ b/control/machine.go
@@ -199,14 +199,14 @@
 type (
 	// HandOver is a description, or a change of named parts, to be taken.
 	HandOver struct {
-		Id   uint64
+		ID   uint64
 		Base uint64
 		Text string
 		Part bool
 	}
 	// Founding is the operator's explicit act that begins a site.
 	Founding struct {
-		Id        uint64
+		ID        uint64
 		Witnesses []string
 		Backup    string
 		// Recover goes on from this daemon's copy instead, which must be at
@@ -216,7 +216,7 @@
 	}
 	// StepDown begins a planned stop. It is answered with Departed once this
 	// daemon's copy and vote are with others, or after Settings.LeaveMs.
-	StepDown struct{ Id uint64 }
+	StepDown struct{ ID uint64 }
 	// Reseed replaces the seeds, since the settings changed.
 	Reseed struct{ Seeds []string }
 )
@@ -477,7 +477,7 @@
 func (m *Machine) count(kind defect.Kind) { m.out.Counts = append(m.out.Counts, string(kind)) }
 
 func (m *Machine) answer(id uint64, body any) {
-	m.out.Answers = append(m.out.Answers, wire.Answer{Id: id, Body: body})
+	m.out.Answers = append(m.out.Answers, wire.Answer{ID: id, Body: body})
 }
 
 // adopt takes a complete record as the one in force.
--- a/control/offer.go
+++ b/control/offer.go
@@ -69,15 +69,15 @@
 func (m *Machine) handOver(in HandOver) {
 	switch {
 	case len(in.Text) > description.Most:
-		m.drop(in.Id, defect.TooLarge, "a description may have at most 1 MiB", nil)
+		m.drop(in.ID, defect.TooLarge, "a description may have at most 1 MiB", nil)
 	case m.record.Epoch == 0:
-		m.drop(in.Id, defect.NotFounded, "this site is not founded", nil)
+		m.drop(in.ID, defect.NotFounded, "this site is not founded", nil)
 	case !m.isPrimary():
-		m.drop(in.Id, defect.NotPrimary, "the primary takes descriptions", nil)
+		m.drop(in.ID, defect.NotPrimary, "the primary takes descriptions", nil)
 	case !m.active():
-		m.drop(in.Id, defect.NotTaken, "the pair is not whole yet", nil)
+		m.drop(in.ID, defect.NotTaken, "the pair is not whole yet", nil)
 	case len(m.offer.line) >= lineMost:
-		m.drop(in.Id, defect.NotTaken, "too many descriptions wait", nil)
+		m.drop(in.ID, defect.NotTaken, "too many descriptions wait", nil)
 	default:
 		m.offer.line = append(m.offer.line, in)
 		m.nextOffer()
@@ -94,7 +94,7 @@
 		// the primary before may have given.
 		if in.Base != o.current.Number {
 			o.line = o.line[1:]
-			m.drop(in.Id, defect.StaleBase, "the description in force is another by now", nil)
+			m.drop(in.ID, defect.StaleBase, "the description in force is another by now", nil)
 			continue
 		}
 		text := []byte(in.Text)
@@ -111,7 +111,7 @@
 			if len(faults) == 0 {
 				kind = defect.TooLarge
 			}
-			m.drop(in.Id, kind, "the description has no effect", faults)
+			m.drop(in.ID, kind, "the description has no effect", faults)
 			continue
 		}
 		if m.nowMs < m.seat.takesMs {
@@ -149,7 +149,7 @@
 	if !m.routersReady() {
 		// Nothing was written, so it can't come into force any more.
 		if m.nowMs-o.pending.sinceMs >= giveUpMs {
-			id := o.pending.from.Id
+			id := o.pending.from.ID
 			o.pending = nil
 			m.drop(id, defect.NotTaken, "too few routers acknowledged it", nil)
 			m.nudge()
@@ -161,14 +161,14 @@
 	pending := o.pending
 	m.submit(func(ok bool) {
 		if !ok {
-			m.drop(pending.from.Id, defect.AcceptanceUnknown, "it may be in force; read the description to find out", nil)
+			m.drop(pending.from.ID, defect.AcceptanceUnknown, "it may be in force; read the description to find out", nil)
 			return
 		}
 		m.offer.current = ledger.Revision{Number: pending.number, Text: pending.text}
 		m.offer.token = pending.token
 		m.offer.pending = nil
 		m.note("revision %d is in force", pending.number)
-		m.answer(pending.from.Id, Accepted{Revision: pending.number})
+		m.answer(pending.from.ID, Accepted{Revision: pending.number})
 		m.nudge()
 		m.nextOffer()
 	}, ledger.Accept{Text: pending.text, Epoch: m.record.Epoch})
@@ -211,12 +211,12 @@
 	o.line, o.pending = nil, nil
 	o.forget()
 	for _, in := range line {
-		m.drop(in.Id, defect.NotTaken, "this controller is not the primary any more", nil)
+		m.drop(in.ID, defect.NotTaken, "this controller is not the primary any more", nil)
 	}
 	// One that was never written can't come into force; one that was has been
 	// answered by its write's end.
 	if pending != nil && !pending.given {
-		m.drop(pending.from.Id, defect.NotTaken, "this controller is not the primary any more", nil)
+		m.drop(pending.from.ID, defect.NotTaken, "this controller is not the primary any more", nil)
 	}
 }
 
--- a/control/office.go
+++ b/control/office.go
@@ -106,7 +106,7 @@
 	return o.shell.Ask(ctx, input)
 }
 
-func writeJson(w http.ResponseWriter, value any) {
+func writeJSON(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(value)
 }
@@ -134,7 +134,7 @@
 		return
 	}
 	answer, ok := o.ask(r, answerMs, func(id uint64) any {
-		return HandOver{Id: id, Base: base, Text: string(text), Part: r.Method == http.MethodPatch}
+		return HandOver{ID: id, Base: base, Text: string(text), Part: r.Method == http.MethodPatch}
 	})
 	if !ok {
 		defect.Answer{Kind: defect.AcceptanceUnknown, Detail: "no outcome in time; read the description to find out"}.Write(w)
@@ -143,14 +143,14 @@
 	switch said := answer.(type) {
 	case Accepted:
 		w.Header().Set("ETag", fmt.Sprintf("%q", strconv.FormatUint(said.Revision, 10)))
-		writeJson(w, said)
+		writeJSON(w, said)
 	case wire.Dropped:
 		dropped(w, said)
 	}
 }
 
 func (o *Office) described(w http.ResponseWriter, r *http.Request) (Described, bool) {
-	answer, ok := o.ask(r, lookUpMs, func(id uint64) any { return Look{Id: id, Page: "description"} })
+	answer, ok := o.ask(r, lookUpMs, func(id uint64) any { return Look{ID: id, Page: "description"} })
 	said, right := answer.(Described)
 	if !ok || !right {
 		defect.Answer{Kind: defect.NotTaken, Detail: "no answer in time"}.Write(w)
@@ -180,32 +180,32 @@
 
 func (o *Office) history(w http.ResponseWriter, r *http.Request) {
 	if said, ok := o.described(w, r); ok {
-		writeJson(w, map[string]any{"revisions": said.Past, "sure": said.Sure})
+		writeJSON(w, map[string]any{"revisions": said.Past, "sure": said.Sure})
 	}
 }
 
 func (o *Office) status(w http.ResponseWriter, r *http.Request) {
-	answer, ok := o.ask(r, lookUpMs, func(id uint64) any { return Look{Id: id, Page: "status"} })
+	answer, ok := o.ask(r, lookUpMs, func(id uint64) any { return Look{ID: id, Page: "status"} })
 	if !ok {
 		defect.Answer{Kind: defect.NotTaken, Detail: "no answer in time"}.Write(w)
 		return
 	}
-	writeJson(w, answer)
+	writeJSON(w, answer)
 }
 
 // soundness says 200 as long as the machine's thread answers and the disk
 // takes writes; it says nothing of the site.
 func (o *Office) soundness(w http.ResponseWriter, r *http.Request) {
-	answer, ok := o.ask(r, lookUpMs, func(id uint64) any { return Look{Id: id, Page: "status"} })
+	answer, ok := o.ask(r, lookUpMs, func(id uint64) any { return Look{ID: id, Page: "status"} })
 	status, right := answer.(Status)
 	if !ok || !right || status.DiskBroken || status.Retired {
 		defect.Answer{Kind: defect.NotTaken, Detail: "unsound"}.Write(w)
 		return
 	}
-	writeJson(w, map[string]any{"sound": true, "role": status.Role, "epoch": status.Record.Epoch})
+	writeJSON(w, map[string]any{"sound": true, "role": status.Role, "epoch": status.Record.Epoch})
 }
 
-func (o *Office) counters(w http.ResponseWriter, _ *http.Request) { writeJson(w, o.shell.Counts()) }
+func (o *Office) counters(w http.ResponseWriter, _ *http.Request) { writeJSON(w, o.shell.Counts()) }
 
 func (o *Office) foundSite(w http.ResponseWriter, r *http.Request) {
 	var asked struct {
@@ -222,7 +222,7 @@
 	}
 	answer, ok := o.ask(r, answerMs, func(id uint64) any {
 		return Founding{
-			Id: id, Witnesses: asked.Witnesses, Backup: asked.Backup,
+			ID: id, Witnesses: asked.Witnesses, Backup: asked.Backup,
 			Recover: r.URL.Path == "/recover", Change: asked.Change, Revision: asked.Revision,
 		}
 	})
@@ -232,7 +232,7 @@
 	}
 	switch said := answer.(type) {
 	case Founded:
-		writeJson(w, said)
+		writeJSON(w, said)
 	case wire.Dropped:
 		dropped(w, said)
 	}
--- a/control/place.go
+++ b/control/place.go
@@ -228,11 +228,10 @@
 
 // spot is a runner with what speaks for it.
 type spot struct {
-	row      *ledger.Row
-	room     int64
-	zoneHas  int
-	free     int64
-	adapters bool
+	row     *ledger.Row
+	room    int64
+	zoneHas int
+	free    int64
 }
 
 // placeOne gives the order that brings the need closer, if there is one.
--- a/control/recovery.go
+++ b/control/recovery.go
@@ -16,7 +16,7 @@
 // were lost: an operator's explicit act, which must name what it goes on from.
 // Three live controllers must agree, blank or not; none may have a later copy.
 func (m *Machine) recoverFrom(f Founding) {
-	drop := func(kind defect.Kind, detail string) { m.answer(f.Id, wire.Dropped{Kind: kind, Detail: detail}) }
+	drop := func(kind defect.Kind, detail string) { m.answer(f.ID, wire.Dropped{Kind: kind, Detail: detail}) }
 	at := m.state.Position
 	switch {
 	case at.Number == 0:
@@ -72,7 +72,7 @@
 	if said.At.Epoch < at.Epoch || said.At.Epoch == at.Epoch && said.At.Number <= at.Number {
 		return false
 	}
-	id := s.founding.Id
+	id := s.founding.ID
 	s.founding = nil
 	m.retreat(0)
 	m.answer(id, wire.Dropped{Kind: defect.NotTaken, Detail: fmt.Sprintf("%s has a later copy, up to change %d of epoch %d: recover from it", from.Name, said.At.Number, said.At.Epoch)})
--- a/control/retired.go
+++ b/control/retired.go
@@ -57,8 +57,8 @@
 	case Look:
 		m.look(in)
 	case HandOver:
-		m.drop(in.Id, defect.NotPrimary, "this daemon is retired", nil)
+		m.drop(in.ID, defect.NotPrimary, "this daemon is retired", nil)
 	case Founding:
-		m.answer(in.Id, wire.Dropped{Kind: defect.AlreadyFounded, Detail: "this daemon is retired"})
+		m.answer(in.ID, wire.Dropped{Kind: defect.AlreadyFounded, Detail: "this daemon is retired"})
 	}
 }
--- a/control/seat.go
+++ b/control/seat.go
@@ -164,7 +164,7 @@
 	m.seat.proposal = nil
 	if f := m.seat.founding; f != nil {
 		m.seat.founding = nil
-		m.answer(f.Id, wire.Dropped{Kind: defect.NotTaken, Detail: "not all witnesses agreed; they must be up (for a founding: blank, or left by this same act); repeat it"})
+		m.answer(f.ID, wire.Dropped{Kind: defect.NotTaken, Detail: "not all witnesses agreed; they must be up (for a founding: blank, or left by this same act); repeat it"})
 	}
 }
 
@@ -450,7 +450,7 @@
 			if !recovers {
 				m.seat.takesMs = m.nowMs
 			}
-			m.answer(f.Id, Founded{Epoch: m.record.Epoch, Primary: m.record.Primary, Backup: f.Backup})
+			m.answer(f.ID, Founded{Epoch: m.record.Epoch, Primary: m.record.Primary, Backup: f.Backup})
 		}
 	}, m.beginWith()...)
 }
@@ -472,7 +472,7 @@
 	}
 	if f := m.seat.founding; f != nil {
 		m.seat.founding = nil
-		m.answer(f.Id, wire.Dropped{Kind: defect.AcceptanceUnknown, Detail: "the founding may have been recorded; ask for the status"})
+		m.answer(f.ID, wire.Dropped{Kind: defect.AcceptanceUnknown, Detail: "the founding may have been recorded; ask for the status"})
 	}
 }
 
--- a/control/seat_test.go
+++ b/control/seat_test.go
@@ -50,7 +50,7 @@
 	m.Step(m.nowMs+99, wire.Tick{})
 	qt.Assert(t, m.isPrimary(), qt.IsTrue)
 	m.seat.holdUntilMs = m.nowMs + 1
-	effects := m.Step(m.nowMs+1, HandOver{Id: 3, Base: 1, Text: described})
+	effects := m.Step(m.nowMs+1, HandOver{ID: 3, Base: 1, Text: described})
 	qt.Assert(t, m.isPrimary(), qt.IsFalse)
 	qt.Assert(t, effects.Answers, qt.HasLen, 1)
 	qt.Assert(t, effects.Answers[0].Body.(wire.Dropped).Kind.Reply().Drop, qt.IsTrue)
--- a/control/status.go
+++ b/control/status.go
@@ -9,7 +9,7 @@
 
 // Look asks for a page: "status", "description", "history" or "soundness".
 type Look struct {
-	Id   uint64
+	ID   uint64
 	Page string
 }
 
@@ -66,7 +66,7 @@
 		if m.isPrimary() {
 			revision = m.offer.current
 		}
-		m.answer(in.Id, Described{Revision: revision, Sure: m.active(), Primary: m.record.Primary, Past: append([]ledger.Past{}, m.state.Past...)})
+		m.answer(in.ID, Described{Revision: revision, Sure: m.active(), Primary: m.record.Primary, Past: append([]ledger.Past{}, m.state.Past...)})
 		return
 	}
 	s := Status{
@@ -105,5 +105,5 @@
 		s.Routers = append(s.Routers, RouterStatus{seat.Name, hold.untilMs - m.nowMs, hold.acked})
 	}
 	sort.Slice(s.Routers, func(i, j int) bool { return s.Routers[i].Name < s.Routers[j].Name })
-	m.answer(in.Id, s)
+	m.answer(in.ID, s)
 }
--- a/daemon/saving_test.go
+++ b/daemon/saving_test.go
@@ -86,7 +86,7 @@
 // each write is answered; a slow disk would else fall behind by a sync for each.
 func TestWritesThatWaitAreSyncedTogether(t *testing.T) {
 	c := qt.New(t)
-	folder := c.Mkdir()
+	folder := c.TempDir()
 	d, err := disk.Open(folder, "s")
 	c.Assert(err, qt.IsNil)
 	listen := func() net.Listener {
--- a/daemon/shell.go
+++ b/daemon/shell.go
@@ -245,7 +245,7 @@
 	}
 	for _, answer := range effects.Answers {
 		s.mu.Lock()
-		place := s.answers[answer.Id]
+		place := s.answers[answer.ID]
 		s.mu.Unlock()
 		if place != nil {
 			place <- answer.Body
--- a/disk/growth_test.go
+++ b/disk/growth_test.go
@@ -42,7 +42,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			folder := c.Mkdir()
+			folder := c.TempDir()
 			var most int64
 			d, err := openWith(folder, "zagreb", func(*os.File) error {
 				most = max(most, folderBytes(c, folder))
--- a/disk/powerloss_test.go
+++ b/disk/powerloss_test.go
@@ -280,8 +280,8 @@
 // power may leave and those of them that break what the disk promises.
 func faults(c *qt.C, changes int, coarse bool, skip func(*os.File) bool) (states []state, broken []string) {
 	seen := map[string]bool{}
-	scratch := c.Mkdir()
-	r := newRecording(c.Mkdir(), func(s state) {
+	scratch := c.TempDir()
+	r := newRecording(c.TempDir(), func(s state) {
 		key := fmt.Sprint(s)
 		if seen[key] {
 			return
@@ -313,9 +313,9 @@
 func TestPowerLossTwice(t *testing.T) {
 	c := qt.New(t)
 	states, _ := faults(c, 5, true, nil)
-	scratch, count := c.Mkdir(), 0
+	scratch, count := c.TempDir(), 0
 	for _, first := range states {
-		folder := c.Mkdir()
+		folder := c.TempDir()
 		for name, content := range first.files {
 			c.Assert(os.WriteFile(filepath.Join(folder, name), content, 0o644), qt.IsNil)
 		}
@@ -334,7 +334,7 @@
 // A folder that was not there lasts under its name.
 func TestNewFolderIsSyncedInItsParent(t *testing.T) {
 	c := qt.New(t)
-	parent := c.Mkdir()
+	parent := c.TempDir()
 	var synced []string
 	d, err := openWith(filepath.Join(parent, "data"), "zagreb", func(file *os.File) error {
 		synced = append(synced, file.Name())
--- a/disk/write_test.go
+++ b/disk/write_test.go
@@ -62,7 +62,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			folder := c.Mkdir()
+			folder := c.TempDir()
 			syncs := 0
 			d, err := openWith(folder, "zagreb", func(*os.File) error { syncs++; return nil })
 			c.Assert(err, qt.IsNil)
--- a/drill/book.go
+++ b/drill/book.go
@@ -109,11 +109,11 @@
 	further := b.reached[p.c.try]
 	b.reached[p.c.try] = true
 	b.arrivals[r.entry.Service] = append(b.arrivals[r.entry.Service], arrival{w.NowMs, further})
-	shownMs, leaving := b.listed[r.entry.Id]
-	if leaving && r.entry.Id == s.Go.Runner {
+	shownMs, leaving := b.listed[r.entry.ID]
+	if leaving && r.entry.ID == s.Go.Runner {
 		fromMs := max(shownMs, w.touch.fromMs(p.n.name), w.touch.linksMs+w.Bounds.InTouchMs)
 		if w.NowMs-fromMs > w.Bounds.DrainMs {
-			b.breach("DRAIN", w.NowMs, "%s reached %s %d ms after it was listed as leaving", p.c.try, r.entry.Id, w.NowMs-fromMs)
+			b.breach("DRAIN", w.NowMs, "%s reached %s %d ms after it was listed as leaving", p.c.try, r.entry.ID, w.NowMs-fromMs)
 		}
 	}
 }
@@ -131,10 +131,10 @@
 	b.Ran++
 	b.runs[try]++
 	if b.runs[try] > 1 && !s.Route.Repeatable() {
-		b.breach("TWICE", w.NowMs, "%s (%s) runs again, on %s", try, s.Route.Name, r.entry.Id)
+		b.breach("TWICE", w.NowMs, "%s (%s) runs again, on %s", try, s.Route.Name, r.entry.ID)
 	}
 	if kind, refused := b.denied[try]; refused && !s.Route.Repeatable() {
-		b.breach("REFUSED", w.NowMs, "%s runs on %s after it was refused as %q", try, r.entry.Id, kind)
+		b.breach("REFUSED", w.NowMs, "%s runs on %s after it was refused as %q", try, r.entry.ID, kind)
 	}
 	if s.Route.Split[0].Service != r.entry.Service {
 		b.breach("ROUTE", w.NowMs, "%s of route %s runs at %s", try, s.Route.Name, r.entry.Service)
@@ -284,10 +284,10 @@
 	if b.looks[at] == nil {
 		b.looks[at] = map[uint64]int{}
 	}
-	b.looks[at][l.Id]++
+	b.looks[at][l.ID]++
 	// One that waits for a holder may be asked for at another controller.
-	if count := b.looks[at][l.Id]; count > 2 || count > 1 && !l.Waits {
-		b.breach("LOOKUP", b.w.NowMs, "%s asks %d times for its request %d", at, count, l.Id)
+	if count := b.looks[at][l.ID]; count > 2 || count > 1 && !l.Waits {
+		b.breach("LOOKUP", b.w.NowMs, "%s asks %d times for its request %d", at, count, l.ID)
 	}
 }
 
--- a/drill/clients.go
+++ b/drill/clients.go
@@ -94,7 +94,7 @@
 			r.asked.Adapter = fmt.Sprintf("a%d", 1+w.random.Intn(adapters))
 		}
 		r.asked.PromptTokens, r.asked.OutTokens = 200+w.random.Int63n(1500), 50
-		r.asked.Parts = []relay.Part{{Id: fmt.Sprint("p", w.random.Intn(5)), Tokens: 100}, {Id: r.try, Tokens: 100}}
+		r.asked.Parts = []relay.Part{{ID: fmt.Sprint("p", w.random.Intn(5)), Tokens: 100}, {ID: r.try, Tokens: 100}}
 	}
 	r.asked.LeftMs = r.leftMs
 	c.log = append(c.log, r)
@@ -109,7 +109,7 @@
 		p := &passage{w: w, n: n, life: life, id: n.ids, c: r, asked: r.asked}
 		r.p = p
 		n.passages[p.id] = p
-		w.put(n, life, relay.Request{Id: p.id, Host: host, Path: path, Asked: r.asked})
+		w.put(n, life, relay.Request{ID: p.id, Host: host, Path: path, Asked: r.asked})
 	}, func() { r.end("connection broke") })
 	w.after(r.leftMs+400, r.leave)
 }
--- a/drill/fleet.go
+++ b/drill/fleet.go
@@ -70,7 +70,7 @@
 	}
 	r := &runner{
 		w: w, held: map[string]map[string]bool{}, disk: f.disks[key], loading: map[string]bool{},
-		entry: wire.RunnerEntry{Id: id, Service: service, Address: address, Zone: fmt.Sprintf("zone-%d", f.number%3), Slots: slots, LeftMs: -1},
+		entry: wire.RunnerEntry{ID: id, Service: service, Address: address, Zone: fmt.Sprintf("zone-%d", f.number%3), Slots: slots, LeftMs: -1},
 	}
 	f.all = append(f.all, r)
 	return r
@@ -142,7 +142,7 @@
 	shown = slices.Clone(shown)
 	for i := range shown {
 		if shown[i].Leaving {
-			w.Book.listedLeaving(shown[i].Id)
+			w.Book.listedLeaving(shown[i].ID)
 			if w.Breaks.KeepLeaving {
 				shown[i].Leaving, shown[i].LeftMs = false, -1
 			}
@@ -164,7 +164,7 @@
 		r.entry.LeftMs = endMs
 	}
 	r.endMs = w.NowMs + endMs
-	w.note("%s of %s is leaving, spot: %v", r.entry.Id, r.entry.Service, spot)
+	w.note("%s of %s is leaving, spot: %v", r.entry.ID, r.entry.Service, spot)
 	w.after(endMs, func() { w.endRunner(r, true, 0) })
 }
 
@@ -173,7 +173,7 @@
 	if r.gone {
 		return
 	}
-	w.note("%s of %s ends, resets: %v", r.entry.Id, r.entry.Service, resets)
+	w.note("%s of %s ends, resets: %v", r.entry.ID, r.entry.Service, resets)
 	r.gone, r.listedToMs = true, w.NowMs+listedMs
 	jobs := r.jobs
 	r.jobs, r.queue = nil, nil
--- a/drill/job.go
+++ b/drill/job.go
@@ -26,7 +26,7 @@
 	if r.silent {
 		return
 	}
-	if r.entry.Id != j.s.Go.Runner {
+	if r.entry.ID != j.s.Go.Runner {
 		j.back(func() { p.ended(relay.Ended{Outcome: relay.NotHeld, Other: true}) })
 		return
 	}
--- a/drill/network.go
+++ b/drill/network.go
@@ -143,7 +143,7 @@
 				return
 			}
 			// Another life at that address is no answer of this one.
-			if said.Ok = r.entry.Id == body.Runner; said.Ok {
+			if said.Ok = r.entry.ID == body.Runner; said.Ok {
 				said.State = r.told(w.NowMs)
 			}
 			w.pass(call.Address, n.name, func() { back(said) }, nil)
--- a/drill/node.go
+++ b/drill/node.go
@@ -216,7 +216,7 @@
 			w.after(leaveWaitMs, func() { w.end(n, life) })
 		} else if n.core() {
 			w.operators.answered(w, n, answer)
-		} else if p := n.passages[answer.Id]; p != nil {
+		} else if p := n.passages[answer.ID]; p != nil {
 			p.told(answer.Body)
 		} else {
 			w.Book.breach("ANSWER", w.NowMs, "%s answered a request that has ended: %T", n.name, answer.Body)
--- a/drill/operators.go
+++ b/drill/operators.go
@@ -174,9 +174,9 @@
 	arrive := func() {
 		if at.up {
 			if h.read {
-				w.put(at, at.life, steward.Read{Id: id})
+				w.put(at, at.life, steward.Read{ID: id})
 			} else {
-				w.put(at, at.life, steward.HandOver{Id: id, BuiltOn: h.builtOn, Text: h.text, Part: h.part})
+				w.put(at, at.life, steward.HandOver{ID: id, BuiltOn: h.builtOn, Text: h.text, Part: h.part})
 			}
 		} else {
 			w.after(5, func() { o.again(w, a, nil) })
@@ -227,11 +227,11 @@
 
 // answered takes the answer of a controller; it may get lost on its way.
 func (o *operators) answered(w *World, n *node, answer wire.Answer) {
-	a := o.calls[answer.Id]
+	a := o.calls[answer.ID]
 	if a == nil {
 		return
 	}
-	delete(o.calls, answer.Id)
+	delete(o.calls, answer.ID)
 	if o.lostPart > 0 && w.random.Float64() < o.lostPart {
 		return
 	}
--- a/drill/passage.go
+++ b/drill/passage.go
@@ -91,7 +91,7 @@
 		if w.Breaks.OtherService && w.random.Intn(10) == 0 {
 			for _, r := range w.fleet.living("") {
 				if r.entry.Service != said.Route.Split[0].Service {
-					said.Address, said.Go.Runner = r.entry.Address, r.entry.Id
+					said.Address, said.Go.Runner = r.entry.Address, r.entry.ID
 				}
 			}
 		}
@@ -156,7 +156,7 @@
 		p.job.over = true
 	}
 	p.sent = false
-	e.Id, e.Passed = p.id, p.passed
+	e.ID, e.Passed = p.id, p.passed
 	if p.passed && p.last > 0 {
 		e.After = strconv.Itoa(p.last)
 	}
@@ -176,7 +176,7 @@
 	switch {
 	case w.Breaks.RefuseLost && !p.passed:
 		p.finish()
-		p.w.put(p.n, p.life, relay.Gone{Id: p.id})
+		p.w.put(p.n, p.life, relay.Gone{ID: p.id})
 		p.c.refused(defect.NoRunner, 200)
 		return
 	case w.Breaks.ResendUnsafe && !p.passed:
@@ -239,7 +239,7 @@
 		return
 	}
 	p.finish()
-	p.w.put(p.n, p.life, relay.Gone{Id: p.id})
+	p.w.put(p.n, p.life, relay.Gone{ID: p.id})
 }
 
 // broke is the router's process ending under it.
--- a/drill/runner.go
+++ b/drill/runner.go
@@ -76,10 +76,10 @@
 
 // command is the runner's side of an order.
 func (r *runner) command(w *World, sender string, c wire.CommandCall) wire.CommandOutcome {
-	if r.entry.Id != c.Runner || r.entry.Service != llm {
+	if r.entry.ID != c.Runner || r.entry.Service != llm {
 		return wire.CommandRefused
 	}
-	w.Book.order(sender, r.entry.Id, c.Holder, c.Fence)
+	w.Book.order(sender, r.entry.ID, c.Holder, c.Fence)
 	if w.Bounds.Fenced && c.Fence < r.fence {
 		return wire.CommandFenced
 	}
@@ -99,7 +99,7 @@
 	}
 	r.calls++
 	r.busy = true
-	w.note("%s: order %d of %s (fence %d): load %v %s %s", r.entry.Id, r.calls, c.Holder, c.Fence, c.Load, c.Model, c.Adapter)
+	w.note("%s: order %d of %s (fence %d): load %v %s %s", r.entry.ID, r.calls, c.Holder, c.Fence, c.Load, c.Model, c.Adapter)
 	if c.Load {
 		r.load(c)
 	} else {
@@ -117,10 +117,10 @@
 		mb += modelMb(c.Model)
 		if tookMs = loadAgainMs; !r.disk[c.Model] {
 			tookMs = loadMs
-			r.w.Book.load(r.entry.Id, c.Model)
+			r.w.Book.load(r.entry.ID, c.Model)
 		}
 	}
-	if r.w.Book.room(r.entry.Id, what, mb, adapters) {
+	if r.w.Book.room(r.entry.ID, what, mb, adapters) {
 		// One that is told to hold too much falls.
 		r.w.after(1, func() { r.w.crash(r, true) })
 	}
--- a/drill/tenant.go
+++ b/drill/tenant.go
@@ -48,12 +48,12 @@
 	switch in := input.(type) {
 	case steward.Read:
 		if t.breaks.StaleRead && version > 0 {
-			h.Answer(in.Id, steward.Text{Version: version, Text: text})
+			h.Answer(in.ID, steward.Text{Version: version, Text: text})
 			return true
 		}
 	case steward.HandOver:
 		if t.breaks.StaleRefusal && version > in.BuiltOn {
-			h.Answer(in.Id, wire.Dropped{Kind: defect.StaleBase, Revision: version})
+			h.Answer(in.ID, wire.Dropped{Kind: defect.StaleBase, Revision: version})
 			return true
 		}
 		if t.breaks.IgnoreBase {
--- a/endurance/site_test.go
+++ b/endurance/site_test.go
@@ -288,15 +288,15 @@
 	if s.broke.eagerAnswers {
 		s.version = version
 	}
-	s.step(primary, steward.HandOver{Id: s.ids, BuiltOn: version - 1, Text: s.text(version)})
+	s.step(primary, steward.HandOver{ID: s.ids, BuiltOn: version - 1, Text: s.text(version)})
 }
 
 func (s *site) answered(m *member, answer wire.Answer) {
 	switch said := answer.Body.(type) {
 	case steward.Text:
 		s.read++
-		if said.Version < s.reads[answer.Id] {
-			s.older = append(s.older, fmt.Sprintf("%s served version %d after %d was acknowledged", m.name, said.Version, s.reads[answer.Id]))
+		if said.Version < s.reads[answer.ID] {
+			s.older = append(s.older, fmt.Sprintf("%s served version %d after %d was acknowledged", m.name, said.Version, s.reads[answer.ID]))
 		}
 	case steward.Taken:
 		s.version = max(s.version, said.Version)
@@ -337,7 +337,7 @@
 	for _, m := range s.members {
 		s.ids++
 		s.reads[s.ids] = s.version
-		s.step(m, steward.Read{Id: s.ids})
+		s.step(m, steward.Read{ID: s.ids})
 	}
 	s.after(readMs, s.keepReading)
 }
--- a/holdings/index.go
+++ b/holdings/index.go
@@ -148,7 +148,7 @@
 		}
 	}
 	out := k.indexIn(nil, nowMs, from, in.Service, in.Model, in.Adapter)
-	out.Id = in.Id
+	out.ID = in.ID
 	if m != nil {
 		k.askers.note(nowMs, m, from, &out)
 	}
@@ -183,7 +183,7 @@
 )
 
 func sumHolder(n uint64, h *wire.MapHolder) uint64 {
-	for _, text := range [...]string{h.Id, h.Address} {
+	for _, text := range [...]string{h.ID, h.Address} {
 		for i := range len(text) {
 			n = (n ^ uint64(text[i])) * sumPrime
 		}
@@ -243,7 +243,7 @@
 				continue
 			}
 			out.Holders = append(out.Holders, wire.MapHolder{
-				Id: r.entry.Id, Address: r.entry.Address, Zone: r.entry.Zone, Slots: r.entry.Slots,
+				ID: r.entry.ID, Address: r.entry.Address, Zone: r.entry.Zone, Slots: r.entry.Slots,
 				Adapter: adapter == "" || r.offers(x),
 				Active:  r.state.Active, Queued: r.state.Queued,
 				CacheUsed: r.state.CacheUsed, CacheTotal: r.state.CacheTotal,
--- a/holdings/index_test.go
+++ b/holdings/index_test.go
@@ -54,7 +54,7 @@
 			s := newStand(t, 1, newMap(4, 8, 4.2), 0)
 			k := s.keeper("one")
 			k.Begin(s.events.NowMs(), 1, s.events.NowMs()+1_000_000)
-			e := wire.RunnerEntry{Id: "r1", Service: llm, Address: "10.0.0.1:80", Slots: 8, LeftMs: -1, Models: held("a1")}
+			e := wire.RunnerEntry{ID: "r1", Service: llm, Address: "10.0.0.1:80", Slots: 8, LeftMs: -1, Models: held("a1")}
 			k.Fleet(s.events.NowMs(), wire.Fleet{Ok: true, Runners: []wire.RunnerEntry{e}})
 			for _, adapter := range test.asks {
 				for _, router := range []string{"one", "two"} {
@@ -97,9 +97,9 @@
 			s := newStand(t, 1, newMap(4, 8, 4.2), 0)
 			k := s.keeper("one")
 			k.Begin(s.events.NowMs(), 1, s.events.NowMs()+1_000_000)
-			one := wire.RunnerEntry{Id: "r1", Service: llm, Address: "10.0.0.1:80", Slots: 8, LeftMs: -1, Models: []wire.HeldModel{{Name: "m000"}}}
+			one := wire.RunnerEntry{ID: "r1", Service: llm, Address: "10.0.0.1:80", Slots: 8, LeftMs: -1, Models: []wire.HeldModel{{Name: "m000"}}}
 			two := one
-			two.Id, two.Address = "r2", "10.0.0.2:80"
+			two.ID, two.Address = "r2", "10.0.0.2:80"
 			k.Fleet(s.events.NowMs(), wire.Fleet{Ok: true, Runners: []wire.RunnerEntry{one}})
 			k.LookUp(s.events.NowMs(), wire.Place{Name: "router"}, wire.MapLookUp{Service: llm, Model: "m000"})
 			k.Tick(s.events.NowMs(), s.events.NowMs()+2000)
@@ -118,8 +118,8 @@
 func TestTurnIsTold(t *testing.T) {
 	c := qt.New(t)
 	b := ordered(c)
-	index := b.k.LookUp(b.nowMs, wire.Place{Name: "router"}, wire.MapLookUp{Id: 9, Service: llm, Model: "m004"})
-	c.Assert(index.Id, qt.Equals, uint64(9))
+	index := b.k.LookUp(b.nowMs, wire.Place{Name: "router"}, wire.MapLookUp{ID: 9, Service: llm, Model: "m004"})
+	c.Assert(index.ID, qt.Equals, uint64(9))
 	c.Assert(index.Known, qt.IsTrue)
 	c.Assert(index.Loading, qt.IsTrue)
 	c.Assert(index.TurnMs > 1500 && index.TurnMs < 2500, qt.IsTrue)
@@ -139,12 +139,12 @@
 	c := qt.New(t)
 	b := newBench(c)
 	b.k.Fleet(b.nowMs, wire.Fleet{Ok: true, Runners: []wire.RunnerEntry{
-		{Id: "p1", Service: "plain", Address: "10.0.0.8:80", Slots: 6, LeftMs: -1},
-		{Id: "p2", Service: "plain", Address: "10.0.0.9:80", Slots: 6, LeftMs: 2000, Leaving: true},
+		{ID: "p1", Service: "plain", Address: "10.0.0.8:80", Slots: 6, LeftMs: -1},
+		{ID: "p2", Service: "plain", Address: "10.0.0.9:80", Slots: 6, LeftMs: 2000, Leaving: true},
 	}})
 	index := b.k.LookUp(b.nowMs, wire.Place{Name: "router"}, wire.MapLookUp{Service: "plain"})
 	c.Assert(index.Holders, qt.HasLen, 1)
-	c.Assert(index.Holders[0].Id, qt.Equals, "p1")
+	c.Assert(index.Holders[0].ID, qt.Equals, "p1")
 	c.Assert(index.Holders[0].Adapter, qt.IsTrue)
 	c.Assert(b.k.Leaving(), qt.DeepEquals, []string{"p2"})
 }
@@ -161,11 +161,11 @@
 	c.Assert(b.holds("m001"), qt.IsTrue)
 	e := wire.RunnerEntry{Service: llm, Slots: 64, LeftMs: -1, Models: []wire.HeldModel{{Name: "m001"}}}
 	first, second := e, e
-	first.Id, first.Address, second.Id, second.Address = "r1", "10.0.0.1:80", "r2", "10.0.0.2:80"
+	first.ID, first.Address, second.ID, second.Address = "r1", "10.0.0.1:80", "r2", "10.0.0.2:80"
 	b.k.Fleet(b.nowMs, wire.Fleet{Ok: true, Runners: []wire.RunnerEntry{first, second}})
 	holders := b.k.index(b.nowMs, llm, "m001", "").Holders
 	c.Assert(holders, qt.HasLen, 1)
-	c.Assert(holders[0].Id, qt.Equals, "r2")
+	c.Assert(holders[0].ID, qt.Equals, "r2")
 }
 
 // A follower answers as the primary does, counts, and goes on from there.
@@ -193,7 +193,7 @@
 	ids := func(x wire.MapIndex) map[string]bool {
 		out := map[string]bool{}
 		for _, h := range x.Holders {
-			out[h.Id] = h.Adapter
+			out[h.ID] = h.Adapter
 		}
 		return out
 	}
--- a/holdings/keeper_test.go
+++ b/holdings/keeper_test.go
@@ -90,7 +90,7 @@
 	r := s.runners[ids[n%len(ids)]]
 	r.dead = true
 	disk := r.disk
-	s.events.After(2500, func() { delete(s.runners, r.entry.Id) })
+	s.events.After(2500, func() { delete(s.runners, r.entry.ID) })
 	s.events.After(3000, func() {
 		next := s.start(r.entry.Address, r.entry.Zone)
 		next.disk = disk
@@ -214,18 +214,18 @@
 	leaver := s.runners[sortedKeys(s.runners)[0]]
 	leaver.entry.Leaving = true
 	play(s, load, 6, ask)
-	c.Assert(k.Leaving(), qt.DeepEquals, []string{leaver.entry.Id})
+	c.Assert(k.Leaving(), qt.DeepEquals, []string{leaver.entry.ID})
 	for name := range leaver.held {
 		c.Assert(s.copies(name) >= 2, qt.IsTrue, qt.Commentf("%s", name))
 		for _, h := range k.LookUp(s.events.NowMs(), load.from, wire.MapLookUp{Service: llm, Model: name}).Holders {
-			c.Assert(h.Id, qt.Not(qt.Equals), leaver.entry.Id)
+			c.Assert(h.ID, qt.Not(qt.Equals), leaver.entry.ID)
 		}
 	}
 	// Leaving stays, whatever a later list says, and while it is gone.
 	leaver.entry.Leaving = false
 	play(s, load, 2, ask)
 	c.Assert(k.Leaving(), qt.HasLen, 1)
-	delete(s.runners, leaver.entry.Id)
+	delete(s.runners, leaver.entry.ID)
 	play(s, load, 3, ask)
 	c.Assert(k.Leaving(), qt.HasLen, 1)
 	c.Assert(s.breaches, qt.HasLen, 0)
--- a/holdings/offer_test.go
+++ b/holdings/offer_test.go
@@ -19,7 +19,7 @@
 	var list []wire.RunnerEntry
 	for i := range count {
 		e := wire.RunnerEntry{
-			Id: fmt.Sprintf("r%05d", i), Service: llm, Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250), Zone: fmt.Sprintf("zone-%d", i%4),
+			ID: fmt.Sprintf("r%05d", i), Service: llm, Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250), Zone: fmt.Sprintf("zone-%d", i%4),
 			Slots: 8, LeftMs: -1, Models: []wire.HeldModel{{Name: "m000"}, {Name: "m001"}},
 		}
 		if i%4 == 3 {
@@ -35,7 +35,7 @@
 	var out []string
 	in := wire.MapLookUp{Service: llm, Model: model, Adapter: adapter}
 	for _, h := range k.LookUp(1000, wire.Place{Name: router, Zone: zone}, in).Holders {
-		out = append(out, h.Id)
+		out = append(out, h.ID)
 	}
 	return out
 }
@@ -135,8 +135,8 @@
 			}
 			qt.Assert(t, int64(asked)*1000/(2*k.usualMs()) <= 510, qt.IsTrue, qt.Commentf("%d in %d ms", asked, 2*k.usualMs()))
 			for _, r := range k.sorted {
-				qt.Assert(t, r.suspect, qt.IsFalse, qt.Commentf("%s", r.entry.Id))
-				qt.Assert(t, k.fit(nowMs, r), qt.IsTrue, qt.Commentf("%s, silent for %d ms", r.entry.Id, nowMs-r.okMs))
+				qt.Assert(t, r.suspect, qt.IsFalse, qt.Commentf("%s", r.entry.ID))
+				qt.Assert(t, k.fit(nowMs, r), qt.IsTrue, qt.Commentf("%s, silent for %d ms", r.entry.ID, nowMs-r.okMs))
 			}
 		})
 	}
@@ -184,7 +184,7 @@
 			for _, r := range k.sorted {
 				if h := r.held[m.name]; h != nil {
 					for a := range h.adapters {
-						want[a] = append(want[a], r.entry.Id)
+						want[a] = append(want[a], r.entry.ID)
 					}
 				}
 			}
@@ -192,7 +192,7 @@
 			for a, with := range m.with {
 				seen++
 				for _, r := range with {
-					got[a] = append(got[a], r.entry.Id)
+					got[a] = append(got[a], r.entry.ID)
 				}
 				slices.Sort(got[a])
 			}
--- a/holdings/orders.go
+++ b/holdings/orders.go
@@ -89,7 +89,7 @@
 	o := r.order
 	o.untilMs = min(nowMs+orderMs, holdUntilMs)
 	k.calls = append(k.calls, wire.Call{Address: r.entry.Address, Body: wire.CommandCall{
-		Runner: r.entry.Id, Number: o.number, Holder: k.holder, Fence: k.epoch,
+		Runner: r.entry.ID, Number: o.number, Holder: k.holder, Fence: k.epoch,
 		Load: o.load, Model: o.Model, Adapter: o.Adapter, Expected: o.expected, UntilMs: o.untilMs,
 	}})
 }
--- a/holdings/planner_test.go
+++ b/holdings/planner_test.go
@@ -17,7 +17,7 @@
 	s.set(m.Services[0].Engine)
 	s.engine = m.Services[0].Engine
 	for i, names := range held {
-		r := newRunner(wire.RunnerEntry{Id: fmt.Sprintf("r%d", i+1), Address: fmt.Sprint(i), Zone: string(rune('a' + i%3)), Slots: 64}, s)
+		r := newRunner(wire.RunnerEntry{ID: fmt.Sprintf("r%d", i+1), Address: fmt.Sprint(i), Zone: string(rune('a' + i%3)), Slots: 64}, s)
 		r.clean = true
 		var said []wire.HeldModel
 		for _, name := range names {
@@ -153,7 +153,7 @@
 				if mv.load {
 					verb = " load "
 				}
-				text := mv.runner.entry.Id + verb + mv.Model
+				text := mv.runner.entry.ID + verb + mv.Model
 				if mv.Adapter != "" {
 					text += " " + mv.Adapter
 				}
--- a/holdings/polling.go
+++ b/holdings/polling.go
@@ -138,7 +138,7 @@
 		asks = 1
 		k.number++
 		r.asking, r.askedMs = k.number, nowMs
-		k.calls = append(k.calls, wire.Call{Address: r.entry.Address, Body: wire.StateCall{Runner: r.entry.Id, Number: k.number}})
+		k.calls = append(k.calls, wire.Call{Address: r.entry.Address, Body: wire.StateCall{Runner: r.entry.ID, Number: k.number}})
 	}
 	k.judge(nowMs, r)
 	return asks
--- a/holdings/runner.go
+++ b/holdings/runner.go
@@ -100,7 +100,7 @@
 type touched interface{ touch(m *model) }
 
 func newRunner(e wire.RunnerEntry, s *service) *runner {
-	return &runner{entry: e, seed: seedOf(e.Id), service: s, held: map[string]*heldModel{}, disk: map[string]bool{}}
+	return &runner{entry: e, seed: seedOf(e.ID), service: s, held: map[string]*heldModel{}, disk: map[string]bool{}}
 }
 
 // away says that it may not be sent new requests.
--- a/holdings/runner_test.go
+++ b/holdings/runner_test.go
@@ -27,7 +27,7 @@
 }
 
 func (b *bench) list(id string, held ...string) {
-	e := wire.RunnerEntry{Id: id, Service: llm, Address: "10.0.0.1:80", Zone: "a", Slots: 64, LeftMs: -1}
+	e := wire.RunnerEntry{ID: id, Service: llm, Address: "10.0.0.1:80", Zone: "a", Slots: 64, LeftMs: -1}
 	for _, name := range held {
 		e.Models = append(e.Models, wire.HeldModel{Name: name})
 	}
--- a/holdings/runnerlist.go
+++ b/holdings/runnerlist.go
@@ -53,13 +53,13 @@
 	k.listOkMs, k.known = nowMs, true
 	listed := make(map[string]bool, len(in.Runners))
 	for _, e := range in.Runners {
-		listed[e.Id] = true
+		listed[e.ID] = true
 		if k.listed(nowMs, e) {
 			changed = true
 		}
 	}
 	for _, r := range slices.Clone(k.sorted) {
-		if listed[r.entry.Id] {
+		if listed[r.entry.ID] {
 			continue
 		}
 		// A runner that the list lacks is not offered; one that it lacks twice
@@ -70,8 +70,8 @@
 			k.touchRunner(r)
 		case r.goneMs == 0:
 			r.goneMs = nowMs
-			if _, told := k.awayMs[r.entry.Id]; !told {
-				k.awayMs[r.entry.Id] = nowMs
+			if _, told := k.awayMs[r.entry.ID]; !told {
+				k.awayMs[r.entry.ID] = nowMs
 				changed = true
 			}
 			k.remove(nowMs, r)
@@ -90,7 +90,7 @@
 // listed takes one entry of the list; it says whether the runner began to
 // leave.
 func (k *Keeper) listed(nowMs int64, e wire.RunnerEntry) (changed bool) {
-	r := k.runners[e.Id]
+	r := k.runners[e.ID]
 	if r == nil {
 		r = newRunner(e, k.service(e.Service))
 		r.okMs, r.askedMs = nowMs, nowMs-lostCallMs
@@ -123,22 +123,22 @@
 	}
 	// Leaving is for ever, whatever a later list says.
 	if e.Leaving {
-		k.left[e.Id] = true
+		k.left[e.ID] = true
 	}
-	if k.left[e.Id] && !r.leaving {
+	if k.left[e.ID] && !r.leaving {
 		r.leaving = true
 		k.touchRunner(r)
 	}
-	_, told := k.awayMs[e.Id]
+	_, told := k.awayMs[e.ID]
 	switch {
-	case k.left[e.Id] && !told:
-		k.awayMs[e.Id] = nowMs
+	case k.left[e.ID] && !told:
+		k.awayMs[e.ID] = nowMs
 		return true
-	case k.left[e.Id]:
-		k.awayMs[e.Id] = nowMs
+	case k.left[e.ID]:
+		k.awayMs[e.ID] = nowMs
 	case told:
 		// It was only missing from the list for a while.
-		delete(k.awayMs, e.Id)
+		delete(k.awayMs, e.ID)
 		return true
 	}
 	return false
@@ -147,7 +147,7 @@
 func diskKey(e wire.RunnerEntry) string { return e.Service + " " + e.Address }
 
 func (k *Keeper) insert(r *runner) {
-	k.runners[r.entry.Id] = r
+	k.runners[r.entry.ID] = r
 	at, _ := slices.BinarySearchFunc(k.sorted, r, byID)
 	k.sorted = slices.Insert(k.sorted, at, r)
 	s := r.service
@@ -155,7 +155,7 @@
 	s.runners = slices.Insert(s.runners, at, r)
 }
 
-func byID(a, b *runner) int { return cmp.Compare(a.entry.Id, b.entry.Id) }
+func byID(a, b *runner) int { return cmp.Compare(a.entry.ID, b.entry.ID) }
 
 // remove forgets a runner that is gone; a next life at its address may find
 // the weights on the disk.
@@ -175,7 +175,7 @@
 	for name := range r.held {
 		r.forget(name, k)
 	}
-	delete(k.runners, r.entry.Id)
+	delete(k.runners, r.entry.ID)
 	k.sorted = slices.DeleteFunc(k.sorted, func(o *runner) bool { return o == r })
 	r.service.runners = slices.DeleteFunc(r.service.runners, func(o *runner) bool { return o == r })
 }
--- a/holdings/soft.go
+++ b/holdings/soft.go
@@ -73,7 +73,7 @@
 			continue
 		}
 		sr := SoftRunner{
-			ID: r.entry.Id, Service: r.service.name, Address: r.entry.Address, Zone: r.entry.Zone, Slots: r.entry.Slots,
+			ID: r.entry.ID, Service: r.service.name, Address: r.entry.Address, Zone: r.entry.Zone, Slots: r.entry.Slots,
 			Leaving: r.leaving, Suspect: r.suspect, Active: r.state.Active, Queued: r.state.Queued,
 			CacheUsed: r.state.CacheUsed, CacheTotal: r.state.CacheTotal, AgeMs: nowMs - r.stateMs,
 		}
@@ -133,7 +133,7 @@
 		k.takeRunner(nowMs, &s.Runners[i])
 	}
 	for _, r := range slices.Clone(k.sorted) {
-		if !there[r.entry.Id] {
+		if !there[r.entry.ID] {
 			k.remove(nowMs, r)
 		}
 	}
@@ -151,7 +151,7 @@
 func (k *Keeper) takeRunner(nowMs int64, s *SoftRunner) {
 	r := k.runners[s.ID]
 	if r == nil {
-		r = newRunner(wire.RunnerEntry{Id: s.ID}, k.service(s.Service))
+		r = newRunner(wire.RunnerEntry{ID: s.ID}, k.service(s.Service))
 		k.insert(r)
 		k.touchRunner(r)
 	}
--- a/holdings/stand_test.go
+++ b/holdings/stand_test.go
@@ -110,7 +110,7 @@
 	s.next++
 	id := fmt.Sprintf("r%04d", s.next)
 	r := &standRunner{held: map[string]map[string]bool{}, disk: map[string]bool{}, active: map[string]int{}}
-	r.entry = wire.RunnerEntry{Id: id, Service: llm, Address: address, Zone: zone, Slots: s.engine.Slots, LeftMs: -1}
+	r.entry = wire.RunnerEntry{ID: id, Service: llm, Address: address, Zone: zone, Slots: s.engine.Slots, LeftMs: -1}
 	s.runners[id] = r
 	return r
 }
@@ -238,7 +238,7 @@
 		s.events.After(2*way, func() {
 			r := s.at(call.Address)
 			said := wire.StateSaid{Runner: body.Runner, Number: body.Number}
-			if r != nil && !r.dead && r.entry.Id == body.Runner && s.rnd.Float64() >= s.lossOut && len(r.past) > 0 {
+			if r != nil && !r.dead && r.entry.ID == body.Runner && s.rnd.Float64() >= s.lossOut && len(r.past) > 0 {
 				said.Ok = true
 				lagMs := int64(100 + s.rnd.IntN(100))
 				said.State = r.past[0].state
@@ -288,7 +288,7 @@
 	if r == nil {
 		return wire.CommandNotSent
 	}
-	if r.entry.Id != c.Runner {
+	if r.entry.ID != c.Runner {
 		return wire.CommandRefused
 	}
 	if c.Fence < r.fence {
@@ -315,7 +315,7 @@
 	case c.Load && c.Adapter == "":
 		s.loads++
 		if s.takenMb(r)+m.Mb > s.engine.RoomMb {
-			s.breaches = append(s.breaches, fmt.Sprintf("%d ms: %s overfilled with %s", s.events.NowMs(), r.entry.Id, c.Model))
+			s.breaches = append(s.breaches, fmt.Sprintf("%d ms: %s overfilled with %s", s.events.NowMs(), r.entry.ID, c.Model))
 		}
 		took = m.LoadMs
 		if r.disk[c.Model] {
@@ -330,7 +330,7 @@
 			adapters += len(held)
 		}
 		if adapters >= s.engine.AdapterRoom || s.takenMb(r)+m.AdapterMb > s.engine.RoomMb {
-			s.breaches = append(s.breaches, fmt.Sprintf("%d ms: %s overfilled with %s %s", s.events.NowMs(), r.entry.Id, c.Model, c.Adapter))
+			s.breaches = append(s.breaches, fmt.Sprintf("%d ms: %s overfilled with %s %s", s.events.NowMs(), r.entry.ID, c.Model, c.Adapter))
 		}
 		r.finish = func() { r.held[c.Model][c.Adapter] = true }
 	case c.Adapter == "":
@@ -384,7 +384,7 @@
 func (t *traffic) ask(model, adapter string) {
 	key := demandKey{llm, model, adapter}
 	t.asked[key]++
-	index := t.k.LookUp(t.s.events.NowMs(), t.from, wire.MapLookUp{Id: 1, Service: llm, Model: model, Adapter: adapter, Tokens: 1000, Waits: !t.try(key)})
+	index := t.k.LookUp(t.s.events.NowMs(), t.from, wire.MapLookUp{ID: 1, Service: llm, Model: model, Adapter: adapter, Tokens: 1000, Waits: !t.try(key)})
 	_ = index
 	if !t.try(key) {
 		t.waiting[key] = append(t.waiting[key], t.s.events.NowMs())
@@ -410,7 +410,7 @@
 		if !h.Adapter {
 			continue
 		}
-		r := t.s.runners[h.Id]
+		r := t.s.runners[h.ID]
 		if r == nil || r.dead {
 			t.denied++
 			continue
--- a/holdings/status.go
+++ b/holdings/status.go
@@ -41,7 +41,7 @@
 	p := page{Epoch: k.epoch, Change: k.change, Fenced: k.fenced, Counts: k.counts, Runners: []runnerPage{}, Models: []modelPage{}}
 	for _, r := range k.sorted {
 		rp := runnerPage{
-			ID: r.entry.Id, Service: r.service.name, Zone: r.entry.Zone, Leaving: r.leaving, Suspect: r.suspect,
+			ID: r.entry.ID, Service: r.service.name, Zone: r.entry.Zone, Leaving: r.leaving, Suspect: r.suspect,
 			Active: r.state.Active, Queued: r.state.Queued, Held: map[string][]string{},
 		}
 		for name, h := range r.held {
--- a/hollow/measure.go
+++ b/hollow/measure.go
@@ -138,7 +138,7 @@
 				}
 				long = len(index.Holders) >= longLine
 				for j := range index.Holders {
-					offered[index.Holders[j].Id] = true
+					offered[index.Holders[j].ID] = true
 				}
 			}
 			if !long {
--- a/hollow/runtime.go
+++ b/hollow/runtime.go
@@ -111,7 +111,7 @@
 		count(&n.load.States)
 		s.events.After(2*wayMs, func() {
 			said := wire.StateSaid{Runner: body.Runner, Number: body.Number}
-			if r := s.byAddress[call.Address]; r != nil && r.entry.Id == body.Runner {
+			if r := s.byAddress[call.Address]; r != nil && r.entry.ID == body.Runner {
 				said.Ok, said.State, r.toldMs = true, r.state(), s.events.NowMs()
 			}
 			s.step(n, said)
@@ -155,11 +155,11 @@
 		}
 		r.active++
 		s.events.After(firstMs, func() {
-			s.step(n, relay.Told{Id: answer.Id, Runner: body.Go.Runner, Heard: relay.Heard{HasLoad: true, Running: r.active, Slots: slots}})
+			s.step(n, relay.Told{ID: answer.ID, Runner: body.Go.Runner, Heard: relay.Heard{HasLoad: true, Running: r.active, Slots: slots}})
 		})
 		s.events.After(int64(s.size.LastsMs), func() {
 			r.active--
-			s.step(n, relay.Ended{Id: answer.Id, Outcome: relay.Answered, Passed: true})
+			s.step(n, relay.Ended{ID: answer.ID, Outcome: relay.Answered, Passed: true})
 		})
 	case wire.Dropped:
 		if n.place.Part == wire.Router && s.counting {
--- a/hollow/site.go
+++ b/hollow/site.go
@@ -112,11 +112,11 @@
 	for i := range s.size.Runners {
 		r := &runner{held: map[string]map[string]bool{}, disk: map[string]bool{}}
 		r.entry = wire.RunnerEntry{
-			Id: fmt.Sprintf("i-%08x", uint32(i)*2654435761), Service: service, Address: fmt.Sprintf("10.%d.%d.%d:8080", 128+i>>16, i>>8&255, i&255),
+			ID: fmt.Sprintf("i-%08x", uint32(i)*2654435761), Service: service, Address: fmt.Sprintf("10.%d.%d.%d:8080", 128+i>>16, i>>8&255, i&255),
 			Zone: s.zone(i), Slots: slots, LeftMs: -1,
 		}
 		s.runners = append(s.runners, r)
-		s.byAddress[r.entry.Address], s.byID[r.entry.Id] = r, r
+		s.byAddress[r.entry.Address], s.byID[r.entry.ID] = r, r
 	}
 	put := func(model int) {
 		for range s.runners {
--- a/hollow/workload.go
+++ b/hollow/workload.go
@@ -12,7 +12,7 @@
 func (s *Site) handOver() {
 	text := s.size.text(s.version + 1)
 	for _, n := range s.controllers {
-		s.step(n, steward.HandOver{Id: 1, BuiltOn: s.version, Text: text})
+		s.step(n, steward.HandOver{ID: 1, BuiltOn: s.version, Text: text})
 	}
 }
 
@@ -49,7 +49,7 @@
 			asked.Adapter = fmt.Sprintf("a%d", 1+s.random.IntN(of))
 		}
 		n := s.routers[s.random.IntN(len(s.routers))]
-		s.step(n, relay.Request{Id: uint64(s.requests), Host: host, Path: routeName(s.random.IntN(s.size.Routes)) + "x", Asked: asked})
+		s.step(n, relay.Request{ID: uint64(s.requests), Host: host, Path: routeName(s.random.IntN(s.size.Routes)) + "x", Asked: asked})
 	}
 	s.events.After(1, s.ask)
 }
--- a/relay/cache.go
+++ b/relay/cache.go
@@ -91,5 +91,5 @@
 
 // offers says whether a holder can be asked for the key.
 func (e *entry) offers(nowMs int64, at key, h *wire.MapHolder) bool {
-	return (at.adapter == "" || h.Adapter) && e.shunned[h.Id] <= nowMs
+	return (at.adapter == "" || h.Adapter) && e.shunned[h.ID] <= nowMs
 }
--- a/relay/cache_test.go
+++ b/relay/cache_test.go
@@ -54,7 +54,7 @@
 func TestCacheShuns(t *testing.T) {
 	c := qt.New(t)
 	lines, at := cache{}, key{service: "s"}
-	line := wire.MapIndex{Service: "s", Epoch: 1, Change: 1, Holders: []wire.MapHolder{{Id: "a"}}}
+	line := wire.MapIndex{Service: "s", Epoch: 1, Change: 1, Holders: []wire.MapHolder{{ID: "a"}}}
 	lines.take(1, line)
 	lines[at].shun(1, "a")
 	offers := func(nowMs int64) bool { return lines[at].offers(nowMs, at, &lines[at].holders[0]) }
--- a/relay/chooser.go
+++ b/relay/chooser.go
@@ -169,7 +169,7 @@
 		_, _ = sum.Write([]byte{'/'})
 	}
 	for _, part := range a.Parts[:len(a.Parts)-1] {
-		_, _ = sum.Write([]byte(part.Id))
+		_, _ = sum.Write([]byte(part.ID))
 		_, _ = sum.Write([]byte{','})
 	}
 	return max(1, sum.Sum64())
--- a/relay/exchange_log_test.go
+++ b/relay/exchange_log_test.go
@@ -14,10 +14,9 @@
 type runEffect int
 
 const (
-	// effectUnknown: it may have run; nothing was promised.
-	effectUnknown runEffect = iota
-	// effectNotRun: the runner promised that it has not run.
-	effectNotRun
+	// effectNotRun: the runner promised that it has not run. Without a promise,
+	// the zero value, it may have run.
+	effectNotRun runEffect = iota + 1
 )
 
 // arrival is a request whose first bytes reached a runner.
--- a/relay/gate.go
+++ b/relay/gate.go
@@ -144,14 +144,14 @@
 	case "/status":
 		ctx, cancel := context.WithTimeout(r.Context(), 2*time.Second)
 		defer cancel()
-		answer, ok := g.shell.Ask(ctx, func(id uint64) any { return Look{Id: id} })
+		answer, ok := g.shell.Ask(ctx, func(id uint64) any { return Look{ID: id} })
 		if !ok {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		writeJson(w, answer)
+		writeJSON(w, answer)
 	case "/counters":
-		writeJson(w, g.shell.Counts())
+		writeJSON(w, g.shell.Counts())
 	default:
 		if g.machine.Map() == nil || g.leaving.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -161,7 +161,7 @@
 	}
 }
 
-func writeJson(w http.ResponseWriter, value any) {
+func writeJSON(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(value)
 }
@@ -285,7 +285,7 @@
 	id, answers := g.shell.Expect()
 	defer g.shell.Forget(id)
 	p.id = id
-	if !g.shell.Put(Request{Id: id, Host: host(p.r.Host), Path: p.path, Asked: p.asked}) {
+	if !g.shell.Put(Request{ID: id, Host: host(p.r.Host), Path: p.path, Asked: p.asked}) {
 		g.tongue.Refuse(p.w, defect.HoldingFull, 300)
 		return
 	}
@@ -293,7 +293,7 @@
 	over := false
 	defer func() {
 		if !over {
-			g.shell.Put(Gone{Id: id})
+			g.shell.Put(Gone{ID: id})
 		}
 	}()
 	for {
--- a/relay/gate_test.go
+++ b/relay/gate_test.go
@@ -208,9 +208,9 @@
 	text, _ := json.Marshal(document)
 	put(wire.MapWord{EchoMs: g.shell.Clock().NowMs(), Epoch: 3, Version: 1, Sum: "1", Text: string(text), Routers: 1})
 	for _, line := range []wire.MapIndex{{Service: "pages"}, {Service: "reader", Model: "m"}} {
-		line.Id, line.Known, line.Epoch, line.TurnMs = 1, true, 3, -1
+		line.ID, line.Known, line.Epoch, line.TurnMs = 1, true, 3, -1
 		for i, address := range addresses {
-			line.Holders = append(line.Holders, wire.MapHolder{Id: fmt.Sprint("r", i), Address: address, Slots: 8})
+			line.Holders = append(line.Holders, wire.MapHolder{ID: fmt.Sprint("r", i), Address: address, Slots: 8})
 		}
 		put(line)
 	}
--- a/relay/machine.go
+++ b/relay/machine.go
@@ -168,7 +168,7 @@
 	case Ended:
 		m.ended(in)
 	case Gone:
-		m.gone(in.Id)
+		m.gone(in.ID)
 	case wire.Fleet:
 		m.fleet(in)
 	case Leave:
@@ -178,7 +178,7 @@
 	case Reseed:
 		m.seeds = in.Seeds
 	case Look:
-		m.answer(in.Id, m.status())
+		m.answer(in.ID, m.status())
 	case wire.Tick:
 		m.tick()
 	default:
@@ -380,7 +380,7 @@
 	}
 	for _, r := range in.Runners {
 		if r.Leaving {
-			m.leaves(r.Id)
+			m.leaves(r.ID)
 		}
 	}
 	if m.silent() {
@@ -410,7 +410,7 @@
 			}
 		}
 		if r.Service == at.service && held {
-			line.Holders = append(line.Holders, wire.MapHolder{Id: r.Id, Address: r.Address, Zone: r.Zone, Adapter: adapter, Slots: r.Slots})
+			line.Holders = append(line.Holders, wire.MapHolder{ID: r.ID, Address: r.Address, Zone: r.Zone, Adapter: adapter, Slots: r.Slots})
 		}
 	}
 	if len(line.Holders) == 0 || !m.cache.take(m.nowMs, line) {
@@ -433,7 +433,7 @@
 		}
 	}
 	// Only what requests named is kept.
-	if !asked && m.cache[at] == nil && in.Id == 0 {
+	if !asked && m.cache[at] == nil && in.ID == 0 {
 		return
 	}
 	for i := range in.Holders {
@@ -446,7 +446,7 @@
 
 // hold takes what the index tells of a runner's load.
 func (m *Machine) hold(h *wire.MapHolder) {
-	known := m.runner(h.Id)
+	known := m.runner(h.ID)
 	if known.slots == 0 {
 		known.slots = h.Slots
 	}
@@ -459,7 +459,7 @@
 
 // told takes what a runner says of its load in the head of an answer.
 func (m *Machine) told(in Told) {
-	if r := m.requests[in.Id]; r != nil && r.reads && r.runner == in.Runner {
+	if r := m.requests[in.ID]; r != nil && r.reads && r.runner == in.Runner {
 		m.read(r)
 		// The first piece is there once the prompt has been read.
 		if r.service.Engine != nil && !in.Heard.NotRun {
@@ -615,7 +615,7 @@
 }
 
 func (m *Machine) answer(id uint64, body any) {
-	m.out.Answers = append(m.out.Answers, wire.Answer{Id: id, Body: body})
+	m.out.Answers = append(m.out.Answers, wire.Answer{ID: id, Body: body})
 }
 
 func (m *Machine) note(format string, args ...any) {
--- a/relay/machine_test.go
+++ b/relay/machine_test.go
@@ -94,14 +94,14 @@
 }
 
 func holder(id string) wire.MapHolder {
-	return wire.MapHolder{Id: id, Address: id + ":80", Zone: "z1", Slots: 4}
+	return wire.MapHolder{ID: id, Address: id + ":80", Zone: "z1", Slots: 4}
 }
 
 // index brings a line as an answer to an older look-up.
 func (b *bed) index(line wire.MapIndex) wire.Effects {
 	line.Known, line.Epoch = true, 3
-	if line.Id == 0 {
-		line.Id = 1 << 60
+	if line.ID == 0 {
+		line.ID = 1 << 60
 	}
 	if line.TurnMs == 0 {
 		line.TurnMs = -1
@@ -118,7 +118,7 @@
 	for _, change := range change {
 		change(&asked)
 	}
-	return b.step(Request{Id: b.id, Host: "h", Path: path, Asked: asked})
+	return b.step(Request{ID: b.id, Host: "h", Path: path, Asked: asked})
 }
 
 // later lets time pass in ticks, with the primary's word, and gathers what
@@ -174,7 +174,7 @@
 	c.Assert(b.m.Tally.MissesHeld, qt.Equals, uint64(0))
 	b.later(50)
 	c.Assert(b.m.Tally.MissesHeld, qt.Equals, uint64(1))
-	out = b.index(wire.MapIndex{Id: lookUps(out)[0].Id, Service: "pages", Holders: []wire.MapHolder{holder("p1")}})
+	out = b.index(wire.MapIndex{ID: lookUps(out)[0].ID, Service: "pages", Holders: []wire.MapHolder{holder("p1")}})
 	c.Assert(answered[Send](c, out).Go.Runner, qt.Equals, "p1")
 }
 
@@ -203,10 +203,10 @@
 			found := lookUps(out)
 			total += len(found)
 			for _, l := range found {
-				b.index(wire.MapIndex{Id: l.Id, Service: "pages", Holders: []wire.MapHolder{holder("p1")}})
+				b.index(wire.MapIndex{ID: l.ID, Service: "pages", Holders: []wire.MapHolder{holder("p1")}})
 			}
 			total += len(lookUps(b.later(50)))
-			b.step(Ended{Id: b.id, Outcome: Answered})
+			b.step(Ended{ID: b.id, Outcome: Answered})
 		}
 		c.Assert(total, qt.Equals, 40)
 	}
@@ -357,7 +357,7 @@
 			b := ready(c)
 			first := answered[Send](c, b.ask(test.path))
 			c.Assert(first.Single, qt.Equals, test.path == "/unsafe/" || test.path == "/once/")
-			test.ended.Id = b.id
+			test.ended.ID = b.id
 			out := b.step(test.ended)
 			c.Assert(out.Answers, qt.HasLen, 1)
 			switch got := out.Answers[0].Body.(type) {
@@ -382,9 +382,9 @@
 	c := qt.New(t)
 	b := ready(c)
 	b.ask("/safe/")
-	answered[Send](c, b.step(Ended{Id: b.id, Outcome: Lost}))
+	answered[Send](c, b.step(Ended{ID: b.id, Outcome: Lost}))
 	b.m.budget("pages").tokens = 0
-	out := b.step(Ended{Id: b.id, Outcome: TurnedAway})
+	out := b.step(Ended{ID: b.id, Outcome: TurnedAway})
 	c.Assert(answered[wire.Dropped](c, out).Kind, qt.Equals, defect.OutcomeUnknown)
 }
 
@@ -400,7 +400,7 @@
 			break
 		}
 		sends++
-		out = b.step(Ended{Id: b.id, Outcome: TurnedAway})
+		out = b.step(Ended{ID: b.id, Outcome: TurnedAway})
 	}
 	c.Assert(sends, qt.Equals, 3)
 	dropped := answered[wire.Dropped](c, out)
@@ -413,12 +413,12 @@
 	b := ready(c)
 	b.ask("/unsafe/")
 	b.m.budget("pages").tokens = 0.5
-	c.Assert(answered[wire.Dropped](c, b.step(Ended{Id: b.id, Outcome: TurnedAway})).Kind, qt.Equals, defect.RunnerDropped)
+	c.Assert(answered[wire.Dropped](c, b.step(Ended{ID: b.id, Outcome: TurnedAway})).Kind, qt.Equals, defect.RunnerDropped)
 	// A runner that could not be reached has cost nothing.
 	b = ready(c)
 	b.ask("/unsafe/")
 	b.m.budget("pages").tokens = 0.5
-	answered[Send](c, b.step(Ended{Id: b.id, Outcome: NotSent}))
+	answered[Send](c, b.step(Ended{ID: b.id, Outcome: NotSent}))
 }
 
 func TestWhatCantBeHadInTime(t *testing.T) {
@@ -450,7 +450,7 @@
 			b.word(1)
 			out := b.ask(test.path, func(a *Asked) { a.LeftMs = test.leftMs })
 			beganMs := b.nowMs
-			test.line.Service, test.line.Model, test.line.Id = "reader", "m", lookUps(out)[0].Id
+			test.line.Service, test.line.Model, test.line.ID = "reader", "m", lookUps(out)[0].ID
 			out = b.index(test.line)
 			for len(out.Answers) == 0 && b.nowMs < beganMs+10_000 {
 				out = b.later(25)
@@ -469,7 +469,7 @@
 	b := newBed(c)
 	b.word(1)
 	out := b.ask("/safe/")
-	b.index(wire.MapIndex{Id: lookUps(out)[0].Id, Service: "pages"})
+	b.index(wire.MapIndex{ID: lookUps(out)[0].ID, Service: "pages"})
 	c.Assert(answered[wire.Dropped](c, b.later(100)).Kind, qt.Equals, defect.NoRunner)
 }
 
@@ -513,15 +513,15 @@
 		away = append(away, b.id)
 	}
 	c.Assert(b.ask("/later/").Answers, qt.HasLen, 0)
-	laterId := b.id
+	laterID := b.id
 	c.Assert(b.ask("/urgent/").Answers, qt.HasLen, 0)
-	urgentId := b.id
-	out := b.step(Ended{Id: away[0], Outcome: Answered})
+	urgentID := b.id
+	out := b.step(Ended{ID: away[0], Outcome: Answered})
 	answered[Send](c, out)
-	c.Assert(out.Answers[0].Id, qt.Equals, urgentId)
+	c.Assert(out.Answers[0].ID, qt.Equals, urgentID)
 	out = b.later(100)
 	dropped := answered[wire.Dropped](c, out)
-	c.Assert(out.Answers[0].Id, qt.Equals, laterId)
+	c.Assert(out.Answers[0].ID, qt.Equals, laterID)
 	c.Assert(dropped.Kind, qt.Equals, defect.NoTurn)
 	c.Assert(dropped.RetryMs > 0 && dropped.RetryMs <= 1000, qt.IsTrue)
 }
@@ -534,11 +534,11 @@
 	}
 	b.ask("/safe/")
 	waiting := b.id
-	out := b.step(Gone{Id: 1})
+	out := b.step(Gone{ID: 1})
 	answered[Send](c, out)
-	c.Assert(out.Answers[0].Id, qt.Equals, waiting)
+	c.Assert(out.Answers[0].ID, qt.Equals, waiting)
 	for id := uint64(1); id <= b.id; id++ {
-		b.step(Gone{Id: id})
+		b.step(Gone{ID: id})
 	}
 	c.Assert(b.m.requests, qt.HasLen, 0)
 	c.Assert(b.m.waiting, qt.HasLen, 0)
@@ -561,7 +561,7 @@
 	c.Assert(out.Answers, qt.HasLen, 0)
 	c.Assert(lookUps(out), qt.HasLen, 1)
 	// The answer says that another holds it now.
-	out = b.index(wire.MapIndex{Id: lookUps(out)[0].Id, Service: "pages", Change: 9, Holders: []wire.MapHolder{{Id: "p9", Address: "p9:80", Adapter: true, Slots: 4}}})
+	out = b.index(wire.MapIndex{ID: lookUps(out)[0].ID, Service: "pages", Change: 9, Holders: []wire.MapHolder{{ID: "p9", Address: "p9:80", Adapter: true, Slots: 4}}})
 	c.Assert(answered[Send](c, out).Go.Runner, qt.Equals, "p9")
 	// Now it is young again.
 	answered[Send](c, b.ask("/safe/"))
@@ -606,7 +606,7 @@
 		}
 		if len(out.Calls) > 0 {
 			b.step(wire.Fleet{Ok: true, Runners: []wire.RunnerEntry{
-				{Id: "p1", Service: "pages", Address: "p1:80", Leaving: true}, {Id: "p2", Service: "pages", Address: "p2:80", Slots: 4},
+				{ID: "p1", Service: "pages", Address: "p1:80", Leaving: true}, {ID: "p2", Service: "pages", Address: "p2:80", Slots: 4},
 			}})
 		}
 	}
--- a/relay/passage.go
+++ b/relay/passage.go
@@ -97,7 +97,7 @@
 	}
 	sent.Accept()
 	if heard.HasLoad || s.Route.Kind == servicemap.Stream {
-		g.shell.Put(Told{Id: p.id, Runner: s.Go.Runner, Heard: heard})
+		g.shell.Put(Told{ID: p.id, Runner: s.Go.Runner, Heard: heard})
 	}
 	switch status := answer.StatusCode; {
 	case status == http.StatusMisdirectedRequest:
@@ -152,7 +152,7 @@
 }
 
 func (p *passage) ended(outcome Outcome) Ended {
-	e := Ended{Id: p.id, Outcome: outcome, Passed: p.passed}
+	e := Ended{ID: p.id, Outcome: outcome, Passed: p.passed}
 	if p.passed {
 		e.Version = p.version
 		if p.numbered {
--- a/relay/request.go
+++ b/relay/request.go
@@ -12,20 +12,20 @@
 type (
 	// Request is a whole request of a client.
 	Request struct {
-		Id         uint64
+		ID         uint64
 		Host, Path string
 		Asked      Asked
 	}
 	// Told brings what the head of an answer says of a runner's load.
 	Told struct {
-		// Id is the request whose answer began.
-		Id     uint64
+		// ID is the request whose answer began.
+		ID     uint64
 		Runner string
 		Heard  Heard
 	}
 	// Ended says how a send ended.
 	Ended struct {
-		Id      uint64
+		ID      uint64
 		Outcome Outcome
 		// After is the last piece that was passed on; Passed says that the
 		// client has the head of an answer.
@@ -37,13 +37,13 @@
 		Version int64
 	}
 	// Gone says that the client went away.
-	Gone struct{ Id uint64 }
+	Gone struct{ ID uint64 }
 	// Leave begins a planned stop.
 	Leave struct{}
 	// Reseed gives the seeds anew.
 	Reseed struct{ Seeds []string }
 	// Look asks for the status page.
-	Look struct{ Id uint64 }
+	Look struct{ ID uint64 }
 )
 
 // Outcome is how a send ended.
@@ -170,7 +170,7 @@
 func (m *Machine) take(in Request) {
 	m.Tally.Requests++
 	r := &request{Request: in, cameMs: m.nowMs, sinceMs: m.nowMs, deadlineMs: m.nowMs + plainMs, draw: hash(in.Asked.Try)}
-	m.requests[in.Id] = r
+	m.requests[in.ID] = r
 	m.wait(r)
 	if !m.begin(r) {
 		return
@@ -276,7 +276,7 @@
 	r.looks++
 	r.lookedMs, r.lookedAt = m.nowMs, to
 	m.send(place, wire.MapLookUp{
-		Id: r.lookUp, Service: r.key.service, Model: r.key.model, Adapter: r.key.adapter,
+		ID: r.lookUp, Service: r.key.service, Model: r.key.model, Adapter: r.key.adapter,
 		Tokens: r.tokens, Waits: r.missed, Prompt: r.Asked.PromptTokens, ReadMs: m.pricing.take(r.key.service, r.key.model),
 	})
 }
@@ -301,7 +301,7 @@
 
 // turn sends a waiting request on, drops it, or leaves it waiting.
 func (m *Machine) turn(r *request) {
-	if r.away || m.requests[r.Id] == nil {
+	if r.away || m.requests[r.ID] == nil {
 		return
 	}
 	if m.nowMs >= r.deadlineMs {
@@ -310,7 +310,7 @@
 	}
 	if r.route == nil {
 		if !m.begin(r) {
-			if m.requests[r.Id] != nil && m.nowMs-r.cameMs >= mapWaitMs {
+			if m.requests[r.ID] != nil && m.nowMs-r.cameMs >= mapWaitMs {
 				m.drop(r, defect.NoWord, 500)
 			}
 			return
@@ -355,14 +355,14 @@
 	if r.passed {
 		m.Tally.Resumes++
 	}
-	r.away, r.runner = true, h.Id
+	r.away, r.runner = true, h.ID
 	m.unwait(r)
-	m.runner(h.Id).change(m.nowMs, 1, r.tokens)
+	m.runner(h.ID).change(m.nowMs, 1, r.tokens)
 	r.goneMs, r.reads = m.nowMs, true
-	m.runner(h.Id).reading += r.Asked.PromptTokens
-	m.answer(r.Id, Send{
+	m.runner(h.ID).reading += r.Asked.PromptTokens
+	m.answer(r.ID, Send{
 		Go: Go{
-			Runner: h.Id, Urgency: urgency(r.route.Priority), After: r.after, Version: r.version,
+			Runner: h.ID, Urgency: urgency(r.route.Priority), After: r.after, Version: r.version,
 		},
 		Address: h.Address, Route: r.route, Single: !r.route.Repeatable(),
 		UntilMs: min(m.nowMs+writeMs, r.deadlineMs), DeadlineMs: r.deadlineMs,
@@ -388,11 +388,11 @@
 	for _, again := range []bool{false, true} {
 		for i := range e.holders {
 			h := &e.holders[i]
-			if m.isLeaving(h.Id) || !e.offers(m.nowMs, r.key, h) || slices.Contains(r.refused, h.Id) ||
-				slices.Contains(r.unreached, h.Id) && m.nowMs < r.unreachedMs || slices.Contains(r.failed, h.Id) != again {
+			if m.isLeaving(h.ID) || !e.offers(m.nowMs, r.key, h) || slices.Contains(r.refused, h.ID) ||
+				slices.Contains(r.unreached, h.ID) && m.nowMs < r.unreachedMs || slices.Contains(r.failed, h.ID) != again {
 				continue
 			}
-			known := m.runner(h.Id)
+			known := m.runner(h.ID)
 			if known.slots == 0 {
 				known.slots = h.Slots
 			}
@@ -402,7 +402,7 @@
 			}
 			m.offered = append(m.offered, *h)
 			m.chosen = append(m.chosen, candidate{
-				id: h.Id, load: known.load(m.nowMs), slots: known.slots, reading: known.reading,
+				id: h.ID, load: known.load(m.nowMs), slots: known.slots, reading: known.reading,
 				own: h.Zone == m.set.Self.Zone, suspect: known.suspectToMs > m.nowMs,
 			})
 		}
@@ -538,14 +538,14 @@
 // drop ends a request. What may have run is never answered with a promise.
 func (m *Machine) drop(r *request, kind defect.Kind, retryMs int64) {
 	m.unwait(r)
-	delete(m.requests, r.Id)
+	delete(m.requests, r.ID)
 	switch {
 	case r.passed:
 		m.Tally.Drops["stream broken off"]++
-		m.answer(r.Id, Break{})
+		m.answer(r.ID, Break{})
 		return
 	case r.kept:
-		m.answer(r.Id, Keep{})
+		m.answer(r.ID, Keep{})
 		return
 	case r.mayHaveRun && kind.Reply().Drop:
 		kind, retryMs = defect.OutcomeUnknown, 0
@@ -559,11 +559,11 @@
 		}
 		retryMs = max(20, min(retryMs, leftMs*3/10))
 	}
-	m.answer(r.Id, wire.Dropped{Kind: kind, RetryMs: retryMs})
+	m.answer(r.ID, wire.Dropped{Kind: kind, RetryMs: retryMs})
 }
 
 func (m *Machine) ended(in Ended) {
-	r := m.requests[in.Id]
+	r := m.requests[in.ID]
 	if r == nil || !r.away {
 		return
 	}
@@ -581,7 +581,7 @@
 	case Answered:
 		known.succeed()
 		m.lasted(r.route.Name, m.nowMs-r.cameMs)
-		delete(m.requests, r.Id)
+		delete(m.requests, r.ID)
 		m.wake()
 		return
 	case TooLate:
@@ -625,7 +625,7 @@
 			m.giveUp(r)
 		}
 	}
-	if m.requests[r.Id] != nil {
+	if m.requests[r.ID] != nil {
 		m.wait(r)
 		if r.goes >= max(1, r.route.Tries) {
 			m.giveUp(r)
--- a/relay/tongue.go
+++ b/relay/tongue.go
@@ -27,7 +27,7 @@
 
 // Part is one part of a prompt.
 type Part struct {
-	Id     string
+	ID     string
 	Tokens int64
 }
 
--- a/sim/node.go
+++ b/sim/node.go
@@ -163,11 +163,11 @@
 		w.call(n, life, call)
 	}
 	for _, answer := range effects.Answers {
-		if op := w.operator.asked[answer.Id]; op != nil && n.part == wire.Controller {
+		if op := w.operator.asked[answer.ID]; op != nil && n.part == wire.Controller {
 			w.operator.answered(w, n, answer)
 			continue
 		}
-		if under := n.under[answer.Id]; under != nil {
+		if under := n.under[answer.ID]; under != nil {
 			under.told(answer.Body)
 		}
 	}
--- a/sim/operators.go
+++ b/sim/operators.go
@@ -37,8 +37,8 @@
 }
 
 func (o *operator) answered(w *World, n *node, answer wire.Answer) {
-	h := o.asked[answer.Id]
-	delete(o.asked, answer.Id)
+	h := o.asked[answer.ID]
+	delete(o.asked, answer.ID)
 	w.pass(n.name, "operator", func() { h.then(answer.Body) }, func() { o.outcomes["no answer"]++ })
 }
 
@@ -49,7 +49,7 @@
 func (w *World) foundWith(backup string) {
 	names := w.names(wire.Controller)
 	w.tell(names[0], "", func(id uint64) any {
-		return control.Founding{Id: id, Witnesses: names[:3], Backup: backup}
+		return control.Founding{ID: id, Witnesses: names[:3], Backup: backup}
 	}, func(body any) {
 		w.note("founding: %+v", body)
 		w.operator.founding = body
@@ -63,7 +63,7 @@
 	w.operator.founding = nil
 	w.tell(name, "", func(id uint64) any {
 		return control.Founding{
-			Id: id, Witnesses: witnesses, Backup: backup, Recover: true,
+			ID: id, Witnesses: witnesses, Backup: backup, Recover: true,
 			Change: said.Position.Number, Revision: said.Revision,
 		}
 	}, func(body any) {
@@ -106,7 +106,7 @@
 		w.senders.marks = append(w.senders.marks, mark)
 	}
 	w.tell(name, text, func(id uint64) any {
-		return control.HandOver{Id: id, Base: base, Text: text, Part: part}
+		return control.HandOver{ID: id, Base: base, Text: text, Part: part}
 	}, func(body any) {
 		if w.Breaks.LieToOperator {
 			body = w.opposite(body)
@@ -169,7 +169,7 @@
 
 // status looks at a controller without anything else happening.
 func (w *World) status(n *node) control.Status {
-	effects := n.machine.Step(n.clock(w.events.NowMs()), control.Look{Id: 1, Page: "status"})
+	effects := n.machine.Step(n.clock(w.events.NowMs()), control.Look{ID: 1, Page: "status"})
 	var status control.Status
 	rest := effects.Answers[:0]
 	for _, answer := range effects.Answers {
@@ -192,7 +192,7 @@
 		return
 	}
 	n := w.nodes[name]
-	effects := n.machine.Step(n.clock(w.events.NowMs()), control.Look{Id: 1, Page: "description"})
+	effects := n.machine.Step(n.clock(w.events.NowMs()), control.Look{ID: 1, Page: "description"})
 	for _, answer := range effects.Answers {
 		said, ok := answer.Body.(control.Described)
 		if !ok {
--- a/sim/recovery_test.go
+++ b/sim/recovery_test.go
@@ -49,7 +49,7 @@
 				witnesses := append([]string{left[0]}, lost...)
 				// A wrong change is refused with the right one.
 				w.tell(left[0], "", func(id uint64) any {
-					return control.Founding{Id: id, Witnesses: witnesses, Backup: lost[0], Recover: true, Change: 1}
+					return control.Founding{ID: id, Witnesses: witnesses, Backup: lost[0], Recover: true, Change: 1}
 				}, func(body any) { w.operator.founding = body })
 				w.Run(1000)
 				qt.Assert(t, w.operator.founding.(wire.Dropped).Kind, qt.Equals, defect.StaleBase)
--- a/steward/contact_test.go
+++ b/steward/contact_test.go
@@ -17,9 +17,9 @@
 	for _, contact := range []bool{true, false} {
 		s := New(Settings{Self: wordSelf, ControlPort: "80"}, wordFormat{})
 		h := &followerHost{wordHost: wordHost{outOfContact: !contact, controllers: []wire.Place{primary}}, primary: primary}
-		s.Receive(h, wire.Envelope{From: router, Body: wire.MapLookUp{Id: 1, Service: "llm"}})
+		s.Receive(h, wire.Envelope{From: router, Body: wire.MapLookUp{ID: 1, Service: "llm"}})
 		qt.Assert(t, len(h.sent) > 0, qt.Equals, contact)
-		s.Input(h, Read{Id: 2})
+		s.Input(h, Read{ID: 2})
 		said := h.answers[0].(wire.Dropped)
 		qt.Assert(t, said.Kind, qt.Equals, defect.NotPrimary)
 		qt.Assert(t, said.Primary != "", qt.Equals, contact)
--- a/steward/history_test.go
+++ b/steward/history_test.go
@@ -35,14 +35,14 @@
 }
 
 func chained(id, version uint64) HandOver {
-	return HandOver{Id: id, BuiltOn: version - 1, Text: fmt.Sprintf("version %d", version)}
+	return HandOver{ID: id, BuiltOn: version - 1, Text: fmt.Sprintf("version %d", version)}
 }
 
 // lastTold gives the answer to an order that is not written, in words.
 func lastTold(h *heldHost, s *Steward, in HandOver) string {
-	delete(h.told, in.Id)
+	delete(h.told, in.ID)
 	s.Input(h, in)
-	return strings.Join(h.told[in.Id], ", ")
+	return strings.Join(h.told[in.ID], ", ")
 }
 
 // Each of hundreds of accepted orders is acknowledged again, also at the next
@@ -86,7 +86,7 @@
 	qt.Assert(t, rows, qt.Equals, most)
 	qt.Assert(t, h.counts[countUnknown], qt.Equals, int(first-1))
 	// What can't be read was never accepted, however old.
-	qt.Assert(t, lastTold(h, s, HandOver{Id: 1, BuiltOn: 2, Text: "nonsense"}), qt.Equals, string(defect.FaultyDescription))
+	qt.Assert(t, lastTold(h, s, HandOver{ID: 1, BuiltOn: 2, Text: "nonsense"}), qt.Equals, string(defect.FaultyDescription))
 }
 
 // A bound that was lowered takes all surplus rows away with the next order.
@@ -140,7 +140,7 @@
 		qt.Assert(t, lastTold(h, s, chained(1, version)), qt.Equals, fmt.Sprintf("taken %d", version))
 	}
 	qt.Assert(t, lastTold(h, s, chained(1, 200)), qt.Equals, string(defect.AcceptanceUnknown)+" 327")
-	qt.Assert(t, lastTold(h, s, HandOver{Id: 1, BuiltOn: 300, Text: "version 305"}), qt.Equals, string(defect.StaleBase)+" 327")
+	qt.Assert(t, lastTold(h, s, HandOver{ID: 1, BuiltOn: 300, Text: "version 305"}), qt.Equals, string(defect.StaleBase)+" 327")
 	chain(h, s, 328)
 	qt.Assert(t, lastTold(h, s, chained(1, 328)), qt.Equals, "taken 328")
 	qt.Assert(t, readHistory(h, 328), qt.Equals, history{OldestBase: 200, Count: 128})
@@ -175,7 +175,7 @@
 	stale := string(defect.StaleBase)
 	h, s := begunHeld(nil)
 	chain(h, s, 1)
-	early := HandOver{Id: 1, BuiltOn: 2, Text: "version 3 early"}
+	early := HandOver{ID: 1, BuiltOn: 2, Text: "version 3 early"}
 	s.Input(h, early)
 	c.Assert(h.told[1], qt.HasLen, 0, qt.Commentf("the refusal is told before it is safe"))
 	h.end(true)
@@ -199,7 +199,7 @@
 	h, s := begunHeld(nil)
 	chain(h, s, 3)
 	for id, base := range []uint64{0, 1, 2} {
-		s.Input(h, HandOver{Id: uint64(id), BuiltOn: base, Text: "version 9"})
+		s.Input(h, HandOver{ID: uint64(id), BuiltOn: base, Text: "version 9"})
 	}
 	qt.Assert(t, h.counts[countStale], qt.Equals, 3)
 }
@@ -216,7 +216,7 @@
 // A refusal whose write has no known end is no clear answer.
 func TestARefusalOfUnknownEnd(t *testing.T) {
 	h, s := begunHeld(nil)
-	s.Input(h, HandOver{Id: 1, BuiltOn: 2, Text: "version 3"})
+	s.Input(h, HandOver{ID: 1, BuiltOn: 2, Text: "version 3"})
 	h.end(false)
 	qt.Assert(t, h.told[1], qt.DeepEquals, []string{string(defect.AcceptanceUnknown)})
 }
@@ -225,10 +225,10 @@
 func TestRefusalsAreBounded(t *testing.T) {
 	h, s := begunHeld(nil)
 	for i := range uint64(refusedMost) {
-		s.Input(h, HandOver{Id: i, BuiltOn: 7, Text: fmt.Sprintf("version 9 of %d", i)})
+		s.Input(h, HandOver{ID: i, BuiltOn: 7, Text: fmt.Sprintf("version 9 of %d", i)})
 		h.end(true)
 	}
-	qt.Assert(t, lastTold(h, s, HandOver{Id: 1, BuiltOn: 7, Text: "version 9"}), qt.Equals, string(defect.NotTaken))
+	qt.Assert(t, lastTold(h, s, HandOver{ID: 1, BuiltOn: 7, Text: "version 9"}), qt.Equals, string(defect.NotTaken))
 	qt.Assert(t, h.writes, qt.HasLen, 0)
 }
 
--- a/steward/inputs.go
+++ b/steward/inputs.go
@@ -8,15 +8,15 @@
 	// HandOver is a service map, or a change of named items, to be taken on
 	// top of the version that it was built on.
 	HandOver struct {
-		Id      uint64
+		ID      uint64
 		BuiltOn uint64
 		Text    string
 		Part    bool
 	}
 	// Read asks for the map in force.
-	Read struct{ Id uint64 }
+	Read struct{ ID uint64 }
 	// Look asks for the status page.
-	Look struct{ Id uint64 }
+	Look struct{ ID uint64 }
 )
 
 // Answers to operators; a refusal is a wire.Dropped, whose Primary is then the
--- a/steward/maps.go
+++ b/steward/maps.go
@@ -140,9 +140,9 @@
 func (m *maps) handOver(s *Steward, h control.Host, in HandOver) {
 	switch {
 	case !s.serving || !h.Active():
-		s.notPrimary(h, in.Id)
+		s.notPrimary(h, in.ID)
 	case len(m.queue) >= queueMost:
-		h.Answer(in.Id, wire.Dropped{Kind: defect.NotTaken, Detail: "too many orders wait"})
+		h.Answer(in.ID, wire.Dropped{Kind: defect.NotTaken, Detail: "too many orders wait"})
 	default:
 		m.queue = append(m.queue, in)
 		m.next(s, h)
@@ -168,7 +168,7 @@
 		m.accept(s, h, in, sum)
 	case standingAccepted:
 		h.Count(countRepeated)
-		h.Answer(in.Id, Taken{Version: version})
+		h.Answer(in.ID, Taken{Version: version})
 	case standingStale:
 		m.refuseStale(h, in)
 	case standingAhead:
@@ -180,7 +180,7 @@
 
 func (m *maps) refuseStale(h control.Host, in HandOver) {
 	h.Count(countStale)
-	h.Answer(in.Id, wire.Dropped{Kind: defect.StaleBase, Detail: "another version is in force", Revision: m.current.version})
+	h.Answer(in.ID, wire.Dropped{Kind: defect.StaleBase, Detail: "another version is in force", Revision: m.current.version})
 }
 
 // refuseAhead refuses an order on top of a version that has not been in force.
@@ -193,7 +193,7 @@
 	}
 	rows, room := refusedRows(h, in.BuiltOn, sum)
 	if !room {
-		h.Answer(in.Id, wire.Dropped{Kind: defect.NotTaken, Detail: "too many orders build on versions that have not been in force"})
+		h.Answer(in.ID, wire.Dropped{Kind: defect.NotTaken, Detail: "too many orders build on versions that have not been in force"})
 		return
 	}
 	m.write(s, h, in, rows, func() { m.refuseStale(h, in) })
@@ -209,11 +209,11 @@
 		}
 	}
 	h.Count(countUnknown)
-	h.Answer(in.Id, wire.Dropped{Kind: defect.AcceptanceUnknown, Detail: "it is older than the orders that are remembered", Revision: m.current.version})
+	h.Answer(in.ID, wire.Dropped{Kind: defect.AcceptanceUnknown, Detail: "it is older than the orders that are remembered", Revision: m.current.version})
 }
 
 func refuseFaulty(h control.Host, in HandOver, faults []string) {
-	h.Answer(in.Id, wire.Dropped{Kind: defect.FaultyDescription, Detail: "the map has no effect", Faults: faults})
+	h.Answer(in.ID, wire.Dropped{Kind: defect.FaultyDescription, Detail: "the map has no effect", Faults: faults})
 }
 
 // write brings rows to the copies, and goes on with then once they are safe.
@@ -224,7 +224,7 @@
 		m.writing = false
 		if !ok {
 			// The copies may have it, so neither yes nor no would be true.
-			h.Answer(in.Id, wire.Dropped{Kind: defect.AcceptanceUnknown, Detail: "it may be in force; ask again"})
+			h.Answer(in.ID, wire.Dropped{Kind: defect.AcceptanceUnknown, Detail: "it may be in force; ask again"})
 			return
 		}
 		then()
@@ -249,7 +249,7 @@
 		s.keeper.SetMap(next.document)
 		// Routers are told first: the sooner they hear, the sooner it holds.
 		s.tellRouters(h)
-		h.Answer(in.Id, Taken{Version: next.version})
+		h.Answer(in.ID, Taken{Version: next.version})
 	})
 }
 
@@ -280,6 +280,6 @@
 	m.queue, m.writing, m.told = nil, false, nil
 	clear(m.sent)
 	for _, in := range waiting {
-		s.notPrimary(h, in.Id)
+		s.notPrimary(h, in.ID)
 	}
 }
--- a/steward/office.go
+++ b/steward/office.go
@@ -57,8 +57,8 @@
 	doors http.Handler
 	// seeds are those of the settings as they are now.
 	seeds atomic.Pointer[[]string]
-	// leaveMs bounds a planned stop's hand-over.
-	leaveMs time.Duration
+	// handOver bounds a planned stop's hand-over.
+	handOver time.Duration
 }
 
 // NewOffice opens the data folder and makes the controller; nothing runs yet.
@@ -70,7 +70,7 @@
 		return nil, err
 	}
 	set.Self.Part, set.Self.Incarnation = wire.Controller, d.Keys()["incarnation"]
-	o := &Office{leaveMs: time.Duration(LeaveMs(set.Bounds))}
+	o := &Office{handOver: time.Duration(LeaveMs(set.Bounds)) * time.Millisecond}
 	o.seeds.Store(&set.Seeds)
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { o.doors.ServeHTTP(w, r) })
 	o.shell = daemon.New(daemon.Settings{
@@ -125,9 +125,9 @@
 // Leave hands the copy, the vote and the primacy of this daemon to others
 // before a planned stop, as far as there are any and within LeaveMs.
 func (o *Office) Leave() {
-	ctx, cancel := context.WithTimeout(context.Background(), o.leaveMs*time.Millisecond+leaveWait)
+	ctx, cancel := context.WithTimeout(context.Background(), o.handOver+leaveWait)
 	defer cancel()
-	o.shell.Ask(ctx, func(id uint64) any { return control.StepDown{Id: id} })
+	o.shell.Ask(ctx, func(id uint64) any { return control.StepDown{ID: id} })
 	// The last messages, such as the word to the next primary, are on their way.
 	time.Sleep(leaveWait)
 }
--- a/steward/office_test.go
+++ b/steward/office_test.go
@@ -22,7 +22,7 @@
 		c.Cleanup(func() { at.Close() })
 		return at
 	}
-	set := OfficeSettings{Site: "s", Self: wordSelf, Seeds: []string{"a:7"}, FirstStart: true, Data: c.Mkdir()}
+	set := OfficeSettings{Site: "s", Self: wordSelf, Seeds: []string{"a:7"}, FirstStart: true, Data: c.TempDir()}
 	doors := func(*daemon.Shell) http.Handler { return http.NotFoundHandler() }
 	o, err := NewOffice(set, wordFormat{}, nil, doors, listen(), listen(), log.New(io.Discard))
 	c.Assert(err, qt.IsNil)
--- a/steward/orders_test.go
+++ b/steward/orders_test.go
@@ -31,7 +31,7 @@
 	for _, call := range calls {
 		switch body := call.Body.(type) {
 		case wire.FleetCall:
-			s.Input(h, wire.Fleet{Ok: true, Runners: []wire.RunnerEntry{{Id: "i-1", Service: "llm", Address: "a:1", Slots: 8, LeftMs: -1}}})
+			s.Input(h, wire.Fleet{Ok: true, Runners: []wire.RunnerEntry{{ID: "i-1", Service: "llm", Address: "a:1", Slots: 8, LeftMs: -1}}})
 		case wire.StateCall:
 			s.Input(h, wire.StateSaid{Runner: body.Runner, Number: body.Number, Ok: true, State: wire.RunnerState{CacheTotal: 100}})
 		case wire.CommandCall:
@@ -79,7 +79,7 @@
 			s.Began(h)
 			writeMs, orderMs, endMs := never, never, never
 			for ; h.nowMs < beganMs+4000; h.nowMs += 50 {
-				s.Receive(h, wire.Envelope{From: wire.Place{Name: "router-1", Part: wire.Router}, Body: wire.MapLookUp{Id: uint64(h.nowMs), Service: "llm", Model: "m1", Waits: true}})
+				s.Receive(h, wire.Envelope{From: wire.Place{Name: "router-1", Part: wire.Router}, Body: wire.MapLookUp{ID: uint64(h.nowMs), Service: "llm", Model: "m1", Waits: true}})
 				s.Tick(h)
 				if orders := platformOf(h, s); orders > 0 && orderMs == never {
 					orderMs = h.nowMs - beganMs
@@ -117,7 +117,7 @@
 	s.Ended(h)
 	orders := 0
 	for endMs := h.nowMs + 2000; h.nowMs < endMs; h.nowMs += 50 {
-		s.Receive(h, wire.Envelope{From: wire.Place{Name: "router-1", Part: wire.Router}, Body: wire.MapLookUp{Id: uint64(h.nowMs), Service: "llm", Model: "m1", Waits: true}})
+		s.Receive(h, wire.Envelope{From: wire.Place{Name: "router-1", Part: wire.Router}, Body: wire.MapLookUp{ID: uint64(h.nowMs), Service: "llm", Model: "m1", Waits: true}})
 		s.Tick(h)
 		orders += platformOf(h, s)
 	}
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -131,14 +131,14 @@
 		s.maps.handOver(s, h, in)
 	case Read:
 		if !s.serving || !h.Active() {
-			s.notPrimary(h, in.Id)
+			s.notPrimary(h, in.ID)
 		} else if s.maps.current.version == 0 {
-			h.Answer(in.Id, wire.Dropped{Kind: defect.NotTaken, Detail: "no map is in force yet"})
+			h.Answer(in.ID, wire.Dropped{Kind: defect.NotTaken, Detail: "no map is in force yet"})
 		} else {
-			h.Answer(in.Id, Text{Version: s.maps.current.version, Text: s.maps.current.text})
+			h.Answer(in.ID, Text{Version: s.maps.current.version, Text: s.maps.current.text})
 		}
 	case Look:
-		h.Answer(in.Id, s.status(h))
+		h.Answer(in.ID, s.status(h))
 	case wire.Fleet:
 		if s.serving && s.keeper.Fleet(h.NowMs(), in) {
 			s.leaving.take(s.keeper.Leaving())
--- a/steward/words_test.go
+++ b/steward/words_test.go
@@ -89,7 +89,7 @@
 	h := &wordHost{nowMs: 10_000, rows: map[string]string{}, controllers: placed(wire.Controller, 4), routers: placed(wire.Router, routers)}
 	s := New(Settings{Self: wordSelf, Bounds: bounds.Bounds{}}, wordFormat{})
 	s.Began(h)
-	s.Input(h, HandOver{Id: 1, Text: "version 1" + strings.Repeat(" model", 10_000)})
+	s.Input(h, HandOver{ID: 1, Text: "version 1" + strings.Repeat(" model", 10_000)})
 	return h, s
 }
 
@@ -102,7 +102,7 @@
 // What a router has already is not told again, whatever part of it that is.
 func TestWordsLeaveOutWhatIsThere(t *testing.T) {
 	h, s := begun(2)
-	s.Input(h, wire.Fleet{Ok: true, Runners: []wire.RunnerEntry{{Id: "p1", Service: "pages", LeftMs: 500, Leaving: true}}})
+	s.Input(h, wire.Fleet{Ok: true, Runners: []wire.RunnerEntry{{ID: "p1", Service: "pages", LeftMs: 500, Leaving: true}}})
 	full := ask(h, s, wire.MapAsk{EchoMs: 9})
 	qt.Assert(t, full.EchoMs, qt.Equals, int64(9))
 	qt.Assert(t, full.Leaving, qt.DeepEquals, []string{"p1"})
@@ -143,7 +143,7 @@
 		qt.Assert(t, len(word.Packed) > 0, qt.IsTrue)
 		qt.Assert(t, word.Version, qt.Equals, uint64(1))
 	}
-	s.Input(h, wire.Fleet{Ok: true, Runners: []wire.RunnerEntry{{Id: "p1", Service: "pages", LeftMs: 500, Leaving: true}}})
+	s.Input(h, wire.Fleet{Ok: true, Runners: []wire.RunnerEntry{{ID: "p1", Service: "pages", LeftMs: 500, Leaving: true}}})
 	words = h.said()
 	qt.Assert(t, words, qt.HasLen, 3)
 	for _, word := range words {
@@ -180,7 +180,7 @@
 			h.nowMs += test.laterMs
 			from.Incarnation = test.life
 			if test.newer {
-				s.Input(h, HandOver{Id: 2, BuiltOn: 1, Text: "version 2"})
+				s.Input(h, HandOver{ID: 2, BuiltOn: 1, Text: "version 2"})
 			}
 			qt.Assert(t, sent(), qt.Equals, test.want)
 		})
--- a/traffic/cache.go
+++ b/traffic/cache.go
@@ -33,7 +33,7 @@
 
 // indexed takes an answer of the index, or its word of a change.
 func (m *Machine) indexed(said wire.Index) {
-	delete(m.silent, said.Id)
+	delete(m.silent, said.ID)
 	m.cutSinceMs = 0
 	parts := strings.SplitN(said.Key, "/", 3)
 	if len(parts) != 3 || said.Behind {
@@ -44,7 +44,7 @@
 	for _, r := range m.requests {
 		if r.key == key {
 			asked = true
-			r.answered = r.answered || said.Id == r.lookUp || said.Id == 0
+			r.answered = r.answered || said.ID == r.lookUp || said.ID == 0
 			if r.turnMs = 0; said.TurnMs > 0 {
 				r.turnMs = m.nowMs + said.TurnMs
 			}
@@ -53,7 +53,7 @@
 	old := m.cache[key]
 	// Only what requests named is kept, and newer replaces older, never the
 	// reverse.
-	if !asked && old == nil && said.Id == 0 {
+	if !asked && old == nil && said.ID == 0 {
 		return
 	}
 	atMs := m.nowMs - said.AgeMs
@@ -110,7 +110,7 @@
 	if controllers := m.roster.Part(wire.Controller); len(controllers) > 0 {
 		to := controllers[m.target%len(controllers)]
 		m.silent[r.lookUp] = m.nowMs
-		m.send(to, wire.LookUp{Id: r.lookUp, Service: r.Service, Model: r.Model, Adapter: r.Adapter})
+		m.send(to, wire.LookUp{ID: r.lookUp, Service: r.Service, Model: r.Model, Adapter: r.Adapter})
 	}
 }
 
--- a/traffic/machine.go
+++ b/traffic/machine.go
@@ -389,7 +389,7 @@
 }
 
 func (m *Machine) answer(id uint64, body any) {
-	m.out.Answers = append(m.out.Answers, wire.Answer{Id: id, Body: body})
+	m.out.Answers = append(m.out.Answers, wire.Answer{ID: id, Body: body})
 }
 
 func (m *Machine) note(format string, args ...any) {
--- a/traffic/machine_test.go
+++ b/traffic/machine_test.go
@@ -59,7 +59,7 @@
 }
 
 func (b *bench) index(key string, number uint64, runners ...string) wire.Effects {
-	index := wire.Index{Id: b.m.asks, Key: key, At: wire.Position{Epoch: 1, Number: number}}
+	index := wire.Index{ID: b.m.asks, Key: key, At: wire.Position{Epoch: 1, Number: number}}
 	for _, name := range runners {
 		index.Holders = append(index.Holders, wire.Holder{Runner: name, Incarnation: name + "-1", Address: name})
 	}
@@ -444,7 +444,7 @@
 		t.Run(test.about, func(t *testing.T) {
 			b := newBench(qt.New(t))
 			b.ask("narration", "narrator-7", "q")
-			b.take(wire.Index{Id: b.m.asks, Key: "narration/narrator-7/", At: wire.Position{Epoch: 1, Number: 1}, TurnMs: test.turnMs})
+			b.take(wire.Index{ID: b.m.asks, Key: "narration/narrator-7/", At: wire.Position{Epoch: 1, Number: 1}, TurnMs: test.turnMs})
 			if test.kind == "" {
 				b.c.Assert(b.out.Answers, qt.HasLen, 0)
 				b.take(wire.Index{Key: "narration/narrator-7/", At: wire.Position{Epoch: 1, Number: 1}, TurnMs: 90_000})
--- a/wire/bodies.go
+++ b/wire/bodies.go
@@ -177,8 +177,8 @@
 	// Contact is that of Follow.
 	Contact Contact
 	Record  Record
-	At       Position
-	Rows     map[string]string
+	At      Position
+	Rows    map[string]string
 }
 
 // Sum names a text.
@@ -279,7 +279,7 @@
 
 // LookUp is the one look-up that each request sends.
 type LookUp struct {
-	Id      uint64
+	ID      uint64
 	Service string
 	Model   string
 	Adapter string
@@ -296,7 +296,7 @@
 
 // Index answers a LookUp, or tells a router of a change it waits for.
 type Index struct {
-	Id      uint64
+	ID      uint64
 	Key     string
 	At      Position
 	AgeMs   int64
--- a/wire/effects.go
+++ b/wire/effects.go
@@ -27,7 +27,7 @@
 
 // Answer ends something a caller or an operator asked.
 type Answer struct {
-	Id   uint64
+	ID   uint64
 	Body any
 }
 
--- a/wire/fleet.go
+++ b/wire/fleet.go
@@ -12,7 +12,7 @@
 // RunnerEntry is a runner as the platform lists it. Every start of a runner is
 // a new Id.
 type RunnerEntry struct {
-	Id, Service, Address, Zone string
+	ID, Service, Address, Zone string
 	Slots                      int
 	Leaving                    bool
 	// LeftMs is the time until it is gone whatever it runs, or -1.
@@ -137,7 +137,7 @@
 	// MapLookUp is the one look-up that each request sends. Model and Adapter
 	// are empty where the service holds none.
 	MapLookUp struct {
-		Id                      uint64
+		ID                      uint64
 		Service, Model, Adapter string
 		// Tokens is the work that the request asks for.
 		Tokens int64
@@ -151,7 +151,7 @@
 	}
 	// MapHolder is a runner that a choice table offers.
 	MapHolder struct {
-		Id, Address, Zone string
+		ID, Address, Zone string
 		// Adapter says that it holds the adapter too.
 		Adapter bool
 		Slots   int
@@ -163,7 +163,7 @@
 	// MapIndex answers a MapLookUp, or tells a router that asked lately of a
 	// change (Id is nought).
 	MapIndex struct {
-		Id                      uint64
+		ID                      uint64
 		Service, Model, Adapter string
 		Epoch, Change           uint64
 		// Known says that the controller has a state to answer from.
