Make room in a full roster by forgetting who was silent for longest

Cause, read: the roster ignored new peers once it held 2,048.

Mend: the peer that was silent for longest gives way, one that lives never.

TestAFullRosterForgetsTheSilent fails without it.

--- a/watch/roster.go
+++ b/watch/roster.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"math"
 	"slices"
 	"strings"
 
@@ -20,8 +21,8 @@
 	Watchers = 3
 
 	helloMs = 1000
-	// most bounds the fellows of a site; one holds some 330 routers, and the
-	// names of machines that were replaced stay known.
+	// most bounds the peers of a site; one holds some 330 routers. The names of
+	// machines that were replaced stay known until there is no room left.
 	most = 2048
 )
 
@@ -57,10 +58,13 @@
 func (r *Roster) Learn(nowMs int64, places []wire.Place) bool {
 	believed := true
 	for _, place := range places {
-		if place.Name == "" || place.Name == r.self.Name || len(r.fellows) >= most {
+		if place.Name == "" || place.Name == r.self.Name {
 			continue
 		}
 		known := r.fellows[place.Name]
+		if known == nil && !r.makeRoom(nowMs) {
+			continue
+		}
 		if known == nil {
 			r.fellows[place.Name] = &fellow{place: place}
 			r.changed()
@@ -81,7 +85,7 @@
 	}
 	known := r.fellows[place.Name]
 	if known == nil {
-		if len(r.fellows) >= most {
+		if !r.makeRoom(nowMs) {
 			return
 		}
 		known = &fellow{}
@@ -94,6 +98,34 @@
 	known.seenMs, known.seen = nowMs, true
 }
 
+// makeRoom says whether there is room for a further peer. Of a full roster it
+// forgets the one that was silent for longest: on a site whose machines are
+// replaced day by day, new ones would be ignored otherwise.
+func (r *Roster) makeRoom(nowMs int64) bool {
+	if len(r.fellows) < most {
+		return true
+	}
+	oldest, oldestMs := "", nowMs-MissMs
+	for name, known := range r.fellows {
+		seenMs := known.seenMs
+		if !known.seen {
+			seenMs = neverMs
+		}
+		if seenMs < oldestMs || seenMs == oldestMs && oldest != "" && name < oldest {
+			oldest, oldestMs = name, seenMs
+		}
+	}
+	if oldest == "" {
+		return false
+	}
+	delete(r.fellows, oldest)
+	r.changed()
+	return true
+}
+
+// neverMs stands for the time at which a peer was seen that never was.
+const neverMs = math.MinInt64
+
 func (r *Roster) changed() { r.sorted, r.sum = nil, 0 }
 
 // Told takes a watcher's sighting.
--- a/watch/roster_test.go
+++ b/watch/roster_test.go
@@ -138,3 +138,34 @@
 	}
 	qt.Assert(t, r.Part(wire.Router), qt.HasLen, 400)
 }
+
+// Machines that were replaced make room for new ones; those that are there stay.
+func TestAFullRosterForgetsTheSilent(t *testing.T) {
+	place := func(i int) wire.Place {
+		return wire.Place{Name: fmt.Sprintf("edge-%05d", i), Address: fmt.Sprintf("10.0.%d.%d:7", i/250, i%250), Part: wire.Router}
+	}
+	cases := []struct {
+		about string
+		add   func(r *Roster, nowMs int64, p wire.Place)
+	}{
+		{"heard", func(r *Roster, nowMs int64, p wire.Place) { r.Heard(nowMs, p) }},
+		{"told", func(r *Roster, nowMs int64, p wire.Place) { r.Learn(nowMs, []wire.Place{p}) }},
+	}
+	for _, test := range cases {
+		t.Run(test.about, func(t *testing.T) {
+			r := New(wire.Place{Name: "core-1"}, nil, nil)
+			nowMs := int64(1000)
+			for i := range 3 * most {
+				nowMs += 10
+				r.Heard(nowMs, place(0))
+				test.add(r, nowMs, place(i+1))
+				_, known := r.Place(place(i + 1).Name)
+				qt.Assert(t, known, qt.IsTrue, qt.Commentf("%d", i))
+				qt.Assert(t, len(r.fellows) <= most, qt.IsTrue)
+			}
+			qt.Assert(t, r.Live(nowMs, place(0).Name), qt.IsTrue)
+			_, known := r.Place(place(1).Name)
+			qt.Assert(t, known, qt.IsFalse)
+		})
+	}
+}
