Close the connection of a stream that goes on wrongly

Cause: an answer to a resumed stream with a gap, or that ends within an event, was left, but where its told end had come in the same read its connection went back to the pool: it was whole and bore the right id. Now every stream that was not passed on to its end rejects its connection.

--- a/relay/gate_test.go
+++ b/relay/gate_test.go
@@ -83,6 +83,9 @@
 	scripts []string
 	seen    []*http.Request
 	bodies  []string
+	// streams says on which connection each request came, accepted counts them.
+	streams  []int
+	accepted int
 }
 
 // end in a script closes the stream there.
@@ -99,13 +102,15 @@
 			if err != nil {
 				return
 			}
-			crew.Side(func() { p.serve(stream) })
+			number := p.accepted
+			p.accepted++
+			crew.Side(func() { p.serve(stream, number) })
 		}
 	})
 	return p
 }
 
-func (p *played) serve(stream net.Conn) {
+func (p *played) serve(stream net.Conn, number int) {
 	defer stream.Close()
 	reader := bufio.NewReader(stream)
 	for {
@@ -119,7 +124,7 @@
 		if len(p.scripts) > 0 {
 			script, p.scripts = p.scripts[0], p.scripts[1:]
 		}
-		p.seen, p.bodies = append(p.seen, r), append(p.bodies, string(body))
+		p.seen, p.bodies, p.streams = append(p.seen, r), append(p.bodies, string(body)), append(p.streams, number)
 		p.mu.Unlock()
 		text, ended := strings.CutSuffix(script, end)
 		_, _ = io.WriteString(stream, strings.ReplaceAll(text, "TRY", r.Header.Get("Try")))
@@ -335,6 +340,26 @@
 	}
 }
 
+// A resumed stream that does not go on where the client is leaves its
+// connection in doubt, also where its end came with it.
+func TestAStreamThatGoesOnWronglyEndsItsConnection(t *testing.T) {
+	for _, test := range []struct{ about, wrong string }{
+		{"a gap", events(5, 6, true)},
+		{"an end within a piece", strings.Replace(events(4, 4, true), "piece 4\n\n", "piece 4\nx", 1)},
+	} {
+		t.Run(test.about, func(t *testing.T) {
+			c := qt.New(t)
+			script := newPlayed(c, events(1, 3, false), test.wrong, events(4, 5, true))
+			_, server := gateBed(c, script)
+			_, _, body, broken := call(c, server.URL, "/stream/x")
+			c.Assert(broken, qt.IsFalse)
+			c.Assert(body, qt.Equals, pieces(1, 5))
+			c.Assert(script.requests(), qt.HasLen, 3)
+			c.Assert(script.streams, qt.DeepEquals, []int{0, 1, 2})
+		})
+	}
+}
+
 func TestAHugeBodyIsRefused(t *testing.T) {
 	c := qt.New(t)
 	_, server := gateBed(c, newPlayed(c))
--- a/relay/passage.go
+++ b/relay/passage.go
@@ -109,7 +109,11 @@
 		drain(answer, cancel)
 		return p.ended(TurnedAway)
 	case streams(s.Route, answer):
-		return p.stream(answer, heard, s.Go.Runner, s.DeadlineMs-nowMs)
+		ended := p.stream(answer, heard, s.Go.Runner, s.DeadlineMs-nowMs)
+		if ended.Outcome != Answered {
+			sent.Reject()
+		}
+		return ended
 	case p.passed:
 		// A failure can't follow on the pieces that were passed on.
 		return p.ended(Cut)
