Look once whether a request was written whole

At the head of the response it decides already; the second look at the end could never say otherwise. Found by a trial that put faults in one by one: the tests of outward and relay did not tell the code without this look from that with it.

--- a/outward/exchange.go
+++ b/outward/exchange.go
@@ -181,7 +181,7 @@
 
 // idleTimeout says how long the connection may be kept, or that it may not.
 func (x *Exchange) idleTimeout() (time.Duration, bool) {
-	if x.keeper == nil || x.doubtful || !x.whole || !x.accepted || !x.isWritten() || x.conn.reader.Buffered() > 0 {
+	if x.keeper == nil || x.doubtful || !x.whole || !x.accepted || x.conn.reader.Buffered() > 0 {
 		return 0, false
 	}
 	idle := min(x.keeper.idleTimeout, promisedIdle(x.Response.Header))
