--- a/relay/clientconn.go
+++ b/relay/clientconn.go
@@ -111,9 +111,6 @@
 	limits func() clientLimits
 	phase  connPhase
 	since  time.Time
-	// atRest are the limits of when it came to rest: a client that rests may
-	// not know of shorter ones yet.
-	atRest clientLimits
 }
 
 // trackClientConn is told by the standard server what a connection does.
@@ -131,26 +128,28 @@
 }
 
 func (c *clientConn) rest() {
-	c.phase, c.since, c.atRest = connResting, time.Now(), c.limits()
+	c.phase, c.since = connResting, time.Now()
 }
 
 // Read reads within the limit of what is being read.
 func (c *clientConn) Read(p []byte) (int, error) {
 	switch c.phase {
 	case connResting:
-		n, err := c.readUntil(p, func() time.Time { return c.since.Add(max(c.atRest.idle, c.limits().idle)) })
+		n, err := c.readUntil(p, func() time.Time { return c.since.Add(c.limits().idle) })
 		if n > 0 {
 			c.phase, c.since = connReadingHead, time.Now()
 		}
 		return n, err
 	case connReadingHead:
-		return c.readUntil(p, func() time.Time { return c.since.Add(max(c.atRest.headWait, c.limits().headWait)) })
+		return c.readUntil(p, func() time.Time { return c.since.Add(c.limits().headWait) })
 	default:
 		return c.Conn.Read(p)
 	}
 }
 
-// readUntil reads until a deadline, which may come to lie later meanwhile.
+// readUntil reads until a deadline. One that comes to lie later meanwhile holds
+// at once; one that comes to lie sooner only from the next read on, since a
+// client that rests may not know of it yet.
 func (c *clientConn) readUntil(p []byte, deadline func() time.Time) (int, error) {
 	for {
 		until := deadline()
