--- a/control/copy.go
+++ b/control/copy.go
@@ -463,7 +463,7 @@
 	m.table.Forget()
 	m.noteContact(said.Contact)
 	if said.MayLeave && m.leaving.wanted {
-		m.depart("its copy and its vote are with others")
+		m.depart("nothing is left to hand over")
 	}
 }
 
--- a/control/departure.go
+++ b/control/departure.go
@@ -58,7 +58,7 @@
 	}
 	if m.active() && m.seat.proposal == nil && m.mayLeave(m.ownSeat()) {
 		m.stepDown("planned stop")
-		m.depart("its copy and its vote are with others")
+		m.depart("nothing is left to hand over")
 		return
 	}
 	if m.nowMs < m.leaving.untilMs {
