--- /dev/null
+++ b/modelcheck/apply.go
@@ -0,0 +1,204 @@
+package modelcheck
+
+import (
+	"fmt"
+	"math"
+	"slices"
+
+	"myrtlewinch/control"
+	"myrtlewinch/wire"
+)
+
+// forGood is the end of a loss that has none.
+const forGood = math.MaxInt64 / 2
+
+// options lists the faults that may take the place of an event.
+func (c *cluster) options(e *event) []Fault {
+	if e.kind == actionEvent || c.members[e.member].down {
+		return nil
+	}
+	var faults []Fault
+	switch e.kind {
+	case messageEvent:
+		faults = append(faults, messageFaults...)
+	case writeEvent:
+		faults = append(faults, writeFaults...)
+	}
+	faults = append(faults, memberFaults...)
+	return slices.DeleteFunc(faults, func(f Fault) bool { return !c.lawful(e, f) })
+}
+
+// lawful says whether a fault is asked for, and leaves no more members lost
+// than may be.
+func (c *cluster) lawful(e *event, f Fault) bool {
+	if len(c.scope.Faults) > 0 && !slices.Contains(c.scope.Faults, f.Kind) {
+		return false
+	}
+	m := c.members[e.member]
+	if m.leaving && f.Kind == Leave {
+		return false
+	}
+	return !f.loses() || c.nowMs < m.lostMs && m.lostMs < forGood || c.lost() < c.scope.Losses
+}
+
+// loses says whether the member counts as lost.
+func (f Fault) loses() bool {
+	switch f.Kind {
+	case DropMessage, DelayMessage, DuplicateMessage:
+		return false
+	case DelayWrite:
+		return f.Ms > slowWriteMs
+	}
+	return true
+}
+
+// apply lets a fault happen at an event.
+func (c *cluster) apply(e *event, f Fault) {
+	m := c.members[e.member]
+	c.note("FAULT %s at %s", f, m.place.Name)
+	c.healedMs = max(c.healedMs, c.nowMs)
+	switch f.Kind {
+	case DropMessage:
+	case DelayMessage:
+		c.later(e, c.nowMs+f.Ms)
+		c.healedMs = max(c.healedMs, c.nowMs+f.Ms)
+	case DuplicateMessage:
+		again := *e
+		c.process(e)
+		c.later(&again, c.nowMs+f.Ms)
+		c.healedMs = max(c.healedMs, c.nowMs+f.Ms)
+	case DelayWrite:
+		c.delayWrites(e, f)
+	case FailWrite:
+		c.lose(m, c.nowMs+returnMs)
+		c.step(e.member, wire.Saved{Number: e.save.Number}, 0)
+		c.restartLater(e.member, Fault{Kind: Crash, Ms: returnMs, Return: WithDisk})
+	case CrashAfterWrite:
+		c.complete(e)
+		c.stop(e, f)
+	case Crash:
+		c.stop(e, f)
+	case CrashSilent:
+		c.queue = slices.DeleteFunc(c.queue, func(sent *event) bool { return sent.kind == messageEvent && sent.from == e.member })
+		c.stop(e, f)
+	case Freeze:
+		m.frozenMs = c.nowMs + f.Ms
+		c.lose(m, m.frozenMs)
+		c.defrost(e, m)
+	case CutOff, CutSending:
+		c.cutLinks(e, f)
+	case Leave:
+		c.leave(e.member, f)
+		c.process(e)
+	case loseSet:
+		c.loseAll(f.Set)
+		if e.kind == tickEvent || !m.down {
+			c.process(e)
+		}
+	}
+}
+
+// delayWrites delays a write and those behind it, which complete in order.
+func (c *cluster) delayWrites(e *event, f Fault) {
+	m := c.members[e.member]
+	delayed := []*event{e}
+	c.queue = slices.DeleteFunc(c.queue, func(other *event) bool {
+		behind := other.kind == writeEvent && other.member == e.member && other.life == m.life
+		if behind {
+			delayed = append(delayed, other)
+		}
+		return behind
+	})
+	for _, write := range delayed {
+		write.atMs += f.Ms
+		c.insert(write)
+	}
+	m.writeFreeMs = max(m.writeFreeMs, c.nowMs) + f.Ms
+	c.healedMs = max(c.healedMs, c.nowMs+f.Ms)
+	if f.loses() {
+		c.lose(m, c.nowMs+f.Ms)
+	}
+}
+
+// stop ends the process that an event was for. A tick goes on for the next.
+func (c *cluster) stop(e *event, f Fault) {
+	if e.kind == tickEvent {
+		c.later(e, c.nowMs+tickMs)
+	}
+	c.exit(e.member, f)
+}
+
+// exit ends a process and plans its return.
+func (c *cluster) exit(i int, f Fault) {
+	m := c.members[i]
+	m.down = true
+	m.frozenMs = 0
+	if f.Return == Never {
+		c.goneForGood(m, f)
+		return
+	}
+	c.lose(m, c.nowMs+f.Ms)
+	c.restartLater(i, f)
+}
+
+// goneForGood counts a member that does not return. One that was removed as planned
+// counts no longer where another is there to succeed it.
+func (c *cluster) goneForGood(m *member, f Fault) {
+	m.lostMs = forGood
+	if f.Kind == Leave && c.scope.Members > 2*c.scope.Losses+1 {
+		m.lostMs = c.nowMs
+	}
+}
+
+func (c *cluster) restartLater(i int, f Fault) {
+	m := c.members[i]
+	life := m.life
+	c.after(f.Ms, fmt.Sprintf("%s comes %s", m.place.Name, returnNames[f.Return]), func() {
+		if m.life != life {
+			return
+		}
+		keys := m.keys
+		if f.Return == WithoutDisk {
+			m.wipes++
+			m.place.Incarnation = fmt.Sprintf("%s-disk-%d", m.place.Name, m.wipes+1)
+			keys = map[string]string{}
+		}
+		m.lostMs = max(m.lostMs, c.nowMs+c.scope.CatchUpMs)
+		c.start(i, keys, false)
+	})
+}
+
+func (c *cluster) cutLinks(e *event, f Fault) {
+	m := c.members[e.member]
+	m.cutFromMs = c.nowMs + f.Ms
+	if f.Kind == CutOff {
+		m.cutToMs = c.nowMs + f.Ms
+	}
+	c.lose(m, c.nowMs+f.Ms)
+	if e.kind != messageEvent {
+		c.process(e)
+	}
+}
+
+// leave begins a planned stop; the exit follows.
+func (c *cluster) leave(i int, f Fault) {
+	m := c.members[i]
+	m.leaving = true
+	c.lose(m, c.nowMs+c.scope.LeaveMs)
+	life := m.life
+	c.step(i, control.StepDown{}, 0)
+	c.after(c.scope.LeaveMs, m.place.Name+" exits", func() {
+		if m.life == life && !m.down {
+			c.exit(i, f)
+		}
+	})
+}
+
+// loseAll ends a set of members for good.
+func (c *cluster) loseAll(set uint32) {
+	for i, m := range c.members {
+		if set&(1<<i) != 0 {
+			m.down, m.lostMs = true, forGood
+		}
+	}
+}
--- /dev/null
+++ b/modelcheck/fault.go
@@ -0,0 +1,164 @@
+package modelcheck
+
+import (
+	"fmt"
+	"strings"
+)
+
+// FaultKind is a way in which a schedule leaves the default one.
+type FaultKind uint8
+
+// The kinds of fault. Those of a message or a write apply to the event itself;
+// those of a member happen right before an event at that member.
+const (
+	noFault FaultKind = iota
+	// DropMessage loses a message.
+	DropMessage
+	// DelayMessage lets later messages overtake one.
+	DelayMessage
+	// DuplicateMessage delivers a message now and once more later.
+	DuplicateMessage
+	// DelayWrite makes a disk slow, for this write and those behind it.
+	DelayWrite
+	// FailWrite makes a write fail.
+	FailWrite
+	// Crash ends a member; writes that were not complete are lost.
+	Crash
+	// CrashAfterWrite ends a member once the write is durable, before its
+	// machine hears of that.
+	CrashAfterWrite
+	// CrashSilent ends a member and loses all that it has sent and is in flight.
+	CrashSilent
+	// Freeze stops a member for a while; it goes on with what came meanwhile.
+	Freeze
+	// CutOff loses all messages from and to a member for a while.
+	CutOff
+	// CutSending loses all messages from a member for a while.
+	CutSending
+	// Leave is the planned stop of a member, and its exit some time later.
+	Leave
+	// loseSet ends a set of members for good: the probe at a schedule's end.
+	loseSet
+)
+
+var faultNames = map[FaultKind]string{
+	DropMessage: "drop", DelayMessage: "delay", DuplicateMessage: "duplicate",
+	DelayWrite: "slow-write", FailWrite: "fail-write",
+	Crash: "crash", CrashAfterWrite: "crash-after-write", CrashSilent: "crash-silent",
+	Freeze: "freeze", CutOff: "cut-off", CutSending: "cut-sending", Leave: "leave", loseSet: "lose-set",
+}
+
+func (k FaultKind) String() string { return faultNames[k] }
+
+// FaultKinds lists all kinds that can be asked for.
+func FaultKinds() []FaultKind {
+	var kinds []FaultKind
+	for kind := DropMessage; kind <= Leave; kind++ {
+		kinds = append(kinds, kind)
+	}
+	return kinds
+}
+
+// ParseFaults reads names of kinds, separated by commas.
+func ParseFaults(text string) ([]FaultKind, error) {
+	var kinds []FaultKind
+	for name := range strings.SplitSeq(text, ",") {
+		found := false
+		for _, kind := range FaultKinds() {
+			if kind.String() == name {
+				kinds, found = append(kinds, kind), true
+			}
+		}
+		if !found && name != "" {
+			return nil, fmt.Errorf("there is no fault %q", name)
+		}
+	}
+	return kinds, nil
+}
+
+// Return says how a member that stopped comes back.
+type Return uint8
+
+// The ways back.
+const (
+	// Never means that the member is gone.
+	Never Return = iota
+	// WithDisk restarts a member from its disk.
+	WithDisk
+	// WithoutDisk restarts a member with an empty disk, as a new incarnation.
+	WithoutDisk
+)
+
+var returnNames = [...]string{"for good", "back with its disk", "back with an empty disk"}
+
+// Fault is one fault with its parameters.
+type Fault struct {
+	Kind FaultKind
+	// Ms is the delay of a message or write, or the duration of a state of a
+	// member; for a crash, after how long the member returns.
+	Ms int64
+	// Return is how a member that stopped returns.
+	Return Return
+	// Set holds the members of the probe, one bit each.
+	Set uint32
+}
+
+func (f Fault) String() string {
+	switch f.Kind {
+	case Crash, CrashAfterWrite, CrashSilent, Leave:
+		if f.Return == Never {
+			return f.Kind.String() + " " + returnNames[Never]
+		}
+		return fmt.Sprintf("%s, %s after %d ms", f.Kind, returnNames[f.Return], f.Ms)
+	case loseSet:
+		return fmt.Sprintf("lose the members %b for good", f.Set)
+	case DropMessage, FailWrite:
+		return f.Kind.String()
+	}
+	return fmt.Sprintf("%s %d ms", f.Kind, f.Ms)
+}
+
+// Deviation is a fault at a numbered event of the schedule.
+type Deviation struct {
+	Event int
+	Fault Fault
+}
+
+// Schedule is the deviations of one run, in order.
+type Schedule []Deviation
+
+// Parameters of the faults that are explored.
+const (
+	// overtakenMs lets the messages of the next tick pass.
+	overtakenMs = 60
+	// lateMs is past a resend, so that the answer to the second may come first.
+	lateMs = 1200
+	// slowWriteMs is a slow write; stalledWriteMs one that stalls.
+	slowWriteMs    = 60
+	stalledWriteMs = 1700
+	// returnMs is a restart.
+	returnMs = 300
+	// silenceMs is longer than a lease.
+	silenceMs = 1700
+)
+
+var messageFaults = []Fault{
+	{Kind: DropMessage}, {Kind: DelayMessage, Ms: overtakenMs}, {Kind: DelayMessage, Ms: lateMs}, {Kind: DuplicateMessage, Ms: lateMs},
+}
+
+var writeFaults = []Fault{
+	{Kind: DelayWrite, Ms: slowWriteMs}, {Kind: DelayWrite, Ms: stalledWriteMs}, {Kind: FailWrite},
+	{Kind: CrashAfterWrite, Ms: returnMs, Return: WithDisk},
+}
+
+var memberFaults = []Fault{
+	{Kind: Crash},
+	{Kind: Crash, Ms: returnMs, Return: WithDisk},
+	{Kind: Crash, Ms: returnMs, Return: WithoutDisk},
+	{Kind: CrashSilent},
+	{Kind: Freeze, Ms: silenceMs},
+	{Kind: CutOff, Ms: silenceMs},
+	{Kind: CutSending, Ms: silenceMs},
+	{Kind: Leave},
+	{Kind: Leave, Ms: returnMs, Return: WithDisk},
+}
--- /dev/null
+++ b/modelcheck/scenario.go
@@ -0,0 +1,128 @@
+package modelcheck
+
+import (
+	"encoding/json"
+	"slices"
+
+	"myrtlewinch/wire"
+)
+
+// Role names a member by its part at the time.
+type Role uint8
+
+// The roles that a step of a scenario may name.
+const (
+	// Primary is the member that is active.
+	Primary Role = iota
+	// Replica is the first other member of the primary's record that holds a copy.
+	Replica
+	// Outsider is the first member that holds no recorded copy.
+	Outsider
+)
+
+// ScenarioStep is a write, or a fault at a member, at a time.
+type ScenarioStep struct {
+	AtMs  int64
+	Write bool
+	Role  Role
+	Fault Fault
+}
+
+// Scenario is what happens in every schedule of a check.
+type Scenario struct {
+	Name  string
+	About string
+	Steps []ScenarioStep
+	// WindowMs is when the window of deviations begins.
+	WindowMs int64
+}
+
+// settledMs is when a cluster that was started from its disks serves and has
+// no change of its record under way.
+const settledMs = 1000
+
+// Scenarios lists what may be asked for.
+var Scenarios = []Scenario{
+	{Name: "steady", About: "a settled cluster takes a write", WindowMs: settledMs, Steps: []ScenarioStep{
+		{AtMs: settledMs + 100, Write: true},
+	}},
+	{Name: "start", About: "all members start from their disks", WindowMs: 0, Steps: []ScenarioStep{
+		{AtMs: 500, Write: true},
+	}},
+	{Name: "primary crashes", About: "the primary crashes and comes back with its disk", WindowMs: settledMs, Steps: []ScenarioStep{
+		{AtMs: settledMs - 50, Write: true},
+		{AtMs: settledMs, Role: Primary, Fault: Fault{Kind: Crash, Ms: returnMs, Return: WithDisk}},
+	}},
+	{Name: "primary wiped", About: "the primary crashes and comes back with an empty disk", WindowMs: settledMs, Steps: []ScenarioStep{
+		{AtMs: settledMs - 50, Write: true},
+		{AtMs: settledMs, Role: Primary, Fault: Fault{Kind: Crash, Ms: returnMs, Return: WithoutDisk}},
+	}},
+	{Name: "replica wiped", About: "a replica crashes and comes back with an empty disk", WindowMs: settledMs + returnMs, Steps: []ScenarioStep{
+		{AtMs: settledMs, Role: Replica, Fault: Fault{Kind: Crash, Ms: returnMs, Return: WithoutDisk}},
+		{AtMs: settledMs + 400, Write: true},
+		{AtMs: settledMs + 800, Write: true},
+	}},
+	{Name: "outsider wiped", About: "a member without a recorded copy comes back with an empty disk", WindowMs: settledMs + returnMs, Steps: []ScenarioStep{
+		{AtMs: settledMs, Role: Outsider, Fault: Fault{Kind: Crash, Ms: returnMs, Return: WithoutDisk}},
+		{AtMs: settledMs + 400, Write: true},
+		{AtMs: settledMs + 800, Write: true},
+	}},
+	{Name: "replica leaves", About: "a replica stops as planned, for good", WindowMs: settledMs, Steps: []ScenarioStep{
+		{AtMs: settledMs - 50, Write: true},
+		{AtMs: settledMs, Role: Replica, Fault: Fault{Kind: Leave}},
+	}},
+	{Name: "primary leaves", About: "the primary stops as planned, for good", WindowMs: settledMs, Steps: []ScenarioStep{
+		{AtMs: settledMs - 50, Write: true},
+		{AtMs: settledMs, Role: Primary, Fault: Fault{Kind: Leave}},
+	}},
+}
+
+// FindScenario finds a scenario by name.
+func FindScenario(name string) (Scenario, bool) {
+	i := slices.IndexFunc(Scenarios, func(s Scenario) bool { return s.Name == name })
+	if i < 0 {
+		return Scenario{}, false
+	}
+	return Scenarios[i], true
+}
+
+// plan puts a scenario's steps into the queue.
+func (c *cluster) plan(s Scenario) {
+	for _, step := range s.Steps {
+		c.healedMs = max(c.healedMs, startMs+step.AtMs)
+		about := "step of the scenario"
+		c.after(step.AtMs, about, func() { c.play(step) })
+	}
+}
+
+func (c *cluster) play(step ScenarioStep) {
+	if step.Write {
+		c.write()
+		return
+	}
+	i := c.inRole(step.Role)
+	if i < 0 {
+		return
+	}
+	c.note("SCENARIO %s at %s", step.Fault, c.members[i].place.Name)
+	if step.Fault.Kind == Leave {
+		c.leave(i, step.Fault)
+		return
+	}
+	c.exit(i, step.Fault)
+}
+
+// inRole finds a member by its part, or -1.
+func (c *cluster) inRole(role Role) int {
+	primary := c.primary()
+	if primary < 0 || role == Primary {
+		return primary
+	}
+	var remembered struct{ Record wire.Record }
+	if json.Unmarshal([]byte(c.members[primary].keys["record"]), &remembered) != nil {
+		return -1
+	}
+	return slices.IndexFunc(c.members, func(m *member) bool {
+		return m != c.members[primary] && !m.down && remembered.Record.Pairs(m.seat()) == (role == Replica)
+	})
+}
--- /dev/null
+++ b/modelcheck/scope.go
@@ -0,0 +1,71 @@
+package modelcheck
+
+import "myrtlewinch/wire"
+
+// Default bounds of a check.
+const (
+	DefaultMembers    = 3
+	DefaultLosses     = 1
+	DefaultDeviations = 2
+	DefaultDepth      = 300
+	DefaultStates     = 1_000_000
+	// DefaultCatchUpMs is how long after a fault a site may be without a primary,
+	// and for how long a member that returned still counts as lost.
+	DefaultCatchUpMs = 6000
+	// DefaultLeaveMs passes between the planned stop of a member and its exit.
+	DefaultLeaveMs = 300
+)
+
+// Stepper is a state machine that takes one input at a time.
+type Stepper interface {
+	Step(nowMs int64, input any) wire.Effects
+}
+
+// Scope bounds one check.
+type Scope struct {
+	// Members is how many controllers there are.
+	Members int
+	// Losses is how many members may be lost at once.
+	Losses int
+	// Deviations is how many faults a schedule may have beside its scenario's.
+	Deviations int
+	// Depth is how many events after the beginning of the scenario's window may
+	// be deviated from.
+	Depth int
+	// States is how many distinct states may be visited.
+	States int
+	// Workers is how many schedules run at once.
+	Workers int
+	// CatchUpMs bounds recovery; see DefaultCatchUpMs.
+	CatchUpMs int64
+	// LeaveMs passes between a planned stop and the exit.
+	LeaveMs int64
+	// Faults says which kinds of fault are explored; empty means all.
+	Faults []FaultKind
+	// ProbeDeviations is the most deviations of a schedule after which every set
+	// of as many members as may be lost is lost for good, once the cluster has
+	// had its time to catch up. Below nought there is no such probe.
+	ProbeDeviations int
+	// Scenario is what happens in every schedule.
+	Scenario Scenario
+	// Wrap, where it is set, stands between the cluster and each machine.
+	Wrap func(member string, machine Stepper) Stepper
+}
+
+// withDefaults fills what is left at nought.
+func (s Scope) withDefaults() Scope {
+	setDefault(&s.Members, DefaultMembers)
+	setDefault(&s.Losses, DefaultLosses)
+	setDefault(&s.Depth, DefaultDepth)
+	setDefault(&s.States, DefaultStates)
+	setDefault(&s.Workers, 1)
+	setDefault(&s.CatchUpMs, DefaultCatchUpMs)
+	setDefault(&s.LeaveMs, DefaultLeaveMs)
+	return s
+}
+
+func setDefault[N int | int64](value *N, standard N) {
+	if *value == 0 {
+		*value = standard
+	}
+}
--- /dev/null
+++ b/modelcheck/trace.go
@@ -0,0 +1,71 @@
+package modelcheck
+
+import (
+	"fmt"
+	"strings"
+
+	"myrtlewinch/wire"
+)
+
+// describe writes an event into the log; messages of membership are left out.
+func (c *cluster) describe(e *event) {
+	if c.log == nil {
+		return
+	}
+	switch e.kind {
+	case actionEvent:
+		c.note("%s", e.about)
+	case writeEvent:
+		c.note("%s: write %d complete %v", c.members[e.member].place.Name, e.save.Number, e.save.Write.Sets)
+	case messageEvent:
+		switch e.envelope.Body.(type) {
+		case wire.Heartbeat, wire.Sightings, wire.Hello:
+			return
+		}
+		name := strings.TrimPrefix(fmt.Sprintf("%T", e.envelope.Body), "wire.")
+		c.note("%s -> %s: %s %+v", e.envelope.From.Name, c.members[e.member].place.Name, name, e.envelope.Body)
+	}
+}
+
+// Trace replays a schedule and gives what happened in it, a line each.
+func Trace(scope Scope, schedule Schedule) []string {
+	x := &explorer{scope: scope.withDefaults(), visited: map[uint64]budget{}}
+	x.scope.States = 1 << 30
+	x.disks = foundedDisks(x.scope)
+	c := x.begin()
+	var lines []string
+	c.log = func(format string, args ...any) {
+		lines = append(lines, fmt.Sprintf("%6d ms, event %d: ", c.nowMs-startMs, c.events)+fmt.Sprintf(format, args...))
+	}
+	r := &run{explorer: x, cluster: c, schedule: schedule, windowEnd: -1}
+	for !r.step() {
+	}
+	if c.checks.violation != nil {
+		lines = append(lines, c.checks.violation.String())
+	}
+	return lines
+}
+
+// String lists the deviations of a schedule.
+func (s Schedule) String() string {
+	if len(s) == 0 {
+		return "the default schedule"
+	}
+	var parts []string
+	for _, deviation := range s {
+		parts = append(parts, fmt.Sprintf("at event %d %s", deviation.Event, deviation.Fault))
+	}
+	return strings.Join(parts, "; ")
+}
+
+// String sums a report up in one line.
+func (r Report) String() string {
+	extent := "complete within the bounds"
+	switch {
+	case len(r.Found) > 0:
+		extent = "stopped at violations"
+	case !r.Complete:
+		extent = "INCOMPLETE: stopped at the bound of states"
+	}
+	return fmt.Sprintf("%d states, %d schedules, %d steps, %s", r.States, r.Runs, r.Steps, extent)
+}
