--- a/modelcheck/cluster.go
+++ b/modelcheck/cluster.go
@@ -94,7 +94,7 @@
 }
 
 func newCluster(scope Scope, disks []map[string]string, founds bool) *cluster {
-	c := &cluster{scope: scope, nowMs: startMs, checks: newChecks()}
+	c := &cluster{scope: scope, nowMs: startMs, healedMs: startMs, checks: newChecks()}
 	for i := range scope.Members {
 		place := wire.Place{
 			Name: fmt.Sprintf("member-%d", i+1), Address: fmt.Sprintf("10.0.0.%d:7", i+1), Zone: fmt.Sprintf("zone-%d", i%3),
--- a/modelcheck/explore.go
+++ b/modelcheck/explore.go
@@ -112,6 +112,8 @@
 func foundedDisks(scope Scope) []map[string]string {
 	scope.Wrap = nil
 	c := newCluster(scope, nil, true)
+	// No write is tried: those of the schedules begin at the first number.
+	c.recovery = recovery{sinceMs: startMs, done: true}
 	for c.nowMs < startMs+foundingMs {
 		c.process(c.next())
 	}
