--- a/modelcheck/apply.go
+++ b/modelcheck/apply.go
@@ -71,7 +71,7 @@
 		c.delayWrites(e, f)
 	case FailWrite:
 		c.lose(m, c.nowMs+returnMs)
-		c.step(e.member, wire.Saved{Number: e.save.Number}, 0)
+		c.step(e.member, wire.Saved{Number: e.save.Number}, nil)
 		c.restartLater(e.member, Fault{Kind: Crash, Ms: returnMs, Return: WithDisk})
 	case CrashAfterWrite:
 		c.complete(e)
@@ -186,7 +186,7 @@
 	m.leaving = true
 	c.lose(m, c.nowMs+c.scope.LeaveMs)
 	life := m.life
-	c.step(i, control.StepDown{}, 0)
+	c.step(i, control.StepDown{}, nil)
 	c.after(c.scope.LeaveMs, m.place.Name+" exits", func() {
 		if m.life == life && !m.down {
 			c.exit(i, f)
--- a/modelcheck/cluster.go
+++ b/modelcheck/cluster.go
@@ -50,18 +50,22 @@
 	save     wire.Save
 	action   func()
 	about    string
-	// sum names the content, and what a write was caused by.
-	sum uint64
+	// cause is the message that a write was caused by.
+	cause *event
+	// memo is the hash of the content, or nought as long as none was asked for.
+	memo uint64
 }
 
 // member is one controller: a machine, its disk and its links.
 type member struct {
-	place    wire.Place
-	machine  Stepper
-	tenant   *rowTenant
-	keys     map[string]string
-	keysSum  uint64
-	sum      uint64
+	place   wire.Place
+	machine Stepper
+	tenant  *rowTenant
+	keys    map[string]string
+	// keysMemo and memo are the hashes of the disk and the machine, or nought
+	// after a change.
+	keysMemo uint64
+	memo     uint64
 	life     int
 	wipes    int
 	down     bool
@@ -138,7 +142,7 @@
 	if c.scope.Wrap != nil {
 		m.machine = c.scope.Wrap(m.place.Name, machine)
 	}
-	m.sum, m.keysSum = hashOf(m.machine), hashOf(keys)
+	m.memo, m.keysMemo = 0, 0
 	c.checks.started(m)
 }
 
@@ -205,14 +209,14 @@
 	case tickEvent:
 		c.later(e, c.nowMs+tickMs)
 		if !c.members[e.member].down {
-			c.step(e.member, wire.Tick{}, 0)
+			c.step(e.member, wire.Tick{}, nil)
 		}
 		c.recovery.tick(c)
 	case messageEvent:
-		c.step(e.member, e.envelope, e.sum)
+		c.step(e.member, e.envelope, e)
 	case writeEvent:
 		c.complete(e)
-		c.step(e.member, wire.Saved{Number: e.save.Number, Ok: true}, 0)
+		c.step(e.member, wire.Saved{Number: e.save.Number, Ok: true}, nil)
 	case actionEvent:
 		e.action()
 	}
@@ -223,21 +227,21 @@
 	m := c.members[e.member]
 	m.keys = maps.Clone(m.keys)
 	e.save.Write.Apply(m.keys)
-	m.keysSum = hashOf(m.keys)
+	m.keysMemo = 0
 	c.checks.durable(m, e.save.Write, c.nowMs)
 }
 
 // step gives a machine one input and brings its effects into the queue.
-func (c *cluster) step(i int, input any, cause uint64) {
+func (c *cluster) step(i int, input any, cause *event) {
 	m := c.members[i]
 	out := m.machine.Step(c.nowMs, input)
-	m.sum = hashOf(m.machine)
+	m.memo = 0
 	for _, text := range out.Notes {
 		c.note("%s: %s", m.place.Name, text)
 	}
 	for _, save := range out.Saves {
 		m.writeFreeMs = max(m.writeFreeMs, c.nowMs+writeMs)
-		c.push(&event{atMs: m.writeFreeMs, kind: writeEvent, member: i, life: m.life, save: save, sum: hashOf(save.Write, cause)})
+		c.push(&event{atMs: m.writeFreeMs, kind: writeEvent, member: i, life: m.life, save: save, cause: cause})
 	}
 	for _, send := range out.Sends {
 		to := slices.IndexFunc(c.members, func(other *member) bool { return other.place.Address == send.Address })
@@ -245,7 +249,7 @@
 			continue
 		}
 		envelope := wire.Envelope{Site: site, From: m.place, To: send.To, Body: send.Body}
-		c.push(&event{atMs: c.nowMs + messageMs, kind: messageEvent, member: to, from: i, envelope: envelope, sum: hashOf(envelope)})
+		c.push(&event{atMs: c.nowMs + messageMs, kind: messageEvent, member: to, from: i, envelope: envelope})
 	}
 	c.checks.observe(c)
 }
@@ -275,7 +279,7 @@
 			c.note("write %d is acknowledged", number)
 			c.checks.acknowledged(number)
 		}
-	}}, uint64(number))
+	}}, nil)
 	return number
 }
 
@@ -300,7 +304,7 @@
 
 // after plans a step of the cluster's own.
 func (c *cluster) after(ms int64, about string, action func()) {
-	c.push(&event{atMs: c.nowMs + ms, kind: actionEvent, about: about, action: action, sum: hashOf(about)})
+	c.push(&event{atMs: c.nowMs + ms, kind: actionEvent, about: about, action: action})
 }
 
 // fingerprint names the state of the whole cluster.
@@ -308,8 +312,8 @@
 	var h hasher
 	h.number(uint64(c.nowMs))
 	for _, m := range c.members {
-		h.number(m.sum)
-		h.number(m.keysSum)
+		h.number(m.sum())
+		h.number(m.keysSum())
 		h.number(flags(m.down, m.leaving))
 		for _, ms := range []int64{m.frozenMs, m.cutToMs, m.cutFromMs, m.lostMs, m.writeFreeMs} {
 			h.number(uint64(max(ms-c.nowMs, 0)))
@@ -320,7 +324,7 @@
 		h.number(uint64(e.kind))
 		h.number(uint64(e.member))
 		h.number(uint64(e.from))
-		h.number(e.sum)
+		h.number(e.sum())
 	}
 	h.number(uint64(c.writes))
 	h.number(uint64(c.healedMs))
@@ -367,3 +371,41 @@
 func (m *member) seat() wire.Seat {
 	return wire.Seat{Name: m.place.Name, Incarnation: m.place.Incarnation}
 }
+
+func (m *member) sum() uint64 {
+	if m.memo == 0 {
+		m.memo = hashOf(m.machine)
+	}
+	return m.memo
+}
+
+func (m *member) keysSum() uint64 {
+	if m.keysMemo == 0 {
+		m.keysMemo = hashOf(m.keys)
+	}
+	return m.keysMemo
+}
+
+// sum names the content of an event, without its time.
+func (e *event) sum() uint64 {
+	if e.memo != 0 {
+		return e.memo
+	}
+	switch e.kind {
+	case messageEvent:
+		e.memo = hashOf(e.envelope)
+	case writeEvent:
+		e.memo = hashOf(e.save.Write, e.cause.causeSum())
+	default:
+		e.memo = hashOf(e.about)
+	}
+	return e.memo
+}
+
+// causeSum names what caused a write; its completion may answer that.
+func (e *event) causeSum() uint64 {
+	if e == nil {
+		return 0
+	}
+	return e.sum()
+}
