--- a/cmd/modelcheck/main.go
+++ b/cmd/modelcheck/main.go
@@ -20,7 +20,7 @@
 		Depth: modelcheck.DefaultDepth, States: modelcheck.DefaultStates, Workers: 2, ProbeDeviations: -1,
 		CatchUpMs: modelcheck.DefaultCatchUpMs, LeaveMs: modelcheck.DefaultLeaveMs,
 	}
-	scenario, faults, trace := "all", "", true
+	scenario, faults, messages, trace := "all", "", "", true
 	flaggy.Int(&scope.Members, "m", "members", "how many controllers there are")
 	flaggy.Int(&scope.Losses, "l", "losses", "how many members may be lost at once")
 	flaggy.Int(&scope.Deviations, "d", "deviations", "how many faults a schedule may have beside its scenario's")
@@ -32,6 +32,7 @@
 	flaggy.Int64(&scope.LeaveMs, "", "leave", "ms between a planned stop and the exit")
 	flaggy.String(&scenario, "", "scenario", "a scenario, or all")
 	flaggy.String(&faults, "", "faults", "kinds of faults, separated by commas; empty is all")
+	flaggy.String(&messages, "", "messages", "types of messages that faults of messages apply to, separated by commas; empty is all")
 	flaggy.Bool(&trace, "", "trace", "print the trace of the shortest violation")
 	program.Parse()
 	kinds, err := modelcheck.ParseFaults(faults)
@@ -39,6 +40,9 @@
 		program.Misused("faults: %v; there are: %v", err, modelcheck.FaultKinds())
 	}
 	scope.Faults = kinds
+	if messages != "" {
+		scope.Messages = strings.Split(messages, ",")
+	}
 	if scope.Members < 2*scope.Losses+1 || scope.Losses < 1 || scope.Depth < 1 || scope.States < 1 || scope.Workers < 1 {
 		program.Misused("members must be at least twice the losses and one more; losses, depth, states and workers above 0")
 	}
--- a/modelcheck/apply.go
+++ b/modelcheck/apply.go
@@ -34,6 +34,9 @@
 	if len(c.scope.Faults) > 0 && !slices.Contains(c.scope.Faults, f.Kind) {
 		return false
 	}
+	if f.ofMessage() && len(c.scope.Messages) > 0 && !slices.Contains(c.scope.Messages, e.messageType()) {
+		return false
+	}
 	m := c.members[e.member]
 	if m.leaving && f.Kind == Leave {
 		return false
@@ -41,32 +44,34 @@
 	return !f.loses() || c.nowMs < m.lostMs && m.lostMs < forGood || c.lost() < c.scope.Losses
 }
 
+// ofMessage says whether the fault is one of a message.
+func (f Fault) ofMessage() bool {
+	return f.Kind == DropMessage || f.Kind == DelayMessage || f.Kind == DuplicateMessage
+}
+
 // loses says whether the member counts as lost.
 func (f Fault) loses() bool {
-	switch f.Kind {
-	case DropMessage, DelayMessage, DuplicateMessage:
-		return false
-	case DelayWrite:
+	if f.Kind == DelayWrite {
 		return f.Ms > slowWriteMs
 	}
-	return true
+	return !f.ofMessage()
 }
 
 // apply lets a fault happen at an event.
 func (c *cluster) apply(e *event, f Fault) {
 	m := c.members[e.member]
 	c.note("FAULT %s at %s", f, m.place.Name)
-	c.healedMs = max(c.healedMs, c.nowMs)
+	c.heal(c.nowMs)
 	switch f.Kind {
 	case DropMessage:
 	case DelayMessage:
 		c.later(e, c.nowMs+f.Ms)
-		c.healedMs = max(c.healedMs, c.nowMs+f.Ms)
+		c.heal(c.nowMs + f.Ms)
 	case DuplicateMessage:
 		again := *e
 		c.process(e)
 		c.later(&again, c.nowMs+f.Ms)
-		c.healedMs = max(c.healedMs, c.nowMs+f.Ms)
+		c.heal(c.nowMs + f.Ms)
 	case DelayWrite:
 		c.delayWrites(e, f)
 	case FailWrite:
@@ -114,7 +119,7 @@
 		c.insert(write)
 	}
 	m.writeFreeMs = max(m.writeFreeMs, c.nowMs) + f.Ms
-	c.healedMs = max(c.healedMs, c.nowMs+f.Ms)
+	c.heal(c.nowMs + f.Ms)
 	if f.loses() {
 		c.lose(m, c.nowMs+f.Ms)
 	}
--- a/modelcheck/cluster.go
+++ b/modelcheck/cluster.go
@@ -299,7 +299,7 @@
 // lose counts a member as lost until it has caught up after a time.
 func (c *cluster) lose(m *member, endMs int64) {
 	m.lostMs = max(m.lostMs, endMs+c.scope.CatchUpMs)
-	c.healedMs = max(c.healedMs, endMs)
+	c.heal(endMs)
 }
 
 // after plans a step of the cluster's own.
--- a/modelcheck/scenario.go
+++ b/modelcheck/scenario.go
@@ -53,6 +53,12 @@
 		{AtMs: settledMs - 50, Write: true},
 		{AtMs: settledMs, Role: Primary, Fault: Fault{Kind: Crash, Ms: returnMs, Return: WithDisk}},
 	}},
+	{Name: "primary crashes, writes", About: "the primary crashes in a stream of writes", WindowMs: settledMs, Steps: append([]ScenarioStep{
+		{AtMs: settledMs + 100, Role: Primary, Fault: Fault{Kind: Crash, Ms: returnMs, Return: WithDisk}},
+	}, writesEach(950, settledMs+90, settledMs+8000)...)},
+	{Name: "replica wiped, writes", About: "a replica comes back with an empty disk in a stream of writes", WindowMs: settledMs + returnMs, Steps: append([]ScenarioStep{
+		{AtMs: settledMs, Role: Replica, Fault: Fault{Kind: Crash, Ms: returnMs, Return: WithoutDisk}},
+	}, writesEach(950, settledMs+90, settledMs+8000)...)},
 	{Name: "primary wiped", About: "the primary crashes and comes back with an empty disk", WindowMs: settledMs, Steps: []ScenarioStep{
 		{AtMs: settledMs - 50, Write: true},
 		{AtMs: settledMs, Role: Primary, Fault: Fault{Kind: Crash, Ms: returnMs, Return: WithoutDisk}},
@@ -75,6 +81,18 @@
 		{AtMs: settledMs - 50, Write: true},
 		{AtMs: settledMs, Role: Primary, Fault: Fault{Kind: Leave}},
 	}},
+	{Name: "busy", About: "a replica stops as planned while writes go on", WindowMs: settledMs, Steps: append([]ScenarioStep{
+		{AtMs: settledMs, Role: Replica, Fault: Fault{Kind: Leave}},
+	}, writesEach(300, settledMs, settledMs+8000)...)},
+}
+
+// writesEach gives a write at each interval.
+func writesEach(intervalMs, fromMs, untilMs int64) []ScenarioStep {
+	var steps []ScenarioStep
+	for atMs := fromMs; atMs < untilMs; atMs += intervalMs {
+		steps = append(steps, ScenarioStep{AtMs: atMs, Write: true})
+	}
+	return steps
 }
 
 // FindScenario finds a scenario by name.
@@ -89,7 +107,9 @@
 // plan puts a scenario's steps into the queue.
 func (c *cluster) plan(s Scenario) {
 	for _, step := range s.Steps {
-		c.healedMs = max(c.healedMs, startMs+step.AtMs)
+		if !step.Write {
+			c.heal(startMs + step.AtMs)
+		}
 		about := "step of the scenario"
 		c.after(step.AtMs, about, func() { c.play(step) })
 	}
--- a/modelcheck/scope.go
+++ b/modelcheck/scope.go
@@ -42,6 +42,9 @@
 	LeaveMs int64
 	// Faults says which kinds of fault are explored; empty means all.
 	Faults []FaultKind
+	// Messages names the types of message, such as Image, that faults of messages
+	// apply to; empty means all.
+	Messages []string
 	// ProbeDeviations is the most deviations of a schedule after which every set
 	// of as many members as may be lost is lost for good, once the cluster has
 	// had its time to catch up. Below nought there is no such probe.
--- a/modelcheck/trace.go
+++ b/modelcheck/trace.go
@@ -22,11 +22,15 @@
 		case wire.Heartbeat, wire.Sightings, wire.Hello:
 			return
 		}
-		name := strings.TrimPrefix(fmt.Sprintf("%T", e.envelope.Body), "wire.")
-		c.note("%s -> %s: %s %+v", e.envelope.From.Name, c.members[e.member].place.Name, name, e.envelope.Body)
+		c.note("%s -> %s: %s %+v", e.envelope.From.Name, c.members[e.member].place.Name, e.messageType(), e.envelope.Body)
 	}
 }
 
+// messageType names the type of an event's message.
+func (e *event) messageType() string {
+	return strings.TrimPrefix(fmt.Sprintf("%T", e.envelope.Body), "wire.")
+}
+
 // Trace replays a schedule and gives what happened in it, a line each.
 func Trace(scope Scope, schedule Schedule) []string {
 	x := &explorer{scope: scope.withDefaults(), visited: map[uint64]budget{}}
