--- /dev/null
+++ b/modelcheck/broken_test.go
@@ -0,0 +1,212 @@
+package modelcheck
+
+import (
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"myrtlewinch/control"
+	"myrtlewinch/disk"
+	"myrtlewinch/wire"
+	"myrtlewinch/witness"
+)
+
+// broken stands between a cluster and a machine and changes what passes.
+type broken struct {
+	machine Stepper
+	// input changes an input; nil is swallowed.
+	input func(input any) any
+	// send changes the body of a message.
+	send func(body any) any
+	// save changes a write.
+	save func(write disk.Write) disk.Write
+}
+
+func (b *broken) Step(nowMs int64, input any) wire.Effects {
+	if b.input != nil {
+		if input = b.input(input); input == nil {
+			return wire.Effects{}
+		}
+	}
+	out := b.machine.Step(nowMs, input)
+	for i := range out.Sends {
+		if b.send != nil {
+			out.Sends[i].Body = b.send(out.Sends[i].Body)
+		}
+	}
+	for i := range out.Saves {
+		if b.save != nil {
+			out.Saves[i].Write = b.save(out.Saves[i].Write)
+		}
+	}
+	return out
+}
+
+// losingWrites says that writes of the state are durable, and forgets them.
+func losingWrites(member string, machine Stepper) Stepper {
+	return &broken{machine: machine, save: func(write disk.Write) disk.Write {
+		if write.Sets["state/position"] != "" {
+			return disk.Write{}
+		}
+		return write
+	}}
+}
+
+// repeatingWrites makes an early write of a key durable again in place of later ones.
+func repeatingWrites(key string) func(string, Stepper) Stepper {
+	return func(member string, machine Stepper) Stepper {
+		var early *disk.Write
+		written := 0
+		return &broken{machine: machine, save: func(write disk.Write) disk.Write {
+			if write.Sets[key] == "" {
+				return write
+			}
+			if written++; early == nil {
+				early = &write
+			}
+			if written > 3 {
+				return *early
+			}
+			return write
+		}}
+	}
+}
+
+// acknowledgingEarly acknowledges a write before any disk has it.
+func acknowledgingEarly(member string, machine Stepper) Stepper {
+	return &broken{machine: machine, input: func(input any) any {
+		if write, ok := input.(Write); ok {
+			write.Then(true)
+		}
+		return input
+	}}
+}
+
+// longerLeaseMs is how much longer than given a broken primary counts its lease.
+const longerLeaseMs = 3000
+
+// countingLongLeases counts the lease from later than when its renewal was sent.
+func countingLongLeases(member string, machine Stepper) Stepper {
+	return &broken{machine: machine, input: func(input any) any {
+		if envelope, ok := input.(wire.Envelope); ok {
+			if kept, answers := envelope.Body.(wire.Kept); answers {
+				kept.EchoMs += longerLeaseMs
+				envelope.Body = kept
+				return envelope
+			}
+		}
+		return input
+	}}
+}
+
+// hidingRecords doesn't tell candidates what record a witness keeps.
+func hidingRecords(member string, machine Stepper) Stepper {
+	return &broken{machine: machine, send: func(body any) any {
+		if promised, ok := body.(wire.Promised); ok {
+			promised.Record, promised.Kept = wire.Record{}, wire.Ballot{}
+			return promised
+		}
+		return body
+	}}
+}
+
+// deafToPromises never answers a candidate.
+func deafToPromises(member string, machine Stepper) Stepper {
+	return &broken{machine: machine, input: func(input any) any {
+		if envelope, ok := input.(wire.Envelope); ok {
+			if _, asks := envelope.Body.(wire.Promise); asks {
+				return nil
+			}
+		}
+		return input
+	}}
+}
+
+// startsUp is the start of all members from the moment when the first epoch
+// after it is being recorded.
+var startsUp = Scenario{Name: "start, from the record", WindowMs: 57}
+
+// Each check fires on a variant that breaks what it guards, and the same bounds
+// without the variant violate nothing.
+func TestChecksFire(t *testing.T) {
+	crashes, _ := FindScenario("primary crashes")
+	steady, _ := FindScenario("steady")
+	for _, test := range []struct {
+		about string
+		check Check
+		wrap  func(string, Stepper) Stepper
+		scope Scope
+	}{
+		{"a disk that loses writes", AcknowledgedStays, losingWrites, Scope{Scenario: crashes, Depth: 1}},
+		{"a write acknowledged too early", AcknowledgedStays, acknowledgingEarly, Scope{
+			Scenario: steady, Deviations: 1, Depth: 30, Faults: []FaultKind{CrashSilent},
+		}},
+		{"a witness's writes go back", WitnessForward, repeatingWrites(witness.Key), Scope{Scenario: crashes, Depth: 1}},
+		{"a replica's writes go back", PositionForward, repeatingWrites("state/position"), Scope{Scenario: crashes, Depth: 1}},
+		{"a lease is counted too long", OnePrimary, countingLongLeases, Scope{
+			Scenario: steady, Deviations: 1, Depth: 10, Faults: []FaultKind{CutOff},
+		}},
+		{"a witness hides its record", OneRecord, hidingRecords, Scope{
+			Scenario: startsUp, Deviations: 2, Depth: 25, Faults: []FaultKind{DropMessage, Crash}, Messages: []string{"Keep"},
+		}},
+		{"a witness never answers", Recovers, deafToPromises, Scope{Scenario: crashes, Depth: 1}},
+	} {
+		t.Run(test.about, func(t *testing.T) {
+			c := qt.New(t)
+			scope := test.scope
+			scope.ProbeDeviations = -1
+			assertNone(c, scope, Explore(scope))
+			scope.Wrap = test.wrap
+			var fired []Check
+			for _, found := range Explore(scope).Found {
+				fired = append(fired, found.Violation.Check)
+			}
+			c.Assert(fired, qt.Contains, test.check)
+		})
+	}
+}
+
+// A violation's trace ends with it, and is the same each time.
+func TestTraceRepeats(t *testing.T) {
+	c := qt.New(t)
+	scope := Scope{Depth: 1, ProbeDeviations: -1, Scenario: scenarioNamed(c, "primary crashes"), Wrap: losingWrites}
+	found := Explore(scope).Found
+	c.Assert(found, qt.HasLen, 1)
+	lines := Trace(scope, found[0].Schedule)
+	c.Assert(lines[len(lines)-1], qt.Equals, found[0].Violation.String())
+	c.Assert(Trace(scope, found[0].Schedule), qt.DeepEquals, lines)
+	c.Assert(strings.Join(lines, "\n"), qt.Contains, "SCENARIO crash")
+}
+
+// Two machines with one history have one fingerprint; any input that changes a
+// field, also an unexported one, gives another.
+func TestFingerprintSeesEveryField(t *testing.T) {
+	machine := func(inputs ...any) uint64 {
+		scope := Scope{}.withDefaults()
+		c := newCluster(scope, nil, true)
+		for _, input := range inputs {
+			c.members[0].machine.Step(startMs+1, input)
+		}
+		return hashOf(c.members[0].machine)
+	}
+	other := wire.Place{Name: "member-2", Address: "10.0.0.2:7", Part: wire.Controller, Incarnation: "member-2-disk"}
+	from := func(body any) wire.Envelope {
+		return wire.Envelope{Site: site, From: other, To: "member-1", Body: body}
+	}
+	qt.Assert(t, machine(), qt.Equals, machine())
+	for _, test := range []struct {
+		about string
+		input any
+	}{
+		{"a tick", wire.Tick{}},
+		{"a message of another", from(wire.Heartbeat{})},
+		{"a promise", from(wire.Promise{Ballot: wire.Ballot{Round: 1, Name: "member-2"}, Found: true})},
+		{"a planned stop", control.StepDown{}},
+	} {
+		t.Run(test.about, func(t *testing.T) {
+			qt.Check(t, machine(test.input), qt.Not(qt.Equals), machine())
+			qt.Check(t, machine(test.input), qt.Equals, machine(test.input))
+		})
+	}
+}
--- a/modelcheck/cluster.go
+++ b/modelcheck/cluster.go
@@ -50,6 +50,8 @@
 	save     wire.Save
 	action   func()
 	about    string
+	// optional actions are not waited for.
+	optional bool
 	// cause is the message that a write was caused by.
 	cause *event
 	// memo is the hash of the content, or nought as long as none was asked for.
--- a/modelcheck/explore.go
+++ b/modelcheck/explore.go
@@ -273,7 +273,7 @@
 // explored. Where a probe follows, it waits for its time.
 func (r *run) finished(e *event) bool {
 	c := r.cluster
-	if !c.recovery.done || r.open() || r.windowEnd < 0 || c.recovery.sinceMs < c.healedMs {
+	if !c.recovery.done || r.open() || r.windowEnd < 0 || c.recovery.sinceMs < c.healedMs || c.planned() {
 		return false
 	}
 	if r.probed() || len(r.schedule) > r.explorer.scope.ProbeDeviations {
@@ -286,6 +286,11 @@
 	return true
 }
 
+// planned says whether an action is still to come that must be waited for.
+func (c *cluster) planned() bool {
+	return slices.ContainsFunc(c.queue, func(e *event) bool { return e.kind == actionEvent && !e.optional })
+}
+
 // probe collects the schedules that lose as many members as may be.
 func (r *run) probe() {
 	c := r.cluster
--- /dev/null
+++ b/modelcheck/explore_test.go
@@ -0,0 +1,129 @@
+package modelcheck
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// scenarioNamed finds a scenario that there is.
+func scenarioNamed(c *qt.C, name string) Scenario {
+	scenario, known := FindScenario(name)
+	c.Assert(known, qt.IsTrue, qt.Commentf("no scenario %q", name))
+	return scenario
+}
+
+// assertNone fails with the shortest trace where an invariant was violated.
+func assertNone(c *qt.C, scope Scope, report Report) {
+	for _, found := range report.Found {
+		lines := Trace(scope, found.Schedule)
+		text := ""
+		for _, line := range lines[max(0, len(lines)-traceTail):] {
+			text += line + "\n"
+		}
+		c.Errorf("%s\nby %s\n%s", found.Violation, found.Schedule, text)
+	}
+}
+
+// traceTail is how many lines of a trace are printed.
+const traceTail = 40
+
+// The fixed part of the check: every schedule with one deviation in a window of
+// each scenario, in the smallest site.
+func TestExploreOneDeviation(t *testing.T) {
+	for _, test := range []struct {
+		scenario string
+		depth    int
+	}{
+		{"steady", 40}, {"start", 45}, {"primary crashes", 40}, {"primary wiped", 30}, {"replica wiped", 30}, {"outsider wiped", 30},
+	} {
+		t.Run(test.scenario, func(t *testing.T) {
+			c := qt.New(t)
+			scope := Scope{Deviations: 1, Depth: test.depth, ProbeDeviations: -1, Scenario: scenarioNamed(c, test.scenario)}
+			report := Explore(scope)
+			assertNone(c, scope, report)
+			c.Check(report.Complete, qt.IsTrue)
+			c.Check(report.Level, qt.Equals, 1)
+			t.Logf("depth %d: %s", test.depth, report)
+		})
+	}
+}
+
+// With no deviation, the cluster must bear the loss of any members, as many as
+// may be lost, once it has had its time to catch up.
+func TestExploreLossesAfterCatchUp(t *testing.T) {
+	for _, size := range []struct{ members, losses int }{{3, 1}, {4, 1}, {5, 2}} {
+		for _, name := range []string{"steady", "primary crashes", "primary wiped", "replica wiped", "outsider wiped"} {
+			t.Run(fmt.Sprintf("%d of %d, %s", size.losses, size.members, name), func(t *testing.T) {
+				c := qt.New(t)
+				scope := Scope{Members: size.members, Losses: size.losses, Depth: 1, Scenario: scenarioNamed(c, name)}
+				report := Explore(scope)
+				assertNone(c, scope, report)
+				c.Check(report.Complete, qt.IsTrue)
+				c.Check(report.Runs > 1, qt.IsTrue, qt.Commentf("no members were lost: %s", report))
+			})
+		}
+	}
+}
+
+// A replica never takes an older snapshot than what it holds: the snapshot
+// that a slow connection held up comes after others, and after later changes.
+func TestLateSnapshot(t *testing.T) {
+	c := qt.New(t)
+	scope := Scope{
+		Deviations: 1, Depth: 1000, ProbeDeviations: -1, Scenario: scenarioNamed(c, "replica wiped, writes"),
+		Faults: []FaultKind{DelayMessage, DuplicateMessage}, Messages: []string{"Image"},
+	}
+	report := Explore(scope)
+	assertNone(c, scope, report)
+	c.Check(report.Complete, qt.IsTrue)
+	c.Check(report.Runs > 1, qt.IsTrue)
+}
+
+// A change that is lost on its way is sent again, also while other writes go on.
+func TestLostChangeInAStreamOfWrites(t *testing.T) {
+	c := qt.New(t)
+	scope := Scope{
+		Deviations: 1, Depth: 120, ProbeDeviations: -1, Scenario: scenarioNamed(c, "busy"),
+		Faults: []FaultKind{DropMessage}, Messages: []string{"Follow", "Followed"},
+	}
+	report := Explore(scope)
+	assertNone(c, scope, report)
+	c.Check(report.Complete, qt.IsTrue)
+}
+
+// A member that stops as planned beside a successor counts no longer once it
+// is gone: then another may crash at any moment.
+func TestCrashAfterAPlannedLeave(t *testing.T) {
+	for _, name := range []string{"replica leaves", "primary leaves"} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			scenario := scenarioNamed(c, name)
+			scenario.WindowMs = settledMs + DefaultLeaveMs
+			scope := Scope{
+				Members: 4, Deviations: 1, Depth: 40, ProbeDeviations: -1, Scenario: scenario, Faults: []FaultKind{Crash},
+			}
+			report := Explore(scope)
+			assertNone(c, scope, report)
+			c.Check(report.Complete, qt.IsTrue)
+			c.Check(report.Runs > 1, qt.IsTrue)
+		})
+	}
+}
+
+// The same bounds give the same states, schedules and steps.
+func TestExploreRepeats(t *testing.T) {
+	c := qt.New(t)
+	scope := Scope{Deviations: 1, Depth: 12, Scenario: scenarioNamed(c, "steady")}
+	c.Assert(Explore(scope), qt.DeepEquals, Explore(scope))
+}
+
+// The bound of states ends a check, which then doesn't claim to be complete.
+func TestExploreStopsAtTheBoundOfStates(t *testing.T) {
+	c := qt.New(t)
+	report := Explore(Scope{Deviations: 1, Depth: 12, States: 50, Scenario: scenarioNamed(c, "steady")})
+	c.Check(report.Complete, qt.IsFalse)
+	c.Check(report.States, qt.Equals, int64(50))
+	c.Check(report.String(), qt.Matches, ".*INCOMPLETE.*")
+}
--- a/modelcheck/fault.go
+++ b/modelcheck/fault.go
@@ -138,8 +138,9 @@
 	stalledWriteMs = 1700
 	// returnMs is a restart.
 	returnMs = 300
-	// silenceMs is longer than a lease.
-	silenceMs = 1700
+	// silenceMs is longer than a lease; takeOverMs is past the take-over, too.
+	silenceMs  = 1700
+	takeOverMs = 3200
 )
 
 var messageFaults = []Fault{
@@ -157,7 +158,8 @@
 	{Kind: Crash, Ms: returnMs, Return: WithoutDisk},
 	{Kind: CrashSilent},
 	{Kind: Freeze, Ms: silenceMs},
-	{Kind: CutOff, Ms: silenceMs},
+	{Kind: Freeze, Ms: takeOverMs},
+	{Kind: CutOff, Ms: takeOverMs},
 	{Kind: CutSending, Ms: silenceMs},
 	{Kind: Leave},
 	{Kind: Leave, Ms: returnMs, Return: WithDisk},
--- /dev/null
+++ b/modelcheck/fault_test.go
@@ -0,0 +1,54 @@
+package modelcheck
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"myrtlewinch/wire"
+)
+
+// No more members are lost at once than may be.
+func TestLawfulFaults(t *testing.T) {
+	message := func(member int) *event {
+		return &event{kind: messageEvent, member: member, envelope: wire.Envelope{Body: wire.Heartbeat{}}}
+	}
+	for _, test := range []struct {
+		about    string
+		losses   int
+		lostMs   []int64
+		fault    Fault
+		messages []string
+		lawful   bool
+	}{
+		{"the first loss", 1, []int64{0, 0, 0}, Fault{Kind: Crash}, nil, true},
+		{"a second loss", 1, []int64{0, startMs + 100, 0}, Fault{Kind: Crash}, nil, false},
+		{"a second loss after the first has caught up", 1, []int64{0, startMs, 0}, Fault{Kind: Crash}, nil, true},
+		{"a second loss where two may be lost", 2, []int64{0, startMs + 100, 0}, Fault{Kind: Freeze}, nil, true},
+		{"the lost member again", 1, []int64{startMs + 100, 0, 0}, Fault{Kind: Crash}, nil, true},
+		{"a lost message beside a loss", 1, []int64{0, startMs + 100, 0}, Fault{Kind: DropMessage}, nil, true},
+		{"a message that is not looked at", 1, []int64{0, 0, 0}, Fault{Kind: DropMessage}, []string{"Image"}, false},
+		{"a stalled disk beside a loss", 1, []int64{0, startMs + 100, 0}, Fault{Kind: DelayWrite, Ms: stalledWriteMs}, nil, false},
+		{"a slow disk beside a loss", 1, []int64{0, startMs + 100, 0}, Fault{Kind: DelayWrite, Ms: slowWriteMs}, nil, true},
+	} {
+		t.Run(test.about, func(t *testing.T) {
+			c := newCluster(Scope{Losses: test.losses, Messages: test.messages}.withDefaults(), nil, true)
+			for i, lostMs := range test.lostMs {
+				c.members[i].lostMs = lostMs
+			}
+			qt.Assert(t, c.lawful(message(0), test.fault), qt.Equals, test.lawful)
+		})
+	}
+}
+
+func TestParseFaults(t *testing.T) {
+	c := qt.New(t)
+	kinds, err := ParseFaults("drop,crash")
+	c.Assert(err, qt.IsNil)
+	c.Assert(kinds, qt.DeepEquals, []FaultKind{DropMessage, Crash})
+	_, err = ParseFaults("drop,lightning")
+	c.Assert(err, qt.ErrorMatches, `there is no fault "lightning"`)
+	none, err := ParseFaults("")
+	c.Assert(err, qt.IsNil)
+	c.Assert(none, qt.HasLen, 0)
+}
--- a/modelcheck/scenario.go
+++ b/modelcheck/scenario.go
@@ -26,6 +26,15 @@
 	Write bool
 	Role  Role
 	Fault Fault
+	// Optional says that a schedule may end before the step.
+	Optional bool
+}
+
+func (s ScenarioStep) String() string {
+	if s.Write {
+		return "scenario: write"
+	}
+	return "scenario: " + s.Fault.String()
 }
 
 // Scenario is what happens in every schedule of a check.
@@ -90,7 +99,7 @@
 func writesEach(intervalMs, fromMs, untilMs int64) []ScenarioStep {
 	var steps []ScenarioStep
 	for atMs := fromMs; atMs < untilMs; atMs += intervalMs {
-		steps = append(steps, ScenarioStep{AtMs: atMs, Write: true})
+		steps = append(steps, ScenarioStep{AtMs: atMs, Write: true, Optional: true})
 	}
 	return steps
 }
@@ -110,8 +119,7 @@
 		if !step.Write {
 			c.heal(startMs + step.AtMs)
 		}
-		about := "step of the scenario"
-		c.after(step.AtMs, about, func() { c.play(step) })
+		c.push(&event{atMs: c.nowMs + step.AtMs, kind: actionEvent, about: step.String(), optional: step.Optional, action: func() { c.play(step) }})
 	}
 }
 
