--- a/modelcheck/explore_test.go
+++ b/modelcheck/explore_test.go
@@ -66,7 +66,7 @@
 		for _, name := range []string{"primary crashes", "primary wiped", "replica wiped"} {
 			t.Run(fmt.Sprintf("%d of %d, %s", size.losses, size.members, name), func(t *testing.T) {
 				c := qt.New(t)
-				scope := Scope{Members: size.members, Losses: size.losses, Depth: 1, Scenario: scenarioNamed(c, name)}
+				scope := Scope{Members: size.members, Losses: size.losses, Depth: 1, Workers: 2, Scenario: scenarioNamed(c, name)}
 				report := Explore(scope)
 				assertNone(c, scope, report)
 				c.Check(report.Complete, qt.IsTrue)
@@ -114,7 +114,7 @@
 			scenario := scenarioNamed(c, name)
 			scenario.WindowMs = settledMs + handedOverMs
 			scope := Scope{
-				Members: 4, Deviations: 1, Depth: 12, ProbeDeviations: -1, Scenario: scenario, Faults: []FaultKind{Crash},
+				Members: 4, Deviations: 1, Depth: 12, Workers: 2, ProbeDeviations: -1, Scenario: scenario, Faults: []FaultKind{Crash},
 			}
 			report := Explore(scope)
 			assertNone(c, scope, report)
