Explore the founding of a site in the model check

TestFoundingCutShort fails on the tree that it is committed on, for a real fault: a bootstrap record that only a seed without a copy keeps is finished by nobody (the seed is not entitled, the other one takes it for another founding).

--- a/modelcheck/explore.go
+++ b/modelcheck/explore.go
@@ -55,7 +55,7 @@
 // Explore checks every schedule within the scope.
 func Explore(scope Scope) Report {
 	x := &explorer{scope: scope.withDefaults(), visited: map[uint64]budget{}, found: map[Check]Found{}}
-	x.disks = foundedDisks(x.scope)
+	x.disks = firstDisks(x.scope)
 	frontier := []Schedule{nil}
 	level := 0
 	for {
@@ -108,6 +108,14 @@
 	return x.full
 }
 
+// firstDisks gives the disks that every schedule begins with; nil are empty.
+func firstDisks(scope Scope) []map[string]string {
+	if scope.Scenario.Founding {
+		return nil
+	}
+	return foundedDisks(scope)
+}
+
 // foundedDisks lets the members found a site, and gives their disks.
 func foundedDisks(scope Scope) []map[string]string {
 	scope.Wrap = nil
@@ -129,7 +137,7 @@
 
 // begin makes the cluster that every schedule begins with.
 func (x *explorer) begin() *cluster {
-	c := newCluster(x.scope, x.disks, false)
+	c := newCluster(x.scope, x.disks, x.scope.Scenario.Founding)
 	c.plan(x.scope.Scenario)
 	return c
 }
--- a/modelcheck/explore_test.go
+++ b/modelcheck/explore_test.go
@@ -109,6 +109,19 @@
 	c.Check(report.Complete, qt.IsTrue)
 }
 
+// A founding that is cut short by the loss of the member that leads it, with
+// any part of its messages sent, is finished by the others.
+func TestFoundingCutShort(t *testing.T) {
+	c := qt.New(t)
+	scope := Scope{
+		Deviations: 1, Depth: 50, Workers: 2, ProbeDeviations: -1, Scenario: scenarioNamed(c, "founding"),
+		Faults: []FaultKind{CrashMidSend},
+	}
+	report := Explore(scope)
+	assertNone(c, scope, report)
+	c.Check(report.Complete, qt.IsTrue)
+}
+
 // handedOverMs is after a planned stop, when the member has just exited.
 const handedOverMs = 300
 
--- a/modelcheck/scenario.go
+++ b/modelcheck/scenario.go
@@ -44,6 +44,8 @@
 	Steps []ScenarioStep
 	// WindowMs is when the window of deviations begins.
 	WindowMs int64
+	// Founding says that all members start for the first time, with empty disks.
+	Founding bool
 }
 
 // settledMs is when a cluster that was started from its disks serves and has
@@ -58,6 +60,7 @@
 	{Name: "start", About: "all members start from their disks", WindowMs: 0, Steps: []ScenarioStep{
 		{AtMs: 150, Write: true},
 	}},
+	{Name: "founding", About: "all members start for the first time and found the site", Founding: true},
 	{Name: "primary crashes", About: "the primary crashes and comes back with its disk", WindowMs: settledMs, Steps: []ScenarioStep{
 		{AtMs: settledMs - 50, Write: true},
 		{AtMs: settledMs, Role: Primary, Fault: Fault{Kind: Crash, Ms: returnMs, Return: WithDisk}},
--- a/modelcheck/trace.go
+++ b/modelcheck/trace.go
@@ -35,7 +35,7 @@
 func Trace(scope Scope, schedule Schedule) []string {
 	x := &explorer{scope: scope.withDefaults(), visited: map[uint64]budget{}}
 	x.scope.States = 1 << 30
-	x.disks = foundedDisks(x.scope)
+	x.disks = firstDisks(x.scope)
 	c := x.begin()
 	var lines []string
 	c.log = func(format string, args ...any) {
