Count all members as lost after a loss of power in the model check

A crash right after a loss of power counted as the loss of a member that was lost already; two of the explored schedules broke the bound of losses by that.

--- a/modelcheck/apply.go
+++ b/modelcheck/apply.go
@@ -80,7 +80,7 @@
 	if m.leaving && f.Kind == Leave {
 		return false
 	}
-	return !f.loses() || c.nowMs < m.lostMs && m.lostMs < forGood || c.lost() < c.scope.Losses
+	return !f.loses() || c.lostWith(1<<e.member) <= c.scope.Losses
 }
 
 // ofMessage says whether the fault is one of a message.
