--- a/modelcheck/fault.go
+++ b/modelcheck/fault.go
@@ -11,9 +11,8 @@
 // The kinds of fault. Those of a message or a write apply to the event itself;
 // those of a member happen right before an event at that member.
 const (
-	noFault FaultKind = iota
 	// DropMessage loses a message.
-	DropMessage
+	DropMessage FaultKind = iota + 1
 	// DelayMessage lets later messages overtake one.
 	DelayMessage
 	// DuplicateMessage delivers a message now and once more later.
