Finish another's first record, and found without a seed that fell silent

Two more ways to be never founded, found by the model check (scenario founding, one fault): (1) the proposer crashed after its record reached only a seed that holds no copy in it; that one may not stand, and the others gave way to it for ever. (2) A seed that was heard once and then lost for good counted as there, so that most of the seeds never sufficed.

Mend: a seed that meets a half-recorded first record which names it as a copy finishes it under its own ballot, of two the one kept under the higher; after the wait only live seeds count.

Ruled out: telling half-recorded records as complete ones.

TestBootstrapWithASeedLostOnTheWay loses each seed at each 2 ms of the first 200 with each part of its last words: fails without either part of the mend.

--- a/control/founding.go
+++ b/control/founding.go
@@ -41,7 +41,7 @@
 		drop(defect.AlreadyFounded, "this controller's witness belongs to another founding")
 		return
 	}
-	m.seat.founding = &f
+	m.seat.founding, m.seat.finishes = &f, false
 	m.askPromises(true)
 }
 
@@ -88,6 +88,17 @@
 	if said.Record.Epoch == 0 || same(said.Record, s.first) {
 		return false
 	}
+	// What was kept under an earlier ballot than the attempt that this one
+	// finishes was never chosen.
+	if s.finishes && said.Record.Epoch == firstEpoch && !s.topKept.Less(said.Kept) {
+		return false
+	}
+	// A record that names this disk as a copy may have no other to finish it.
+	if said.Granted && said.Record.Epoch == firstEpoch && said.Record.Pairs(m.ownSeat()) {
+		s.first, s.top, s.topKept, s.finishes = said.Record, said.Record, said.Kept, true
+		m.askMore()
+		return false
+	}
 	id := s.founding.ID
 	s.founding = nil
 	// Whoever keeps that record finishes it, if it is left the time.
@@ -97,8 +108,15 @@
 }
 
 // foundWith goes on with a founding once all witnesses have agreed. All of
-// them, not a majority: if any later epoch were recorded, one would know.
+// them, not a majority: if any later epoch were recorded, one would know. To
+// finish another's attempt a majority will do, as for any half-recorded record.
 func (m *Machine) foundWith() {
+	if m.seat.finishes {
+		if m.seat.first.Majority(func(v wire.Seat) bool { return m.seat.granted[v] }) {
+			m.keep(m.seat.first, true)
+		}
+		return
+	}
 	for _, seat := range m.seat.first.Witnesses {
 		if !m.seat.granted[seat] {
 			return
@@ -150,9 +168,14 @@
 	if turn < 0 || m.nowMs < m.startMs+int64(turn)*foundAfterMs || m.nowMs < m.seat.nextMs {
 		return
 	}
+	waited := m.nowMs >= m.startMs+majorityAfterMs+int64(turn)*foundAfterMs
 	var names, marked []string
 	for _, seed := range seeds {
 		place, known := m.roster.At(seed)
+		// One that was heard once may be gone for good.
+		if known && waited && place.Name != m.set.Self.Name && !m.roster.Live(m.nowMs, place.Name) {
+			known = false
+		}
 		if known {
 			names = append(names, place.Name)
 		}
@@ -163,7 +186,6 @@
 	if len(names) < len(seeds) {
 		names = marked
 	}
-	waited := m.nowMs >= m.startMs+majorityAfterMs+int64(turn)*foundAfterMs
 	if len(names) < len(seeds) && (!waited || 2*len(names) <= len(seeds)) {
 		return
 	}
--- a/control/seat.go
+++ b/control/seat.go
@@ -57,6 +57,8 @@
 	learnMs int64
 	// first is the record that the founding under way would make.
 	first wire.Record
+	// finishes says that first is another's attempt, which this one completes.
+	finishes bool
 }
 
 func (m *Machine) isPrimary() bool { return m.seat.role == primary }
--- a/control/tenant_test.go
+++ b/control/tenant_test.go
@@ -300,6 +300,28 @@
 	}
 }
 
+// A seed that is lost for good at any moment of the bootstrap, with any part of
+// what it sends at that moment, does not keep the site from being founded.
+func TestBootstrapWithASeedLostOnTheWay(t *testing.T) {
+	for lostMs := int64(0); lostMs <= 200; lostMs += 2 {
+		for gone := 1; gone <= 3; gone++ {
+			for reaches := 1; reaches <= 3; reaches++ {
+				t.Run(fmt.Sprintf("seed %d after %d ms, its last words reach %d", gone, lostMs, reaches), func(t *testing.T) {
+					w := newCore(qt.New(t), 1, 3)
+					lost := fmt.Sprintf("core-%d", gone)
+					w.after(lostMs, func() {
+						for other := 1; other <= 3; other++ {
+							w.cut[fmt.Sprintf("%s>core-%d", lost, other)] = other != reaches
+						}
+					})
+					w.after(lostMs+2, func() { w.kill(lost) })
+					w.until(12_000, "bootstrap", w.serves)
+				})
+			}
+		}
+	}
+}
+
 // A disk that was emptied since the first start votes for no first record: it
 // may have voted for another one.
 func TestEmptiedSeedVotesForNoFirstRecord(t *testing.T) {
