--- a/cmd/daycheck/main.go
+++ b/cmd/daycheck/main.go
@@ -15,7 +15,7 @@
 )
 
 func main() {
-	program.Begin("daycheck", "Prints what the days in entries of the bench's journal broke; the files are named as arguments.")
+	program.Begin("daycheck", "Prints what the days in entries of the bench's journal broke; the files are named after --.")
 	flaggy.Parse()
 	files := flaggy.TrailingArguments
 	if len(files) == 0 {
