Let drill run on the event queue that the other simulators use

drill kept a heap of its own that does what package eventqueue does: order by time, then by scheduling; a negative delay counts as none. Its queue, its clock and its loop go; World keeps its clock as the method NowMs.

Two differences were looked at and ruled out. And the old heap kept what run events referred to in its array; the queue lets go of it, which no run can see.

TestOneHolder moved the clock by writing the field. It now removes the scheduled events and lets the same spans pass, so that again only the clock moves; steps and expectations are the same.

--- a/drill/book.go
+++ b/drill/book.go
@@ -91,7 +91,7 @@
 		services = []string{plain, other}
 	}
 	for _, service := range services {
-		b.wants[service] = append(b.wants[service], b.w.NowMs)
+		b.wants[service] = append(b.wants[service], b.w.NowMs())
 	}
 }
 
@@ -108,12 +108,12 @@
 	w := b.w
 	further := b.reached[p.c.try]
 	b.reached[p.c.try] = true
-	b.arrivals[r.entry.Service] = append(b.arrivals[r.entry.Service], arrival{w.NowMs, further})
+	b.arrivals[r.entry.Service] = append(b.arrivals[r.entry.Service], arrival{w.NowMs(), further})
 	shownMs, leaving := b.listed[r.entry.ID]
 	if leaving && r.entry.ID == s.Go.Runner {
 		fromMs := max(shownMs, w.touch.fromMs(p.n.name), w.touch.linksMs+w.Bounds.InTouchMs)
-		if w.NowMs-fromMs > w.Bounds.DrainMs {
-			b.breach("DRAIN", w.NowMs, "%s reached %s %d ms after it was listed as leaving", p.c.try, r.entry.ID, w.NowMs-fromMs)
+		if w.NowMs()-fromMs > w.Bounds.DrainMs {
+			b.breach("DRAIN", w.NowMs(), "%s reached %s %d ms after it was listed as leaving", p.c.try, r.entry.ID, w.NowMs()-fromMs)
 		}
 	}
 }
@@ -121,7 +121,7 @@
 // listedLeaving notes that the list showed a runner as leaving.
 func (b *Book) listedLeaving(id string) {
 	if _, known := b.listed[id]; !known {
-		b.listed[id] = b.w.NowMs
+		b.listed[id] = b.w.NowMs()
 	}
 }
 
@@ -131,13 +131,13 @@
 	b.Ran++
 	b.runs[try]++
 	if b.runs[try] > 1 && !s.Route.Repeatable() {
-		b.breach("TWICE", w.NowMs, "%s (%s) runs again, on %s", try, s.Route.Name, r.entry.ID)
+		b.breach("TWICE", w.NowMs(), "%s (%s) runs again, on %s", try, s.Route.Name, r.entry.ID)
 	}
 	if kind, refused := b.denied[try]; refused && !s.Route.Repeatable() {
-		b.breach("REFUSED", w.NowMs, "%s runs on %s after it was refused as %q", try, r.entry.ID, kind)
+		b.breach("REFUSED", w.NowMs(), "%s runs on %s after it was refused as %q", try, r.entry.ID, kind)
 	}
 	if s.Route.Split[0].Service != r.entry.Service {
-		b.breach("ROUTE", w.NowMs, "%s of route %s runs at %s", try, s.Route.Name, r.entry.Service)
+		b.breach("ROUTE", w.NowMs(), "%s of route %s runs at %s", try, s.Route.Name, r.entry.Service)
 	}
 	if version := versionOf(s.Route.Name); version > 0 {
 		b.follows(p, version)
@@ -148,10 +148,10 @@
 func (b *Book) follows(p *passage, version uint64) {
 	w, sentMs, name := b.w, p.c.sentMs, p.n.name
 	if _, known := b.shown[version]; !known {
-		b.shown[version] = w.NowMs
+		b.shown[version] = w.NowMs()
 	}
 	if why, not := b.ineffect[version]; not {
-		b.breach("CONFIG", w.NowMs, "%s follows version %d, which was answered with %q", name, version, why)
+		b.breach("CONFIG", w.NowMs(), "%s follows version %d, which was answered with %q", name, version, why)
 	}
 	for newer, ackMs := range b.accepted {
 		if newer <= version {
@@ -161,7 +161,7 @@
 		inTouch := lateMs > w.Bounds.ApplyByMs && w.touch.in(name, sentMs)
 		outer := lateMs > w.Bounds.ApplyByMs+w.Bounds.StretchMs && w.touch.calm(name, sentMs) && w.touch.heartMs < ackMs
 		if inTouch || outer {
-			b.breach("CONFIG", w.NowMs, "%s handles %s, sent %d ms after %d was accepted, by version %d", name, p.c.try, lateMs, newer, version)
+			b.breach("CONFIG", w.NowMs(), "%s handles %s, sent %d ms after %d was accepted, by version %d", name, p.c.try, lateMs, newer, version)
 		}
 	}
 	at := life(p.n)
@@ -169,11 +169,11 @@
 	for _, e := range b.seen[at] {
 		known = known || e.version == version
 		if version < e.version && sentMs > e.atMs+w.Bounds.GoBackMs {
-			b.breach("CONFIG", w.NowMs, "%s goes back to version %d after %d", at, version, e.version)
+			b.breach("CONFIG", w.NowMs(), "%s goes back to version %d after %d", at, version, e.version)
 		}
 	}
 	if !known {
-		b.seen[at] = append(b.seen[at], effect{version, w.NowMs})
+		b.seen[at] = append(b.seen[at], effect{version, w.NowMs()})
 	}
 }
 
@@ -183,21 +183,21 @@
 	if kind.Reply().Drop {
 		b.denied[r.try] = kind
 		if b.runs[r.try] > 0 && (r.path == "/unsafe/x" || r.path == "/once/x") {
-			b.breach("REFUSED", w.NowMs, "%s (%s) has run and was refused as %q", r.try, r.path, kind)
+			b.breach("REFUSED", w.NowMs(), "%s (%s) has run and was refused as %q", r.try, r.path, kind)
 		}
 	}
 	if kind != defect.UnknownPage && kind != defect.UnknownModel && kind != defect.UnknownAdapter {
 		return
 	}
 	if r.path[1] != 'o' || r.streams() {
-		b.breach("DENIED", w.NowMs, "%s (%s) is answered with %q", r.try, r.path, kind)
+		b.breach("DENIED", w.NowMs(), "%s (%s) is answered with %q", r.try, r.path, kind)
 		return
 	}
 	// A route of one version alone may be gone with the next.
 	for version, ackMs := range b.accepted {
 		if r.path == fmt.Sprintf("/only-%d/x", version) && version == w.operators.handed &&
 			r.sentMs > ackMs+w.Bounds.ApplyByMs && w.touch.in(r.router, r.sentMs) {
-			b.breach("CONFIG", w.NowMs, "%s refuses the route of version %d, %d ms after it was accepted", r.router, version, r.sentMs-ackMs)
+			b.breach("CONFIG", w.NowMs(), "%s refuses the route of version %d, %d ms after it was accepted", r.router, version, r.sentMs-ackMs)
 		}
 	}
 }
@@ -207,12 +207,12 @@
 	if _, again := b.accepted[version]; again {
 		return
 	}
-	b.accepted[version] = b.w.NowMs
+	b.accepted[version] = b.w.NowMs()
 	if why, not := b.ineffect[version]; not {
-		b.breach("CONFIG", b.w.NowMs, "version %d is accepted after it was answered with %q", version, why)
+		b.breach("CONFIG", b.w.NowMs(), "version %d is accepted after it was answered with %q", version, why)
 	}
 	if rival, both := b.builds[builtOn]; both {
-		b.breach("CONFIG", b.w.NowMs, "versions %d and %d on top of %d are both accepted", rival, version, builtOn)
+		b.breach("CONFIG", b.w.NowMs(), "versions %d and %d on top of %d are both accepted", rival, version, builtOn)
 	}
 	b.builds[builtOn] = version
 }
@@ -221,34 +221,34 @@
 func (b *Book) notTaken(version uint64, why string) {
 	b.ineffect[version] = why
 	if _, accepted := b.accepted[version]; accepted {
-		b.breach("CONFIG", b.w.NowMs, "version %d was accepted and is then answered with %q", version, why)
+		b.breach("CONFIG", b.w.NowMs(), "version %d was accepted and is then answered with %q", version, why)
 	}
 	if atMs, shown := b.shown[version]; shown {
-		b.breach("CONFIG", b.w.NowMs, "version %d is answered with %q and was in force at %d ms", version, why, atMs)
+		b.breach("CONFIG", b.w.NowMs(), "version %d is answered with %q and was in force at %d ms", version, why, atMs)
 	}
 }
 
 // order notes an order as a runner got it.
 func (b *Book) order(sender, runner, holder string, fence uint64) {
 	w := b.w
-	if w.NowMs-w.healedMs <= w.Bounds.ThawMs {
+	if w.NowMs()-w.healedMs <= w.Bounds.ThawMs {
 		return
 	}
-	if thawedMs, thawed := w.thawedMs[sender]; thawed && w.NowMs-thawedMs <= w.Bounds.ThawMs {
+	if thawedMs, thawed := w.thawedMs[sender]; thawed && w.NowMs()-thawedMs <= w.Bounds.ThawMs {
 		return
 	}
 	if known, used := b.holders[fence]; used && known != holder {
-		b.breach("ONE", w.NowMs, "%s and %s order under fence %d", known, holder, fence)
+		b.breach("ONE", w.NowMs(), "%s and %s order under fence %d", known, holder, fence)
 	}
 	b.holders[fence] = holder
 	last, any := b.lastOrders[runner]
-	if any && last.holder != holder && w.NowMs-last.atMs < w.Bounds.LeaseMs {
-		b.breach("ONE", w.NowMs, "%s orders %s %d ms after %s", holder, runner, w.NowMs-last.atMs, last.holder)
+	if any && last.holder != holder && w.NowMs()-last.atMs < w.Bounds.LeaseMs {
+		b.breach("ONE", w.NowMs(), "%s orders %s %d ms after %s", holder, runner, w.NowMs()-last.atMs, last.holder)
 	}
 	if any && fence < last.fence && !w.Bounds.Fenced {
-		b.breach("ONE", w.NowMs, "%s takes fence %d of %s after %d", runner, fence, holder, last.fence)
+		b.breach("ONE", w.NowMs(), "%s takes fence %d of %s after %d", runner, fence, holder, last.fence)
 	}
-	b.lastOrders[runner] = order{w.NowMs, holder, max(fence, last.fence)}
+	b.lastOrders[runner] = order{w.NowMs(), holder, max(fence, last.fence)}
 }
 
 // room says whether a runner is told to hold more than it can.
@@ -256,25 +256,25 @@
 	if mb <= roomMb && places <= adapterRoom {
 		return false
 	}
-	b.breach("LIMIT", b.w.NowMs, "%s is told to hold %.0f MB and %d adapters with %s", runner, mb, places, what)
+	b.breach("LIMIT", b.w.NowMs(), "%s is told to hold %.0f MB and %d adapters with %s", runner, mb, places, what)
 	return true
 }
 
 // load notes that a load from the weight store began.
 func (b *Book) load(runner, what string) {
 	w := b.w
-	if !w.touch.settled(w.NowMs) || w.NowMs-w.touch.linksMs < w.Bounds.InTouchMs {
+	if !w.touch.settled(w.NowMs()) || w.NowMs()-w.touch.linksMs < w.Bounds.InTouchMs {
 		return
 	}
-	b.loads = append(b.loads, w.NowMs)
+	b.loads = append(b.loads, w.NowMs())
 	within := 0
 	for _, atMs := range b.loads {
-		if atMs > w.NowMs-w.Bounds.OriginWindowMs {
+		if atMs > w.NowMs()-w.Bounds.OriginWindowMs {
 			within++
 		}
 	}
 	if most := w.storePace()*float64(w.Bounds.OriginWindowMs)/1000*w.Bounds.OriginOver + 3; float64(within) > most {
-		b.breach("CEILING", w.NowMs, "%d loads within the window, %s at %s the last", within, what, runner)
+		b.breach("CEILING", w.NowMs(), "%d loads within the window, %s at %s the last", within, what, runner)
 	}
 }
 
@@ -287,7 +287,7 @@
 	b.looks[at][l.ID]++
 	// One that waits for a holder may be asked for at another controller.
 	if count := b.looks[at][l.ID]; count > 2 || count > 1 && !l.Waits {
-		b.breach("LOOKUP", b.w.NowMs, "%s asks %d times for its request %d", at, count, l.ID)
+		b.breach("LOOKUP", b.w.NowMs(), "%s asks %d times for its request %d", at, count, l.ID)
 	}
 }
 
@@ -301,7 +301,7 @@
 	}
 	for at, sends := range b.sends {
 		if len(b.looks[at]) < len(sends) {
-			out = append(out, Breach{"LOOKUP", b.w.NowMs, fmt.Sprintf("%s asked for %d requests and sent %d on", at, len(b.looks[at]), len(sends))})
+			out = append(out, Breach{"LOOKUP", b.w.NowMs(), fmt.Sprintf("%s asked for %d requests and sent %d on", at, len(b.looks[at]), len(sends))})
 		}
 	}
 	sort.SliceStable(out, func(i, j int) bool { return out[i].AtMs < out[j].AtMs })
--- a/drill/book_test.go
+++ b/drill/book_test.go
@@ -28,9 +28,11 @@
 		t.Run(test.name, func(t *testing.T) {
 			// An odd seed has runners that check no fence.
 			w := New(1, Breaks{})
+			// Only the clock moves: the daemons send no orders of their own.
+			w.events.Clear()
 			for _, s := range test.steps {
-				w.NowMs += s.afterMs
-				w.thawedMs["thawed"] = w.NowMs - 100
+				w.Run(s.afterMs)
+				w.thawedMs["thawed"] = w.NowMs() - 100
 				w.Book.order(s.sender, "i-1", s.holder, s.fence)
 				qt.Assert(t, w.Book.breaches, qt.HasLen, s.breaches)
 			}
--- a/drill/campaign.go
+++ b/drill/campaign.go
@@ -60,7 +60,7 @@
 	w.CheckHistory()
 	for _, r := range w.clients.log {
 		if r.ended == "" {
-			w.Book.breach("ANSWER", w.NowMs, "%s never ended", r.try)
+			w.Book.breach("ANSWER", w.NowMs(), "%s never ended", r.try)
 		}
 	}
 	return Result{w, w.Book.Breaches()}
@@ -68,9 +68,9 @@
 
 // serves looks whether a quarter or more of what is sent now is served.
 func (w *World) serves(when string) {
-	fromMs := w.NowMs
+	fromMs := w.NowMs()
 	w.Run(2000)
-	toMs := w.NowMs
+	toMs := w.NowMs()
 	w.Run(3000)
 	sent, served := map[string]int{}, map[string]int{}
 	for _, r := range w.clients.log {
@@ -88,7 +88,7 @@
 	}
 	for _, kind := range []string{"plain", "streams"} {
 		if 4*served[kind] < sent[kind] || sent[kind] == 0 {
-			w.Book.breach("RECOVER", w.NowMs, "%s: %d of %d %s are served", when, served[kind], sent[kind], kind)
+			w.Book.breach("RECOVER", w.NowMs(), "%s: %d of %d %s are served", when, served[kind], sent[kind], kind)
 		}
 	}
 }
--- a/drill/clients.go
+++ b/drill/clients.go
@@ -84,7 +84,7 @@
 	}
 	c.number++
 	r := &request{
-		w: w, try: fmt.Sprintf("t%d", c.number), path: path, router: router, life: n.life, sentMs: w.NowMs, leftMs: 2500, again: again,
+		w: w, try: fmt.Sprintf("t%d", c.number), path: path, router: router, life: n.life, sentMs: w.NowMs(), leftMs: 2500, again: again,
 	}
 	r.asked = relay.Asked{Try: r.try}
 	if r.streams() {
@@ -133,7 +133,7 @@
 // is checked as it is passed on.
 func (r *request) hearPiece(piece int) {
 	if piece != r.pieces+1 {
-		r.w.Book.breach("ORDER", r.w.NowMs, "%s: piece %d comes after %d", r.try, piece, r.pieces)
+		r.w.Book.breach("ORDER", r.w.NowMs(), "%s: piece %d comes after %d", r.try, piece, r.pieces)
 	}
 	r.pieces = piece
 }
@@ -142,7 +142,7 @@
 func (r *request) end(how string) {
 	if r.ended != "" {
 		if how != "connection broke" && r.ended != "gone" && r.ended != "connection broke" {
-			r.w.Book.breach("ANSWER", r.w.NowMs, "%s ended as %q after %q", r.try, how, r.ended)
+			r.w.Book.breach("ANSWER", r.w.NowMs(), "%s ended as %q after %q", r.try, how, r.ended)
 		}
 		return
 	}
@@ -151,7 +151,7 @@
 	if how == "answered" {
 		r.served = true
 		if r.streams() && r.pieces != pieces {
-			r.w.Book.breach("ORDER", r.w.NowMs, "%s looks complete after %d pieces", r.try, r.pieces)
+			r.w.Book.breach("ORDER", r.w.NowMs(), "%s looks complete after %d pieces", r.try, r.pieces)
 		}
 	}
 }
@@ -169,11 +169,11 @@
 		return
 	}
 	// Who has no time left has no use for it.
-	if r.w.NowMs-r.sentMs >= r.leftMs {
+	if r.w.NowMs()-r.sentMs >= r.leftMs {
 		return
 	}
 	if retryMs <= 0 {
-		r.w.Book.breach("ANSWER", r.w.NowMs, "%s was refused as %q without a word on when to come back", r.try, kind)
+		r.w.Book.breach("ANSWER", r.w.NowMs(), "%s was refused as %q without a word on when to come back", r.try, kind)
 		return
 	}
 	if r.again < 2 && r.w.clients.on {
@@ -191,7 +191,7 @@
 	}
 	w := r.w
 	if n := w.nodes[r.router]; r.p != nil && !r.p.over && !r.p.sent && n.well() && w.touch.calm(n.name, r.sentMs) {
-		w.Book.breach("ANSWER", w.NowMs, "%s (%s) got no answer from %s in its time and is not under way", r.try, r.path, r.router)
+		w.Book.breach("ANSWER", w.NowMs(), "%s (%s) got no answer from %s in its time and is not under way", r.try, r.path, r.router)
 	}
 	r.end("gone")
 	if r.p != nil {
--- a/drill/faults.go
+++ b/drill/faults.go
@@ -24,7 +24,7 @@
 		if !n.up || n.frozen {
 			continue
 		}
-		out := n.machine.Step(n.clock(w.NowMs), steward.Look{})
+		out := n.machine.Step(n.clock(w.NowMs()), steward.Look{})
 		active := false
 		for _, answer := range out.Answers {
 			if said, is := answer.Body.(steward.Status); is {
@@ -63,7 +63,7 @@
 	lost := 0
 	for _, name := range w.names(wire.Controller) {
 		lastMs, ever := w.touch.nodes[name]
-		if w.nodes[name] != n && (!w.nodes[name].well() || ever && w.NowMs-lastMs < w.Bounds.CatchUpMs) {
+		if w.nodes[name] != n && (!w.nodes[name].well() || ever && w.NowMs()-lastMs < w.Bounds.CatchUpMs) {
 			lost++
 		}
 	}
@@ -285,7 +285,7 @@
 			w.after(int64(i)*700+w.random.Int63n(600), func() {
 				if h.done && w.Book.accepted[h.version] > 0 {
 					again := *h
-					again.done, again.proper, again.sentMs = false, false, w.NowMs
+					again.done, again.proper, again.sentMs = false, false, w.NowMs()
 					w.callCore(w.someCore(), &again)
 				}
 			})
--- a/drill/fleet.go
+++ b/drill/fleet.go
@@ -104,20 +104,20 @@
 
 // note takes down what the list will show later, and what runners will say.
 func (f *fleet) note(w *World) {
-	f.all = slices.DeleteFunc(f.all, func(r *runner) bool { return r.gone && w.NowMs >= r.listedToMs })
+	f.all = slices.DeleteFunc(f.all, func(r *runner) bool { return r.gone && w.NowMs() >= r.listedToMs })
 	var list []wire.RunnerEntry
 	for _, r := range f.all {
 		if !r.gone {
-			r.note(w.NowMs)
+			r.note(w.NowMs())
 		}
 		e := r.entry
 		if e.Leaving && e.LeftMs >= 0 {
-			e.LeftMs = max(0, r.endMs-w.NowMs)
+			e.LeftMs = max(0, r.endMs-w.NowMs())
 		}
 		e.Models = r.models()
 		list = append(list, e)
 	}
-	f.past = append(f.past, listing{w.NowMs, list})
+	f.past = append(f.past, listing{w.NowMs(), list})
 	if len(f.past) > 40 {
 		f.past = f.past[1:]
 	}
@@ -128,14 +128,14 @@
 	if w.listDown {
 		return wire.Fleet{}, false
 	}
-	f.calls = slices.DeleteFunc(f.calls, func(atMs int64) bool { return w.NowMs-atMs >= 1000 })
-	f.calls = append(f.calls, w.NowMs)
+	f.calls = slices.DeleteFunc(f.calls, func(atMs int64) bool { return w.NowMs()-atMs >= 1000 })
+	f.calls = append(f.calls, w.NowMs())
 	if float64(len(f.calls)) > listPerSec {
 		return wire.Fleet{Limited: true}, true
 	}
 	shown := f.past[0].runners
 	for _, l := range f.past {
-		if l.atMs <= w.NowMs-listLagMs {
+		if l.atMs <= w.NowMs()-listLagMs {
 			shown = l.runners
 		}
 	}
@@ -163,7 +163,7 @@
 		endMs = listLagMs + 1200 + w.random.Int63n(1500)
 		r.entry.LeftMs = endMs
 	}
-	r.endMs = w.NowMs + endMs
+	r.endMs = w.NowMs() + endMs
 	w.note("%s of %s is leaving, spot: %v", r.entry.ID, r.entry.Service, spot)
 	w.after(endMs, func() { w.endRunner(r, true, 0) })
 }
@@ -174,7 +174,7 @@
 		return
 	}
 	w.note("%s of %s ends, resets: %v", r.entry.ID, r.entry.Service, resets)
-	r.gone, r.listedToMs = true, w.NowMs+listedMs
+	r.gone, r.listedToMs = true, w.NowMs()+listedMs
 	jobs := r.jobs
 	r.jobs, r.queue = nil, nil
 	if resets {
@@ -209,7 +209,7 @@
 	if r.entry.Service == llm {
 		return
 	}
-	w.after(r.endMs-w.NowMs+w.Bounds.ReuseAfterMs, func() {
+	w.after(r.endMs-w.NowMs()+w.Bounds.ReuseAfterMs, func() {
 		service := other
 		if r.entry.Service == other {
 			service = plain
--- a/drill/network.go
+++ b/drill/network.go
@@ -28,7 +28,7 @@
 // cutCore notes that core machines were cut from each other or joined.
 func (w *World) cutCore(a, b string) {
 	if x, y := w.nodes[a], w.nodes[b]; x != nil && y != nil && x.core() && y.core() {
-		w.touch.coreMs = w.NowMs
+		w.touch.coreMs = w.NowMs()
 	}
 }
 
@@ -41,7 +41,7 @@
 	}
 	w.cuts = map[[2]string]bool{}
 	w.lossPart, w.twicePart, w.latePart, w.lateMs = 0, 0, 0, 0
-	w.healedMs = w.NowMs
+	w.healedMs = w.NowMs()
 }
 
 // lateMost bounds how late a request, an order or an answer comes: what was
@@ -144,7 +144,7 @@
 			}
 			// Another life at that address is no answer of this one.
 			if said.Ok = r.entry.ID == body.Runner; said.Ok {
-				said.State = r.told(w.NowMs)
+				said.State = r.told(w.NowMs())
 			}
 			w.pass(call.Address, n.name, func() { back(said) }, nil)
 		}, nil)
@@ -191,7 +191,7 @@
 	case !n.up || n.life != life:
 	case n.frozen:
 		n.backlog = append(n.backlog, func() { w.writeNow(n, life, untilMs, write, late) })
-	case n.clock(w.NowMs) >= untilMs:
+	case n.clock(w.NowMs()) >= untilMs:
 		late()
 	default:
 		write()
--- a/drill/node.go
+++ b/drill/node.go
@@ -94,7 +94,7 @@
 	}
 	n.up, n.frozen, n.leaving, n.backlog = true, false, false, nil
 	n.life++
-	n.bornMs, n.offset = w.NowMs, 3_600_000+w.random.Int63n(1_000_000)
+	n.bornMs, n.offset = w.NowMs(), 3_600_000+w.random.Int63n(1_000_000)
 	n.passages = map[uint64]*passage{}
 	w.make(n, first)
 	w.note("%s starts", n.name)
@@ -117,7 +117,7 @@
 			GapMs: w.Bounds.LeaseMs + w.Bounds.ThawMs, AwayMs: control.AwayMsFor(w.Bounds.CatchUpMs),
 			ShowMs: control.ShowMsFor(w.Bounds.CatchUpMs), Timing: control.TimingFor(w.Bounds.CatchUpMs),
 			LeaveMs: steward.LeaveMs(w.Bounds),
-		}, maps.Clone(n.disk.keys), n.clock(w.NowMs))
+		}, maps.Clone(n.disk.keys), n.clock(w.NowMs()))
 		if err != nil {
 			panic(fmt.Sprintf("drill: %s does not start: %v", n.name, err))
 		}
@@ -125,7 +125,7 @@
 	} else {
 		n.machine = relay.New(relay.Settings{
 			Site: site, Self: self, Seeds: slices.Clone(w.seeds), Bounds: w.Bounds, ListAddress: listAddress,
-		}, format{}, n.clock(w.NowMs))
+		}, format{}, n.clock(w.NowMs()))
 	}
 }
 
@@ -189,7 +189,7 @@
 			n.backlog = append(n.backlog, func() { w.put(n, life, input) })
 		}
 	default:
-		w.perform(n, n.machine.Step(n.clock(w.NowMs), input))
+		w.perform(n, n.machine.Step(n.clock(w.NowMs()), input))
 	}
 }
 
@@ -219,7 +219,7 @@
 		} else if p := n.passages[answer.ID]; p != nil {
 			p.told(answer.Body)
 		} else {
-			w.Book.breach("ANSWER", w.NowMs, "%s answered a request that has ended: %T", n.name, answer.Body)
+			w.Book.breach("ANSWER", w.NowMs(), "%s answered a request that has ended: %T", n.name, answer.Body)
 		}
 	}
 }
@@ -330,7 +330,7 @@
 	w.note("%s wakes", n.name)
 	n.frozen = false
 	w.touch.upset(n)
-	w.thawedMs[n.name] = w.NowMs
+	w.thawedMs[n.name] = w.NowMs()
 	backlog := n.backlog
 	n.backlog = nil
 	for _, do := range backlog {
--- a/drill/operators.go
+++ b/drill/operators.go
@@ -115,7 +115,7 @@
 
 func (w *World) hand(at *node, h *handing) *handing {
 	o := &w.operators
-	h.sentMs, h.pauseMs = w.NowMs, 100
+	h.sentMs, h.pauseMs = w.NowMs(), 100
 	// Of several at once one wins, and nobody knows which.
 	o.under = slices.DeleteFunc(append(o.under, h), func(h *handing) bool { return h.done })
 	if len(o.under) > 1 {
@@ -135,9 +135,9 @@
 	if h.proper && !o.doubt {
 		w.after(w.Bounds.AckMs, func() {
 			h.proper = h.proper && !o.doubt
-			calm := w.touch.settled(h.sentMs) && w.NowMs-w.touch.linksMs >= w.Bounds.AckMs+w.Bounds.InTouchMs
+			calm := w.touch.settled(h.sentMs) && w.NowMs()-w.touch.linksMs >= w.Bounds.AckMs+w.Bounds.InTouchMs
 			if h.proper && !h.done && calm {
-				w.Book.breach("ACK", w.NowMs, "version %d is not acknowledged in time", h.version)
+				w.Book.breach("ACK", w.NowMs(), "version %d is not acknowledged in time", h.version)
 			}
 		})
 	}
@@ -153,7 +153,7 @@
 	if h.done {
 		return
 	}
-	if w.NowMs-h.sentMs > callerEnd {
+	if w.NowMs()-h.sentMs > callerEnd {
 		o.end(w, h, "no clear answer")
 		return
 	}
@@ -161,9 +161,9 @@
 		at = w.someCore()
 	}
 	o.ids++
-	a := &attempt{h: h, n: at, sentMs: w.NowMs, redirects: redirects}
+	a := &attempt{h: h, n: at, sentMs: w.NowMs(), redirects: redirects}
 	if !h.read {
-		a.record = o.history.sent(w.NowMs, orderKey{h.builtOn, h.part, h.text}, h.version)
+		a.record = o.history.sent(w.NowMs(), orderKey{h.builtOn, h.part, h.text}, h.version)
 	}
 	o.calls[o.ids] = a
 	id := o.ids
@@ -246,10 +246,10 @@
 
 // record notes a clear answer in the history.
 func (o *operators) record(w *World, a *attempt, body any) {
-	answer := clearAnswer{sentMs: a.sentMs, atMs: w.NowMs}
+	answer := clearAnswer{sentMs: a.sentMs, atMs: w.NowMs()}
 	switch said := body.(type) {
 	case steward.Text:
-		o.history.read(a.sentMs, w.NowMs, said.Version, said.Text)
+		o.history.read(a.sentMs, w.NowMs(), said.Version, said.Text)
 		return
 	case steward.Taken:
 		answer.outcome = outcomeAccepted
@@ -273,7 +273,7 @@
 	switch said := body.(type) {
 	case steward.Taken:
 		if said.Version != h.version {
-			w.Book.breach("CONFIG", w.NowMs, "version %d is acknowledged as %d", h.version, said.Version)
+			w.Book.breach("CONFIG", w.NowMs(), "version %d is acknowledged as %d", h.version, said.Version)
 		}
 		o.take(w, h)
 	case steward.Text:
@@ -291,7 +291,7 @@
 			o.again(w, a, to)
 		case defect.StaleBase, defect.FaultyDescription:
 			if h.proper && !o.doubt && h.builtOn == o.newest {
-				w.Book.breach("CONFIG", w.NowMs, "version %d, proper, is refused: %s %v", h.version, said.Kind, said.Faults)
+				w.Book.breach("CONFIG", w.NowMs(), "version %d, proper, is refused: %s %v", h.version, said.Kind, said.Faults)
 			}
 			if said.Kind == defect.StaleBase {
 				o.base = max(o.base, said.Revision)
@@ -333,7 +333,7 @@
 
 // readBack reads the map in force, from a daemon or from any.
 func (w *World) readBack(at *node) *handing {
-	h := &handing{read: true, sentMs: w.NowMs, pauseMs: 100}
+	h := &handing{read: true, sentMs: w.NowMs(), pauseMs: 100}
 	w.callCore(at, h)
 	return h
 }
@@ -351,17 +351,17 @@
 		}
 		h.done = true
 		if h.got == nil {
-			w.Book.breach("CONFIG", w.NowMs, "the map can't be read back")
+			w.Book.breach("CONFIG", w.NowMs(), "the map can't be read back")
 			return
 		}
 		if h.got.Version < o.newest {
-			w.Book.breach("CONFIG", w.NowMs, "version %d is read back and %d was accepted", h.got.Version, o.newest)
+			w.Book.breach("CONFIG", w.NowMs(), "version %d is read back and %d was accepted", h.got.Version, o.newest)
 		}
 		if why, not := w.Book.ineffect[h.got.Version]; not {
-			w.Book.breach("CONFIG", w.NowMs, "version %d is read back and was answered with %q", h.got.Version, why)
+			w.Book.breach("CONFIG", w.NowMs(), "version %d is read back and was answered with %q", h.got.Version, why)
 		}
 		if text := o.texts[h.got.Version]; text != "" && text != h.got.Text {
-			w.Book.breach("CONFIG", w.NowMs, "version %d is read back with another text", h.got.Version)
+			w.Book.breach("CONFIG", w.NowMs(), "version %d is read back with another text", h.got.Version)
 		}
 	}
 }
@@ -370,6 +370,6 @@
 // with compare-and-set.
 func (w *World) CheckHistory() {
 	for _, what := range w.operators.history.check() {
-		w.Book.breach("REGISTER", w.NowMs, "%s", what)
+		w.Book.breach("REGISTER", w.NowMs(), "%s", what)
 	}
 }
--- a/drill/passage.go
+++ b/drill/passage.go
@@ -53,7 +53,7 @@
 func (p *passage) told(body any) {
 	w := p.w
 	if p.over {
-		w.Book.breach("ANSWER", w.NowMs, "%s got another answer after its last: %T", p.c.try, body)
+		w.Book.breach("ANSWER", w.NowMs(), "%s got another answer after its last: %T", p.c.try, body)
 		return
 	}
 	switch said := body.(type) {
@@ -74,13 +74,13 @@
 		p.c.hear(p.n.name, func() { p.c.end("broken off") })
 	case relay.Keep:
 		if !p.kept {
-			w.Book.breach("ANSWER", w.NowMs, "%s: there is no failed answer to pass on", p.c.try)
+			w.Book.breach("ANSWER", w.NowMs(), "%s: there is no failed answer to pass on", p.c.try)
 		}
 		p.finish()
 		p.c.hear(p.n.name, func() { p.c.end("failed") })
 	case relay.Send:
 		if p.sent {
-			w.Book.breach("ANSWER", w.NowMs, "%s is sent on while a send is under way", p.c.try)
+			w.Book.breach("ANSWER", w.NowMs(), "%s is sent on while a send is under way", p.c.try)
 		}
 		p.sent = true
 		if w.Breaks.OlderMap && versionOf(said.Route.Name) > 1 && w.random.Intn(4) == 0 {
@@ -137,7 +137,7 @@
 		j.arrive()
 	}, nil)
 	// The shell gives up some time after the client's own end.
-	w.after(s.DeadlineMs-p.n.clock(w.NowMs)+1000, func() {
+	w.after(s.DeadlineMs-p.n.clock(w.NowMs())+1000, func() {
 		p.atRouter(func() {
 			if p.job == j && !j.over && !p.over {
 				j.over, j.dropped = true, true
--- a/drill/touch.go
+++ b/drill/touch.go
@@ -14,14 +14,14 @@
 const never = -1 << 40
 
 func newTouch(w *World) touch {
-	return touch{w: w, coreMs: w.NowMs, heartMs: w.NowMs, linksMs: w.NowMs, nodes: map[string]int64{}}
+	return touch{w: w, coreMs: w.NowMs(), heartMs: w.NowMs(), linksMs: w.NowMs(), nodes: map[string]int64{}}
 }
 
 // upset notes a trouble of a machine; of a core machine it upsets the core.
 func (t *touch) upset(n *node) {
-	t.nodes[n.name] = t.w.NowMs
+	t.nodes[n.name] = t.w.NowMs()
 	if n.core() {
-		t.coreMs = t.w.NowMs
+		t.coreMs = t.w.NowMs()
 	}
 }
 
@@ -30,12 +30,12 @@
 func (t *touch) look() {
 	w := t.w
 	if len(w.cuts) > 0 || w.lossPart > 0 || w.twicePart > 0 || w.latePart > 0 || w.listDown {
-		t.linksMs = w.NowMs
+		t.linksMs = w.NowMs()
 	}
 	if w.lossPart > 0 || w.twicePart > 0 || w.latePart > 0 {
-		t.coreMs, t.heartMs = w.NowMs, w.NowMs
+		t.coreMs, t.heartMs = w.NowMs(), w.NowMs()
 		for name := range w.nodes {
-			t.nodes[name] = w.NowMs
+			t.nodes[name] = w.NowMs()
 		}
 	}
 	var running []string
@@ -46,7 +46,7 @@
 			continue
 		}
 		if !n.well() {
-			t.nodes[name] = w.NowMs
+			t.nodes[name] = w.NowMs()
 		}
 		if n.core() {
 			core++
@@ -76,15 +76,15 @@
 		}
 	}
 	if 2*together <= core {
-		t.coreMs = w.NowMs
+		t.coreMs = w.NowMs()
 	}
 	if 2*well <= core {
-		t.heartMs = w.NowMs
+		t.heartMs = w.NowMs()
 	}
 	for _, name := range w.names() {
 		for _, to := range running {
 			if name != to && heart[to] && !(w.open(name, to) && w.open(to, name)) {
-				t.nodes[name] = w.NowMs
+				t.nodes[name] = w.NowMs()
 			}
 		}
 	}
--- a/drill/workload.go
+++ b/drill/workload.go
@@ -172,7 +172,7 @@
 // resend sends an order again as it was, whatever became of it.
 func (w *World) resend(r *orderRecord, at *node) {
 	w.callCore(at, &handing{
-		builtOn: r.builtOn, version: r.version, text: r.text, part: r.part, sentMs: w.NowMs, pauseMs: 100, isRival: true,
+		builtOn: r.builtOn, version: r.version, text: r.text, part: r.part, sentMs: w.NowMs(), pauseMs: 100, isRival: true,
 	})
 }
 
--- a/drill/world.go
+++ b/drill/world.go
@@ -6,46 +6,21 @@
 package drill
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand"
 	"strings"
 
 	"myrtlewinch/bounds"
+	"myrtlewinch/eventqueue"
 	"myrtlewinch/wire"
 )
 
 const (
 	site      = "drill"
+	startMs   = 1_000_000
 	traceMost = 600
 )
 
-// event is something that happens at a virtual time.
-type event struct {
-	atMs int64
-	seq  uint64
-	do   func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].atMs < e[j].atMs || e[i].atMs == e[j].atMs && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-
-// Push is heap's.
-func (e *events) Push(x any) { *e = append(*e, x.(event)) }
-
-// Pop is heap's.
-func (e *events) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return last
-}
-
 // Breaks are deliberate faults of the system, for showing that a checker
 // fires. None is ever set otherwise.
 type Breaks struct {
@@ -100,14 +75,12 @@
 // World is a whole site in virtual time.
 type World struct {
 	Seed   int64
-	NowMs  int64
 	Book   *Book
 	Bounds bounds.Bounds
 	Breaks Breaks
 
 	random *rand.Rand
-	ahead  events
-	seq    uint64
+	events *eventqueue.Queue
 	nodes  map[string]*node
 	seeds  []string
 	touch  touch
@@ -145,7 +118,7 @@
 func newSized(seed int64, breaks Breaks, count, losses int) *World {
 	w := &World{
 		losses: losses,
-		Seed:   seed, NowMs: 1_000_000, Bounds: usualBounds, Breaks: breaks, random: rand.New(rand.NewSource(seed)),
+		Seed:   seed, Bounds: usualBounds, Breaks: breaks, random: rand.New(rand.NewSource(seed)), events: eventqueue.New(startMs),
 		nodes: map[string]*node{}, cuts: map[[2]string]bool{}, thawedMs: map[string]int64{}, healedMs: never,
 	}
 	w.Bounds.Fenced = seed%2 == 0
@@ -177,13 +150,14 @@
 	w.after(50, w.sample)
 }
 
-func (w *World) after(ms int64, do func()) {
-	w.seq++
-	heap.Push(&w.ahead, event{w.NowMs + max(0, ms), w.seq, do})
-}
+// NowMs is the virtual time.
+func (w *World) NowMs() int64 { return w.events.NowMs() }
+
+// after schedules something after a delay; a negative delay counts as none.
+func (w *World) after(delayMs int64, run func()) { w.events.After(delayMs, run) }
 
 func (w *World) note(format string, args ...any) {
-	w.trace = append(w.trace, fmt.Sprintf("%8d ", w.NowMs)+fmt.Sprintf(format, args...))
+	w.trace = append(w.trace, fmt.Sprintf("%8d ", w.NowMs())+fmt.Sprintf(format, args...))
 	if len(w.trace) > 2*traceMost {
 		w.trace = append(w.trace[:0], w.trace[len(w.trace)-traceMost:]...)
 	}
@@ -196,12 +170,4 @@
 func (w *World) Faults() []string { return w.faults }
 
 // Run lets virtual time pass.
-func (w *World) Run(ms int64) {
-	endMs := w.NowMs + ms
-	for len(w.ahead) > 0 && w.ahead[0].atMs <= endMs {
-		e := heap.Pop(&w.ahead).(event)
-		w.NowMs = e.atMs
-		e.do()
-	}
-	w.NowMs = endMs
-}
+func (w *World) Run(ms int64) { w.events.RunFor(ms) }
