Let a candidate under a lower ballot give way, and give back what it was granted

Cause: two copies stood at the same time.

Mend: who learns of a higher ballot retreats at once, for the time of an attempt, and releases what witnesses granted with its record. A release names its ballot now: a late one must not end a later grant of the same holder.

Ruled out: random waits (two candidates with long attempts still overlap).

--- a/control/machine_witness_test.go
+++ b/control/machine_witness_test.go
@@ -28,7 +28,7 @@
 			w := served(qt.New(t), 1, 3)
 			name := w.backup()
 			m := w.nodes[name].machine
-			m.witness.Release(m.record.Primary, wire.Release{Epoch: m.record.Epoch})
+			m.witness.Release(m.record.Primary, wire.Release{Epoch: m.record.Epoch, Ballot: m.witness.Kept})
 			ask := wire.Envelope{
 				Site: "s", To: name, Body: test.ask(m),
 				From: wire.Place{Name: "core-9", Address: "10.0.0.9:7", Part: wire.Controller, Incarnation: "1"},
--- a/control/seat.go
+++ b/control/seat.go
@@ -304,6 +304,8 @@
 			sinceMs := s.sinceMs
 			m.askPromises(true)
 			s.sinceMs = sinceMs
+		} else {
+			m.heedRival(said.Highest)
 		}
 		return
 	}
@@ -317,6 +319,22 @@
 	}
 }
 
+// heedRival gives way to a candidate under a higher ballot. Two that go on side
+// by side hold each other's witnesses off for as long as both of them try.
+func (m *Machine) heedRival(highest wire.Ballot) {
+	s := &m.seat
+	if s.founding != nil || !s.ballot.Less(highest) {
+		return
+	}
+	if s.role == keeping {
+		// What witnesses granted with the record would keep the other out.
+		for _, voter := range s.proposal.Voters() {
+			m.sendName(voter.Name, wire.Release{Epoch: s.proposal.Epoch, Ballot: s.ballot})
+		}
+	}
+	m.retreat(m.waits.AttemptMs)
+}
+
 // keep asks the witnesses to store a record under the present ballot.
 func (m *Machine) keep(record wire.Record, completes bool) {
 	s := &m.seat
@@ -353,6 +371,9 @@
 		if missed && s.role == primary && slices.Contains(m.record.Witnesses, voter) {
 			m.send(from, wire.Keep{Ballot: s.ballot, Record: m.record, EchoMs: m.nowMs})
 		}
+		if s.role == keeping && said.Ballot == s.ballot {
+			m.heedRival(said.Highest)
+		}
 		return
 	}
 	// Any grant under this ballot holds others off, so it counts for the hold.
@@ -489,7 +510,7 @@
 	m.loseSeat(why)
 	m.seat.nextMs = m.nowMs + 2*m.waits.LeaseMs
 	for _, voter := range voters {
-		m.sendName(voter.Name, wire.Release{Epoch: epoch})
+		m.sendName(voter.Name, wire.Release{Epoch: epoch, Ballot: m.seat.ballot})
 	}
 	if paired {
 		m.sendName(fellow.Name, wire.Yield{Record: m.record})
--- a/control/seat_test.go
+++ b/control/seat_test.go
@@ -154,3 +154,49 @@
 	w.until(6000, "a take-over", w.serves)
 	w.c.Assert(w.nodes[w.primary()].tenant.row, qt.Equals, "kept")
 }
+
+// Of two candidates the one under the lower ballot gives way, and gives back
+// what witnesses granted it.
+func TestCandidateGivesWayToAHigherBallot(t *testing.T) {
+	rival := wire.Ballot{Round: 1 << 40, Name: "core-9"}
+	cases := []struct {
+		about    string
+		keeps    bool
+		highest  wire.Ballot
+		givesWay bool
+	}{
+		{"asking for promises, a higher one", false, rival, true},
+		{"asking for promises, a lower one", false, wire.Ballot{Round: 1, Name: "core-9"}, false},
+		{"keeping a record, a higher one", true, rival, true},
+		{"keeping a record, a lower one", true, wire.Ballot{Round: 1, Name: "core-9"}, false},
+	}
+	for _, test := range cases {
+		t.Run(test.about, func(t *testing.T) {
+			w := served(qt.New(t), 1, 3)
+			primary, name := w.primary(), w.backup()
+			m := w.nodes[name].machine
+			w.kill(primary)
+			m.askPromises(false)
+			var refusal any = wire.Promised{Ballot: m.seat.ballot, Highest: test.highest}
+			if test.keeps {
+				m.keep(m.record, true)
+				refusal = wire.Kept{Ballot: m.seat.ballot, Highest: test.highest, Record: m.record}
+			}
+			var other string
+			for peer := range w.nodes {
+				if peer != primary && peer != name {
+					other = peer
+				}
+			}
+			effects := m.Step(w.nowMs, w.from(other, name, refusal))
+			qt.Assert(t, m.seat.role == follower, qt.Equals, test.givesWay)
+			released := 0
+			for _, send := range effects.Sends {
+				if _, is := send.Body.(wire.Release); is {
+					released++
+				}
+			}
+			qt.Assert(t, released > 0, qt.Equals, test.givesWay && test.keeps)
+		})
+	}
+}
--- a/wire/bodies.go
+++ b/wire/bodies.go
@@ -93,8 +93,13 @@
 	EchoMs int64
 }
 
-// Release gives the hold back on a planned stop.
-type Release struct{ Epoch uint64 }
+// Release gives back what a witness granted: on a planned stop, or when a
+// candidate gives way to another. Ballot names under which it was granted, so
+// that a late one ends no later grant.
+type Release struct {
+	Epoch  uint64
+	Ballot Ballot
+}
 
 // Yield tells a copy to take over now. It may not have been told of the last
 // record yet.
--- a/witness/witness.go
+++ b/witness/witness.go
@@ -136,7 +136,7 @@
 
 // Release ends the hold on purpose.
 func (w *Witness) Release(from string, ask wire.Release) {
-	if ask.Epoch == w.Record.Epoch && from == w.holder {
+	if ask.Epoch == w.Record.Epoch && ask.Ballot == w.Kept && from == w.holder {
 		w.holdUntilMs = 0
 		w.holder = ""
 	}
--- a/witness/witness_test.go
+++ b/witness/witness_test.go
@@ -115,9 +115,11 @@
 			{"the one before", 10_001, "a", wire.Promise{Ballot: ballot(7, "a")}, false},
 		}},
 		{"a release opens at once", founded, []step{
-			{"by another", 10, "b", wire.Release{Epoch: 1}, true},
+			{"by another", 10, "b", wire.Release{Epoch: 1, Ballot: ballot(1, "a")}, true},
 			{"still held", 11, "b", wire.Promise{Ballot: ballot(2, "b")}, false},
-			{"by the primary", 12, "a", wire.Release{Epoch: 1}, true},
+			{"a late one of an earlier grant", 11, "a", wire.Release{Epoch: 1}, true},
+			{"still held too", 11, "b", wire.Promise{Ballot: ballot(2, "b")}, false},
+			{"by the primary", 12, "a", wire.Release{Epoch: 1, Ballot: ballot(1, "a")}, true},
 			{"open", 13, "b", wire.Promise{Ballot: ballot(2, "b")}, true},
 		}},
 		{"a lower epoch does not replace a higher", founded, []step{
