Move the rejection of requests out of relay/request.go

When a request that can't be sent is held or rejected, and with what, stands in relay/rejection.go.

Build and vet of the package pass; behaviour is not touched.

--- /dev/null
+++ b/relay/rejection.go
@@ -0,0 +1,126 @@
+package relay
+
+import (
+	"myrtlewinch/defect"
+	"myrtlewinch/servicemap"
+	"myrtlewinch/wire"
+)
+
+// full holds a request whose runners have no place, for a quarter of its aim.
+func (m *Machine) full(r *request) {
+	m.crowd(r)
+	aimMs := r.route.AimMs
+	if aimMs <= 0 {
+		aimMs = 400
+	}
+	waitMs := aimMs / 4
+	if r.passed {
+		waitMs = brokenMs
+	}
+	if m.nowMs-r.sinceMs < waitMs {
+		return
+	}
+	if r.passed || r.kept || r.mayHaveRun {
+		m.giveUp(r)
+		return
+	}
+	m.drop(r, defect.NoTurn, m.placeMs(r))
+}
+
+// placeMs says when a place may be free for one that is refused, by the pace
+// at which requests of the service end here.
+func (m *Machine) placeMs(r *request) int64 {
+	waiting := int64(m.crowded[r.key.service])
+	pace := m.paces[r.key.service]
+	if pace == nil || pace.perSecond() <= 0 {
+		return max(100, r.route.AimMs)
+	}
+	return max(50, int64(float64(waiting*1000)/pace.perSecond()))
+}
+
+// lacking decides on a request for which no runner is known.
+func (m *Machine) lacking(r *request) {
+	m.lookAgain(r)
+	totalMs := m.patienceMs(r)
+	waitedMs, usedMs := m.nowMs-r.sinceMs, m.nowMs-r.cameMs
+	// One that is held for over half of its time and then refused is worse
+	// than one refused before.
+	halfMs := totalMs * 45 / 100
+	switch e := m.entry(r.key); {
+	case r.passed:
+		if waitedMs >= brokenMs {
+			m.giveUp(r)
+		}
+	case r.kept:
+		m.giveUp(r)
+	case e == nil || len(e.holders) == 0 && e.turnMs < 0 && !e.loading && !r.answered:
+		// While control is settling, what can bear it waits for its word.
+		if r.service.Engine == nil && waitedMs >= unknownMs || usedMs >= halfMs {
+			m.drop(r, defect.NoWord, 500)
+		}
+	case e.turnMs >= 0:
+		// What can't be had in time is refused at once.
+		serviceMs := min(m.lasts(r.route.Name), totalMs/4)
+		turnMs := max(e.turnMs, m.nowMs)
+		if e.turnMs > r.cameMs+totalMs-serviceMs || usedMs >= totalMs*3/4 || usedMs >= halfMs && m.nowMs > e.turnMs+turnSlackMs {
+			m.drop(r, defect.NoTurn, turnMs-m.nowMs+50)
+		}
+	case e.loading:
+		if usedMs >= halfMs {
+			m.drop(r, defect.NoTurn, 500)
+		}
+	case r.service.Engine == nil:
+		if waitedMs >= max(50, r.route.AimMs/4) {
+			m.drop(r, defect.NoRunner, 300)
+		}
+	default:
+		if usedMs >= halfMs {
+			m.drop(r, defect.NoRunner, 500)
+		}
+	}
+}
+
+// patienceMs is for how long from its coming a request can be answered at all.
+func (m *Machine) patienceMs(r *request) int64 {
+	totalMs := r.deadlineMs - r.cameMs
+	if r.route.Kind == servicemap.Stream && !r.passed {
+		totalMs = min(totalMs, max(silenceMs, silenceAims*r.route.AimMs, silenceGaps*r.route.GapMs))
+	}
+	return totalMs
+}
+
+// giveUp ends a request after its sends, with what is true of them.
+func (m *Machine) giveUp(r *request) {
+	kind := r.last
+	if kind == "" {
+		kind = defect.NoRunner
+	}
+	m.drop(r, kind, 200)
+}
+
+// drop ends a request. What may have run is never answered with a promise.
+func (m *Machine) drop(r *request, kind defect.Kind, retryMs int64) {
+	m.unwait(r)
+	delete(m.requests, r.ID)
+	switch {
+	case r.passed:
+		m.Tally.Drops["stream broken off"]++
+		m.answer(r.ID, Break{})
+		return
+	case r.kept:
+		m.answer(r.ID, Keep{})
+		return
+	case r.mayHaveRun && kind.Reply().Drop:
+		kind, retryMs = defect.OutcomeUnknown, 0
+	}
+	m.Tally.Drops[kind]++
+	if retryMs > 0 {
+		// A longer wait than a third of what the client has left is not kept.
+		leftMs := r.deadlineMs - m.nowMs
+		if r.Asked.LeftMs > 0 {
+			leftMs = r.Asked.LeftMs - (m.nowMs - r.cameMs)
+		}
+		retryMs = max(20, min(retryMs, leftMs*3/10))
+	}
+	m.answer(r.ID, wire.Dropped{Kind: kind, RetryMs: retryMs})
+}
