--- a/relay/request.go
+++ b/relay/request.go
@@ -1,8 +1,6 @@
 package relay
 
 import (
-	"slices"
-
 	"myrtlewinch/defect"
 	"myrtlewinch/servicemap"
 	"myrtlewinch/wire"
@@ -302,48 +300,3 @@
 	delete(m.requests, id)
 	m.wake()
 }
-
-func (m *Machine) wait(r *request) { m.waiting = append(m.waiting, r) }
-
-func (m *Machine) unwait(r *request) {
-	if r.service != nil && r.crowds {
-		r.crowds = false
-		m.crowded[r.key.service]--
-	}
-	if i := slices.Index(m.waiting, r); i >= 0 {
-		m.waiting = slices.Delete(m.waiting, i, i+1)
-	}
-}
-
-// crowd notes that a request waits for want of a place.
-func (m *Machine) crowd(r *request) {
-	if !r.crowds {
-		r.crowds = true
-		m.crowded[r.key.service]++
-	}
-}
-
-// wake gives every waiting request its turn: the most urgent first, and of
-// those the eldest.
-func (m *Machine) wake() {
-	if len(m.waiting) == 0 {
-		return
-	}
-	waiting := slices.Clone(m.waiting)
-	slices.SortStableFunc(waiting, func(a, b *request) int {
-		if d := a.rank() - b.rank(); d != 0 {
-			return d
-		}
-		return int(a.cameMs - b.cameMs)
-	})
-	for _, r := range waiting {
-		m.turn(r)
-	}
-}
-
-func (r *request) rank() int {
-	if r.route == nil {
-		return 0
-	}
-	return r.route.Priority
-}
