Move look-ups and their answers to a file of their own

Whom a look-up goes to, when it is repeated and what its answer changes stand in relay/lookup.go.

Build and vet of the package pass; behaviour is not touched.

--- a/relay/machine.go
+++ b/relay/machine.go
@@ -389,61 +389,6 @@
 	m.wake()
 }
 
-// entry gives the cached line of a key. While no controller answers, the list
-// that the router read itself stands in for lines that it lacks.
-func (m *Machine) entry(at key) *entry {
-	e := m.cache[at]
-	if e != nil && len(e.holders) > 0 || m.listed == nil || !m.silent() || m.nowMs-m.atMs > listedMs {
-		return e
-	}
-	line := wire.MapIndex{Service: at.service, Model: at.model, Adapter: at.adapter, TurnMs: -1}
-	if e != nil {
-		line.Epoch, line.Change = e.epoch, e.change
-	}
-	for i := range m.listed {
-		r := &m.listed[i]
-		held := at.model == ""
-		adapter := false
-		for _, model := range r.Models {
-			if model.Name == at.model {
-				held, adapter = true, slices.Contains(model.Adapters, at.adapter)
-			}
-		}
-		if r.Service == at.service && held {
-			line.Holders = append(line.Holders, wire.MapHolder{ID: r.ID, Address: r.Address, Zone: r.Zone, Adapter: adapter, Slots: r.Slots})
-		}
-	}
-	if len(line.Holders) == 0 || !m.cache.take(m.nowMs, line) {
-		return e
-	}
-	return m.cache[at]
-}
-
-// indexed takes an answer of the index, or its word of a change.
-func (m *Machine) indexed(in wire.MapIndex) {
-	if !in.Known {
-		return
-	}
-	at := key{in.Service, in.Model, in.Adapter}
-	asked := false
-	for _, r := range m.waiting {
-		if r.route != nil && r.key == at {
-			asked = true
-			r.answered = true
-		}
-	}
-	// Only what requests named is kept.
-	if !asked && m.cache[at] == nil && in.ID == 0 {
-		return
-	}
-	for i := range in.Holders {
-		m.hold(&in.Holders[i])
-	}
-	if m.cache.take(m.nowMs, in) && asked {
-		m.wake()
-	}
-}
-
 // hold takes what the index tells of a runner's load.
 func (m *Machine) hold(h *wire.MapHolder) {
 	known := m.runner(h.ID)
@@ -496,66 +441,6 @@
 	return r
 }
 
-// oracle names whom look-ups go to: the primary, or while it gives no word
-// another controller that does.
-func (m *Machine) oracle() string {
-	if m.silent() {
-		if other := m.nextController(m.primary); other != "" && m.roster.Live(m.nowMs, other) {
-			return other
-		}
-	}
-	return m.primary
-}
-
-// spreadRouters is from how many routers on look-ups are spread.
-const spreadRouters = 32
-
-// lookUpAt names whom a look-up goes to. What a request can't go on without is
-// asked of the primary, which loads it. Else a controller of the own zone
-// answers from the primary's image and tells it of the demand, so that look-ups
-// are spread over all of them.
-func (m *Machine) lookUpAt(missed bool) string {
-	// The primary knows all that is asked at once; that is given up only where
-	// there are so many routers that it could not answer them all.
-	if !missed && m.near != "" && m.routers > spreadRouters && !m.silent() {
-		return m.near
-	}
-	return m.oracle()
-}
-
-// nearest picks one of the live controllers for a router: one of its zone, and
-// of those another for each router.
-func nearest(self wire.Place, live []wire.Place) string {
-	best, bestRank, bestOwn := "", uint64(0), false
-	for _, place := range live {
-		own, rank := place.Zone == self.Zone, mix(hash(self.Name)^hash(place.Name))
-		if best == "" || own && !bestOwn || own == bestOwn && rank > bestRank {
-			best, bestRank, bestOwn = place.Name, rank, own
-		}
-	}
-	return best
-}
-
-// nextController names the one after another, a live one if there is one.
-func (m *Machine) nextController(than string) string {
-	places := m.roster.Part(wire.Controller)
-	at := slices.IndexFunc(places, func(p wire.Place) bool { return p.Name > than })
-	first := ""
-	for i := range places {
-		name := places[(max(0, at)+i)%len(places)].Name
-		if name == than {
-			continue
-		}
-		if m.roster.Live(m.nowMs, name) {
-			return name
-		}
-		if first == "" {
-			first = name
-		}
-	}
-	return first
-}
-
 func (m *Machine) budget(service string) *budget {
 	b := m.budgets[service]
 	if b == nil {
--- a/relay/request.go
+++ b/relay/request.go
@@ -184,37 +184,6 @@
 	return able[len(able)-1], true
 }
 
-func (m *Machine) lookUp(r *request, to string) {
-	place, ok := m.roster.Place(to)
-	if !ok || to == "" {
-		return
-	}
-	r.looks++
-	r.lookedMs, r.lookedAt = m.nowMs, to
-	m.send(place, wire.MapLookUp{
-		ID: r.lookUp, Service: r.key.service, Model: r.key.model, Adapter: r.key.adapter,
-		Tokens: r.tokens, Waits: r.missed, Prompt: r.Asked.PromptTokens, ReadMs: m.pricing.take(r.key.service, r.key.model),
-	})
-}
-
-// lookAgain sends a look-up that found no primary yet, and once another one
-// to the next controller where a miss got no answer.
-func (m *Machine) lookAgain(r *request) {
-	switch {
-	case r.looks == 0:
-		m.lookUp(r, m.lookUpAt(r.missed))
-	case r.looks == 1 && r.missed && !r.answered && m.nowMs-r.lookedMs >= againMs:
-		if next := m.nextController(r.lookedAt); next != "" {
-			m.Tally.LookUpsAgain++
-			m.lookUp(r, next)
-		}
-	}
-	if r.missed && !r.held && m.nowMs-r.cameMs >= missMs {
-		r.held = true
-		m.Tally.MissesHeld++
-	}
-}
-
 // turn sends a waiting request on, drops it, or leaves it waiting.
 func (m *Machine) turn(r *request) {
 	if r.away || m.requests[r.ID] == nil {
