--- /dev/null
+++ b/relay/primary.go
@@ -0,0 +1,154 @@
+package relay
+
+import (
+	"slices"
+
+	"myrtlewinch/defect"
+	"myrtlewinch/wire"
+)
+
+// silent says that the primary has given no word for too long.
+func (m *Machine) silent() bool { return m.nowMs-m.heardMs > silentMs }
+
+// ask is the constant question to the primary; it says as well that this
+// router lives.
+func (m *Machine) ask() {
+	m.askedMs = m.nowMs
+	if place, ok := m.roster.Place(m.primary); ok && m.primary != "" {
+		m.send(place, wire.MapAsk{
+			EchoMs: m.nowMs, Version: m.version, Sum: m.sum, LeavingSum: m.leavingSum, ControllersSum: m.controllersSum,
+		})
+	}
+}
+
+// hello looks for the primary: at all seeds, and since seeds may be gone, at
+// one known controller after the other.
+func (m *Machine) hello() {
+	m.helloMs = m.nowMs
+	for _, seed := range m.seeds {
+		m.out.Sends = append(m.out.Sends, wire.Send{Address: seed, Body: wire.Hello{}})
+	}
+	known := m.roster.Part(wire.Controller)
+	known = slices.DeleteFunc(known, func(p wire.Place) bool { return slices.Contains(m.seeds, p.Address) })
+	if len(known) > 0 {
+		m.send(known[int(m.nowMs/helloMs)%len(known)], wire.Hello{})
+	}
+}
+
+func (m *Machine) receive(e wire.Envelope) {
+	if e.Site != m.set.Site {
+		m.count(defect.OtherSite)
+		return
+	}
+	// An address may have passed to another daemon.
+	if e.To != "" && e.To != m.set.Self.Name {
+		m.count(defect.OtherDaemon)
+		return
+	}
+	m.roster.Heard(m.nowMs, e.From)
+	switch body := e.Body.(type) {
+	case wire.Heartbeat:
+	case wire.Hello:
+		m.send(e.From, wire.Known{Fellows: m.roster.Places(), Record: wire.Record{Epoch: m.epoch, Primary: m.primary}})
+	case wire.Known:
+		m.roster.Learn(m.nowMs, body.Fellows)
+		m.heed(body.Record.Epoch, body.Record.Primary)
+	case wire.Nudge:
+		m.heed(body.Epoch, e.From.Name)
+	case wire.Opinion:
+		if body.Epoch == m.epoch {
+			m.send(e.From, wire.Opined{Epoch: body.Epoch, HeardMs: m.nowMs - m.heardMs})
+		}
+	case wire.MapWord:
+		m.word(e.From, body)
+	case wire.MapIndex:
+		m.indexed(body)
+	default:
+		m.count(defect.Malformed)
+	}
+}
+
+// heed takes a newer primary as the one to ask, and asks it. Only its own
+// word makes its epoch the least that is listened to.
+func (m *Machine) heed(epoch uint64, primary string) {
+	if epoch < max(m.epoch, m.heeded) || epoch == 0 || primary == "" || primary == m.set.Self.Name {
+		return
+	}
+	m.heeded = epoch
+	if primary != m.primary || m.silent() && m.nowMs-m.askedMs >= askMs/3 {
+		m.primary = primary
+		m.ask()
+	}
+}
+
+// word takes the primary's word, asked or not.
+func (m *Machine) word(from wire.Place, w wire.MapWord) {
+	if w.Epoch < m.epoch {
+		m.count(defect.LowerEpoch)
+		return
+	}
+	if w.EchoMs > m.nowMs {
+		return
+	}
+	m.epoch, m.primary = w.Epoch, from.Name
+	if w.EchoMs > m.heardMs {
+		m.heardMs = w.EchoMs
+		// Only an answer to what was asked since tells of what was missed.
+		if w.EchoMs >= m.thawUntilMs-thawMs {
+			m.thawUntilMs = 0
+		}
+		m.listed = nil
+	}
+	if len(w.Controllers) > 0 {
+		m.near = nearest(m.set.Self, w.Controllers)
+		m.controllersSum = 0
+		if m.roster.Learn(m.nowMs, w.Controllers) {
+			m.controllersSum = w.ControllersSum
+		}
+	}
+	if w.LeavingSum != m.leavingSum || w.LeavingSum == 0 {
+		m.leavingTold, m.leavingSum = w.Leaving, w.LeavingSum
+		for _, id := range w.Leaving {
+			m.leaves(id)
+		}
+	}
+	if w.Routers > 0 && w.Routers != m.routers {
+		m.routers = w.Routers
+		for _, b := range m.budgets {
+			b.size(m.set.Bounds.ExtraTries, m.routers)
+		}
+	}
+	m.bring(w)
+	m.wake()
+}
+
+// bring takes a newer map into use. A router never goes back.
+func (m *Machine) bring(w wire.MapWord) {
+	if w.Version <= m.version {
+		return
+	}
+	if len(w.Packed) > 0 {
+		text, err := wire.Unpack(w.Packed)
+		if err != nil || wire.Sum(text) != w.Sum {
+			m.count(defect.Malformed)
+			return
+		}
+		w.Text = text
+	}
+	if w.Text == "" {
+		// It was told that there is one; the answer brings it.
+		if w.EchoMs == 0 {
+			m.ask()
+		}
+		return
+	}
+	document, faults := m.format.Read([]byte(w.Text))
+	if len(faults) > 0 || document == nil {
+		m.count(defect.Malformed)
+		return
+	}
+	document.Index()
+	m.version, m.sum = w.Version, w.Sum
+	m.current.Store(document)
+	m.note("map version %d is in use", w.Version)
+}
