Move what the router learns of its runners out of relay/machine.go

Loads, leaving runners and the router's own reading of the list stand in relay/runners.go; the cost of a prompt goes to relay/pricing.go, which keeps it.

Build and vet of the package pass; behaviour is not touched.

--- a/relay/pricing.go
+++ b/relay/pricing.go
@@ -33,3 +33,17 @@
 	delete(p, at)
 	return each
 }
+
+// priced takes how long the first piece of an answer took.
+func (m *Machine) priced(at modelOf, tokens, ms int64) {
+	m.pricing.note(at.service, at.model, tokens, ms)
+	if tokens < readTokens || ms <= 0 {
+		return
+	}
+	each := float64(ms) * 1000 / float64(tokens)
+	if known := m.reads[at]; known == 0 || each < known {
+		m.reads[at] = each
+	} else {
+		m.reads[at] += readsDrift * (each - known)
+	}
+}
--- /dev/null
+++ b/relay/runners.go
@@ -0,0 +1,72 @@
+package relay
+
+import "myrtlewinch/wire"
+
+func (m *Machine) leaves(id string) {
+	if _, known := m.leavers[id]; known || len(m.leavers) < leavingMost {
+		m.leavers[id] = m.nowMs
+	}
+}
+
+func (m *Machine) isLeaving(id string) bool {
+	_, leaving := m.leavers[id]
+	return leaving
+}
+
+// fleet takes the router's own reading of the list.
+func (m *Machine) fleet(in wire.Fleet) {
+	m.reading = false
+	if in.Limited {
+		m.readMs += 2 * silentMs
+	}
+	if !in.Ok {
+		return
+	}
+	for _, r := range in.Runners {
+		if r.Leaving {
+			m.leaves(r.ID)
+		}
+	}
+	if m.silent() {
+		m.listed, m.atMs = in.Runners, m.nowMs
+	}
+	m.wake()
+}
+
+// hold takes what the index tells of a runner's load.
+func (m *Machine) hold(h *wire.MapHolder) {
+	known := m.runner(h.ID)
+	if known.slots == 0 {
+		known.slots = h.Slots
+	}
+	if h.AgeMs < 0 {
+		return
+	}
+	known.tell(m.nowMs-h.AgeMs, h.Active+h.Queued, h.Slots)
+	known.tellCache(m.nowMs-h.AgeMs, h.CacheUsed, h.CacheTotal)
+}
+
+// told takes what a runner says of its load in the head of an answer.
+func (m *Machine) told(in Told) {
+	if r := m.requests[in.ID]; r != nil && r.reads && r.runner == in.Runner {
+		m.read(r)
+		// The first piece is there once the prompt has been read.
+		if r.service.Engine != nil && !in.Heard.NotRun {
+			m.priced(modelOf{r.key.service, r.key.model}, r.Asked.PromptTokens, m.nowMs-r.goneMs)
+		}
+	}
+	if in.Heard.HasLoad {
+		m.runner(in.Runner).tell(m.nowMs, in.Heard.Running+in.Heard.Waiting, in.Heard.Slots)
+		m.runner(in.Runner).waiting = in.Heard.Waiting
+	}
+	m.wake()
+}
+
+func (m *Machine) runner(id string) *runner {
+	r := m.runners[id]
+	if r == nil {
+		r = &runner{usedMs: m.nowMs}
+		m.runners[id] = r
+	}
+	return r
+}
