--- a/relay/budget.go
+++ b/relay/budget.go
@@ -32,3 +32,12 @@
 	b.tokens = b.most / 4
 	return b
 }
+
+func (m *Machine) budget(service string) *budget {
+	b := m.budgets[service]
+	if b == nil {
+		b = newBudget(m.set.Bounds.ExtraTries, m.routers)
+		m.budgets[service] = b
+	}
+	return b
+}
--- a/relay/machine.go
+++ b/relay/machine.go
@@ -112,29 +112,6 @@
 	Tally      Tally
 }
 
-// Tally counts what a router did.
-type Tally struct {
-	Requests, LookUps, LookUpsAgain, Hits, Misses, MissesHeld uint64
-	Goes, SecondGoes, Resumes                                 uint64
-	Drops                                                     map[defect.Kind]uint64
-}
-
-// Status is the status page of a router.
-type Status struct {
-	Name     string `json:"name"`
-	Version  uint64 `json:"version"`
-	Epoch    uint64 `json:"epoch"`
-	Primary  string `json:"primary"`
-	HeardMs  int64  `json:"heard_ms_ago"`
-	Routers  int    `json:"routers"`
-	Leaving  bool   `json:"leaving"`
-	Entries  int    `json:"entries"`
-	Runners  int    `json:"runners"`
-	Requests int    `json:"requests"`
-	Waiting  int    `json:"waiting"`
-	Tally    Tally  `json:"tally"`
-}
-
 // New makes a router that knows nothing but its seeds.
 func New(set Settings, format Format, nowMs int64) *Machine {
 	return &Machine{
@@ -211,15 +188,6 @@
 	m.wake()
 }
 
-func (m *Machine) budget(service string) *budget {
-	b := m.budgets[service]
-	if b == nil {
-		b = newBudget(m.set.Bounds.ExtraTries, m.routers)
-		m.budgets[service] = b
-	}
-	return b
-}
-
 // lasts is about how long a request of a route takes here.
 func (m *Machine) lasts(route string) int64 { return int64(m.times[route]) }
 
@@ -252,19 +220,6 @@
 	}
 }
 
-func (m *Machine) status() Status {
-	tally := m.Tally
-	tally.Drops = map[defect.Kind]uint64{}
-	for kind, count := range m.Tally.Drops {
-		tally.Drops[kind] = count
-	}
-	return Status{
-		Name: m.set.Self.Name, Version: m.version, Epoch: m.epoch, Primary: m.primary, HeardMs: m.nowMs - m.heardMs,
-		Routers: m.routers, Leaving: m.leaving, Entries: len(m.cache), Runners: len(m.runners),
-		Requests: len(m.requests), Waiting: len(m.waiting), Tally: tally,
-	}
-}
-
 func (m *Machine) send(to wire.Place, body any) {
 	m.out.Sends = append(m.out.Sends, wire.Send{To: to.Name, Address: to.Address, Body: body})
 }
