Document the messages and outcomes of the router's machine

The comments said in words of their own what an attempt, its outcome and its answers are; they now state it in ordinary terms, with what may be relied on. Comments only, but for UntilMs and DeadlineMs of Send, which stand on a line each: the files are the same otherwise when printed without comments.

--- a/relay/messages.go
+++ b/relay/messages.go
@@ -2,59 +2,76 @@
 
 import "myrtlewinch/servicemap"
 
-// Inputs of the data plane.
+// Inputs of Machine.Step, beside those that package wire defines (Envelope,
+// Fleet and Tick).
 type (
-	// Request is a whole request of a client.
+	// Request is a client's request whose body has been read completely.
 	Request struct {
-		ID         uint64
+		// ID identifies the request within this router; every later input and
+		// answer about it carries the same ID.
+		ID uint64
+		// Host and Path select the route. Host has no port.
 		Host, Path string
 		Asked      Asked
 	}
-	// Told brings what the head of an answer says of a runner's load.
+	// Told reports the response head of a runner, with the load that it states
+	// if any, before the response body is read.
 	Told struct {
-		// ID is the request whose answer began.
-		ID     uint64
+		// ID is the request whose response began.
+		ID uint64
+		// Runner is the id of the runner that the request was sent to.
 		Runner string
 		Heard  Heard
 	}
-	// Ended says how a send ended.
+	// Ended reports the end of the attempt that a Send started. There is one
+	// for each Send unless the client disconnects first.
 	Ended struct {
 		ID      uint64
 		Outcome Outcome
-		// After is the last piece that was passed on; Passed says that the
-		// client has the head of an answer.
-		After  string
+		// After is the id of the last event that was forwarded to the client,
+		// or empty if the stream cannot be resumed from it.
+		After string
+		// Passed reports whether the client has received a response head.
 		Passed bool
-		// Other says that a runner with another id answered.
+		// Other reports whether a runner with a different id responded.
 		Other bool
-		// Version is that of the weights that answered so far, or 0.
+		// Version is the version of the model weights that produced what was
+		// forwarded so far, or 0 if it is not known.
 		Version int64
 	}
-	// Gone says that the client went away.
+	// Gone reports that the client disconnected.
 	Gone struct{ ID uint64 }
-	// Leave begins a planned stop.
+	// Leave starts a planned shutdown.
 	Leave struct{}
-	// Reseed gives the seeds anew.
+	// Reseed replaces the addresses at which the control plane is looked for.
 	Reseed struct{ Seeds []string }
-	// Look asks for the status page.
+	// Look asks for a Status as the answer with the same ID.
 	Look struct{ ID uint64 }
 )
 
-// Answers of the machine beside wire.Dropped.
+// Answers of the machine to a Request, beside wire.Dropped. A request may get
+// several Sends, one after the other. It ends with the first that is Answered,
+// or else with one of the other answers.
 type (
-	// Send tells the shell to send a request to a runner.
+	// Send orders one attempt: the request is sent to the given runner, and its
+	// result comes back as an Ended.
 	Send struct {
-		Go      Go
+		Go Go
+		// Address is the runner's host and port.
 		Address string
 		Route   *servicemap.Route
-		// Single asks for a stream of its own.
+		// Single requires a new connection, for a request that must not be
+		// repeated: a kept one may have been closed by the runner.
 		Single bool
-		// UntilMs is the last moment at which the first byte may be written,
-		// DeadlineMs when the client's time is over.
-		UntilMs, DeadlineMs int64
+		// UntilMs is the time before which the first byte must be written.
+		UntilMs int64
+		// DeadlineMs is the time at which the client stops waiting.
+		DeadlineMs int64
 	}
-	// Keep tells the shell to pass on the failed answer that it has.
+	// Keep ends the request with the response of an attempt that ended as
+	// Failed, which the shell has kept.
 	Keep struct{}
-	// Break tells the shell to break the client's answer off.
+	// Break ends the request by aborting the client's connection, since a part
+	// of a response has already been forwarded.
 	Break struct{}
 )
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -2,31 +2,40 @@
 
 import "myrtlewinch/defect"
 
-// Outcome is how a send ended.
+// Outcome classifies the end of an attempt by what is known of its effect at
+// the runner. It decides whether the request may be sent again and what its
+// client may be told.
 type Outcome int
 
-// The outcomes, by what is known of the runner.
+// The outcomes. After TooLate, NotSent, TurnedAway and NotHeld the request counts
+// as not run; after Failed, Lost, Nonsense and Cut the runner may have run it.
 const (
-	// Answered: the client has its answer, or went away.
+	// Answered: the response was forwarded completely, or the client
+	// disconnected.
 	Answered Outcome = iota
-	// TooLate: it stood still too long before a byte was written.
+	// TooLate: Send.UntilMs passed before a byte was written.
 	TooLate
-	// NotSent: no byte was written.
+	// NotSent: the attempt failed before a byte was written.
 	NotSent
-	// TurnedAway: the runner said that it did not run it.
+	// TurnedAway: the runner rejected the request and stated that it did not
+	// run it.
 	TurnedAway
-	// NotHeld: another runner answered, or it does not hold what was asked.
+	// NotHeld: a different runner responded, or the runner does not hold the
+	// model or adapter.
 	NotHeld
-	// Failed: the runner ran it and failed; the answer is kept for the client.
+	// Failed: the runner responded with a server error, which is kept for the
+	// client in case no other attempt succeeds.
 	Failed
-	// Lost: bytes were written and no whole answer came.
+	// Lost: bytes were written and no usable, complete response came.
 	Lost
-	// Nonsense: what came is no answer to this request.
+	// Nonsense: what came is not a valid response to this request.
 	Nonsense
-	// Cut: a stream broke off after pieces of it were passed on.
+	// Cut: a stream failed after a part of it was forwarded to the client.
 	Cut
 )
 
+// ended applies the outcome of an attempt: it updates what is known of the
+// runner, then finishes the request or queues it for another attempt.
 func (m *Machine) ended(in Ended) {
 	r := m.requests[in.ID]
 	if r == nil || !r.away {
