Document the router's machine, its requests and its status page

Functions of the new files that had no comment get one; those of the main types are in ordinary terms and say what each group of fields means. Comments and alignment only: printed without comments, the package's files are the same before and after.

--- a/relay/lookup.go
+++ b/relay/lookup.go
@@ -6,6 +6,8 @@
 	"myrtlewinch/wire"
 )
 
+// lookUp sends the look-up of a request to a controller. Nothing is sent while
+// the controller's address is unknown.
 func (m *Machine) lookUp(r *request, to string) {
 	place, ok := m.roster.Place(to)
 	if !ok || to == "" {
--- a/relay/machine.go
+++ b/relay/machine.go
@@ -32,7 +32,7 @@
 	readEachMs = 50
 )
 
-// Settings is what a router knows before it knows anyone.
+// Settings is the configuration of a router: what it knows at its start.
 type Settings struct {
 	Site   string
 	Self   wire.Place
@@ -49,7 +49,9 @@
 	Read(text []byte) (*servicemap.Map, []string)
 }
 
-// Machine is one router.
+// Machine is the state machine of one router. It takes inputs through Step and
+// returns effects; it has no clock, connection or goroutine of its own. All of it
+// but Map belongs to the goroutine that calls Step.
 type Machine struct {
 	set    Settings
 	format Format
@@ -112,7 +114,8 @@
 	Tally      Tally
 }
 
-// New makes a router that knows nothing but its seeds.
+// New makes the machine of a router that knows only its settings: no primary and
+// no service map.
 func New(set Settings, format Format, nowMs int64) *Machine {
 	return &Machine{
 		set: set, format: format, nowMs: nowMs, stepMs: nowMs, roster: watch.New(set.Self, nil, nil), seeds: set.Seeds,
@@ -126,7 +129,8 @@
 // Map is the map in use, or nil; any thread may ask.
 func (m *Machine) Map() *servicemap.Map { return m.current.Load() }
 
-// Step takes one input and returns what to do.
+// Step applies one input at the given time and returns its effects: messages to
+// send, answers to requests, calls and notes. An input of unknown type panics.
 func (m *Machine) Step(nowMs int64, input any) wire.Effects {
 	m.nowMs = nowMs
 	m.out = wire.Effects{}
@@ -169,6 +173,8 @@
 	m.ask()
 }
 
+// tick does what is due by the time: it asks the primary or looks for it, has the
+// list of runners read, sweeps, and gives waiting requests their turn.
 func (m *Machine) tick() {
 	if m.nowMs-m.askedMs >= askMs {
 		m.ask()
@@ -191,6 +197,7 @@
 // lasts is about how long a request of a route takes here.
 func (m *Machine) lasts(route string) int64 { return int64(m.times[route]) }
 
+// lasted notes how long an answered request of a route took.
 func (m *Machine) lasted(route string, ms int64) {
 	if m.times[route] == 0 {
 		m.times[route] = float64(ms)
@@ -220,16 +227,20 @@
 	}
 }
 
+// send adds a message to another daemon to the effects.
 func (m *Machine) send(to wire.Place, body any) {
 	m.out.Sends = append(m.out.Sends, wire.Send{To: to.Name, Address: to.Address, Body: body})
 }
 
+// answer adds an answer to the request or question with this id to the effects.
 func (m *Machine) answer(id uint64, body any) {
 	m.out.Answers = append(m.out.Answers, wire.Answer{ID: id, Body: body})
 }
 
+// note adds a log line to the effects.
 func (m *Machine) note(format string, args ...any) {
 	m.out.Notes = append(m.out.Notes, fmt.Sprintf(format, args...))
 }
 
+// count adds an error to be counted by its kind to the effects.
 func (m *Machine) count(kind defect.Kind) { m.out.Counts = append(m.out.Counts, string(kind)) }
--- a/relay/primary.go
+++ b/relay/primary.go
@@ -35,6 +35,8 @@
 	}
 }
 
+// receive handles a message of another daemon. One that is not meant for this
+// daemon is counted and ignored.
 func (m *Machine) receive(e wire.Envelope) {
 	if e.Site != m.set.Site {
 		m.count(defect.OtherSite)
--- a/relay/request.go
+++ b/relay/request.go
@@ -34,7 +34,8 @@
 	dialsMost = 4
 )
 
-// request is one that is under way here.
+// request is the state of a client's request from its arrival to its end. At any
+// time it either has an attempt under way (away) or is in Machine.waiting.
 type request struct {
 	Request
 	cameMs, deadlineMs int64
@@ -43,8 +44,9 @@
 	key                key
 	affinity, draw     uint64
 	tokens             int64
-	// The look-up: its number, when and how often it was sent, and whether
-	// it was answered.
+	// The look-up of the index: its number, when and to which controller it was
+	// last sent, how often, and whether an answer came. missed says that no
+	// runner was known on arrival; held that this was counted in MissesHeld.
 	lookUp   uint64
 	lookedMs int64
 	lookedAt string
@@ -52,37 +54,47 @@
 	answered bool
 	missed   bool
 	held     bool
-	// away says that a send is under way, to runner.
+	// away says that an attempt at runner is under way; runner is the last one
+	// that the request was sent to.
 	away   bool
 	runner string
-	// goneMs is when it was sent on; reads says that its prompt is still to be
-	// read there, as far as this router knows.
+	// goneMs is when the last attempt began. reads says that its prompt counts
+	// as unread at the runner. goes counts the attempts, without those
+	// that ended before a byte was written; dials counts those that ended as
+	// NotSent. earned says that the request has been added to the retry budget.
 	goneMs int64
 	reads  bool
 	goes   int
 	dials  int
 	earned bool
-	// crowds says that it waits for want of a place.
+	// crowds says that it waits because all its runners are full.
 	crowds bool
-	// refused are runners that turned it away; failed ones that it was lost at.
+	// refused are the runners that rejected it without running it, failed those
+	// where an attempt failed and it may have run.
 	refused, failed []string
-	// unreached are those that could not be reached, until unreachedMs.
+	// unreached are the runners that could not be reached; they are left out
+	// until unreachedMs.
 	unreached   []string
 	unreachedMs int64
-	// mayHaveRun is set once a send was lost: from then on no answer promises
-	// that it has not run.
+	// mayHaveRun is set by the first attempt that a runner may have run: from
+	// then on the client is never told that the request has not run.
 	mayHaveRun bool
-	// passed says that the client has a part of the answer; kept that the
-	// shell has a failed answer to pass on.
+	// passed says that the client has the head of a response; kept that the
+	// shell has a failed response to forward. after and version are what a
+	// resumed stream must continue from, see Ended.
 	passed, kept bool
 	after        string
 	version      int64
-	// sinceMs is since when it waits in this turn.
+	// sinceMs is when it began to wait: on arrival, or when the last attempt
+	// ended.
 	sinceMs int64
-	// last is the kind it gets when nothing more can be done.
+	// last is the error kind of the last attempt, for the client if no other
+	// attempt follows.
 	last defect.Kind
 }
 
+// take admits a request: it is looked up, and sent on at once if a runner is free
+// and no more urgent request waits for a place.
 func (m *Machine) take(in Request) {
 	m.Tally.Requests++
 	r := &request{Request: in, cameMs: m.nowMs, sinceMs: m.nowMs, deadlineMs: m.nowMs + plainMs, draw: hash(in.Asked.Try)}
@@ -228,6 +240,7 @@
 	m.goTo(r, holder)
 }
 
+// goTo starts an attempt at a runner.
 func (m *Machine) goTo(r *request, h wire.MapHolder) {
 	if !r.earned {
 		r.earned = true
@@ -257,6 +270,7 @@
 // urgency maps a rank, nought first, to nought to nine.
 func urgency(priority int) int { return min(8, 3*max(0, priority)-max(0, priority-2)) }
 
+// gone forgets a request whose client disconnected.
 func (m *Machine) gone(id uint64) {
 	r := m.requests[id]
 	if r == nil {
--- a/relay/runners.go
+++ b/relay/runners.go
@@ -2,12 +2,15 @@
 
 import "myrtlewinch/wire"
 
+// leaves notes that a runner is shutting down, for candidates to leave it out. At
+// most leavingMost runners are remembered.
 func (m *Machine) leaves(id string) {
 	if _, known := m.leavers[id]; known || len(m.leavers) < leavingMost {
 		m.leavers[id] = m.nowMs
 	}
 }
 
+// isLeaving reports whether a runner is known to be shutting down.
 func (m *Machine) isLeaving(id string) bool {
 	_, leaving := m.leavers[id]
 	return leaving
@@ -62,6 +65,7 @@
 	m.wake()
 }
 
+// runner returns the state of a runner, and creates it on first use.
 func (m *Machine) runner(id string) *runner {
 	r := m.runners[id]
 	if r == nil {
--- a/relay/status.go
+++ b/relay/status.go
@@ -2,29 +2,43 @@
 
 import "myrtlewinch/defect"
 
-// Tally counts what a router did.
+// Tally holds the counters of a router since its start.
 type Tally struct {
+	// Of the requests that were looked up, on arrival Hits had a runner, be it
+	// a full one, and Misses had none. MissesHeld counts the misses
+	// that waited for at least missMs, LookUpsAgain the look-ups repeated at
+	// another controller.
 	Requests, LookUps, LookUpsAgain, Hits, Misses, MissesHeld uint64
-	Goes, SecondGoes, Resumes                                 uint64
-	Drops                                                     map[defect.Kind]uint64
+	// Goes counts attempts, SecondGoes those after the first of a request, and
+	// Resumes those that continue a stream the client has a part of.
+	Goes, SecondGoes, Resumes uint64
+	// Drops counts the rejected requests by error kind, and broken-off streams.
+	Drops map[defect.Kind]uint64
 }
 
-// Status is the status page of a router.
+// Status is the status page of a router, as it is encoded to JSON.
 type Status struct {
-	Name     string `json:"name"`
-	Version  uint64 `json:"version"`
-	Epoch    uint64 `json:"epoch"`
-	Primary  string `json:"primary"`
-	HeardMs  int64  `json:"heard_ms_ago"`
-	Routers  int    `json:"routers"`
-	Leaving  bool   `json:"leaving"`
-	Entries  int    `json:"entries"`
-	Runners  int    `json:"runners"`
-	Requests int    `json:"requests"`
-	Waiting  int    `json:"waiting"`
-	Tally    Tally  `json:"tally"`
+	Name string `json:"name"`
+	// Version is that of the service map in use; Epoch and Primary are those
+	// of the control plane as this router knows them.
+	Version uint64 `json:"version"`
+	Epoch   uint64 `json:"epoch"`
+	Primary string `json:"primary"`
+	// HeardMs is the age of the question that the primary answered last.
+	HeardMs int64 `json:"heard_ms_ago"`
+	// Routers is how many routers the site has, as the primary said last.
+	Routers int  `json:"routers"`
+	Leaving bool `json:"leaving"`
+	// Entries, Runners, Requests and Waiting are the sizes of the cache, of the
+	// runners' states, of all requests under way and of their waiting part.
+	Entries  int   `json:"entries"`
+	Runners  int   `json:"runners"`
+	Requests int   `json:"requests"`
+	Waiting  int   `json:"waiting"`
+	Tally    Tally `json:"tally"`
 }
 
+// status returns the status page; it shares nothing with the machine.
 func (m *Machine) status() Status {
 	tally := m.Tally
 	tally.Drops = map[defect.Kind]uint64{}
--- a/relay/waiting.go
+++ b/relay/waiting.go
@@ -2,8 +2,10 @@
 
 import "slices"
 
+// wait adds a request to the queue.
 func (m *Machine) wait(r *request) { m.waiting = append(m.waiting, r) }
 
+// unwait removes a request from the queue, if it is there.
 func (m *Machine) unwait(r *request) {
 	if r.service != nil && r.crowds {
 		r.crowds = false
@@ -40,6 +42,7 @@
 	}
 }
 
+// rank is the request's priority, 0 first; 0 as well before its route is known.
 func (r *request) rank() int {
 	if r.route == nil {
 		return 0
