--- /dev/null
+++ b/control/membership.go
@@ -0,0 +1,119 @@
+package control
+
+import (
+	"slices"
+
+	"myrtlewinch/wire"
+)
+
+// tendRecord recruits a new backup for a lost one and takes a blank witness in.
+func (m *Machine) tendRecord() {
+	s := &m.seat
+	if s.proposal != nil || m.nowMs >= s.holdUntilMs {
+		return
+	}
+	next := m.record
+	next.Epoch++
+	next.Before = m.record.Witnesses
+	// The copies go first: without them nothing is written.
+	if copies, gone, ok := m.nextCopies(); ok {
+		next.Pair, next.Gone = copies, gone
+		m.keep(next, false)
+		return
+	}
+	// Once a new witness set is recorded, the one before need not agree any more.
+	if !slices.Equal(m.record.Before, m.record.Witnesses) {
+		m.keep(next, false)
+		return
+	}
+	if i, seat, ok := m.nextWitness(); ok {
+		next.Witnesses = slices.Clone(m.record.Witnesses)
+		if i == len(next.Witnesses) {
+			next.Witnesses = append(next.Witnesses, seat)
+		} else {
+			if old := next.Witnesses[i]; old.Name == seat.Name {
+				next.Gone = m.record.Replaced(old)
+			}
+			next.Witnesses[i] = seat
+		}
+		m.keep(next, false)
+	}
+}
+
+// nextCopies gives the copies that the next record should name, and the disks
+// whose names have passed to another, if the copies should change: by one
+// member at a time. Of a lost or leaving copy nothing is given up before
+// another has taken its place; only what is over the number that must be is.
+func (m *Machine) nextCopies() (copies, gone []wire.Seat, changes bool) {
+	var bad, extra wire.Seat
+	for _, seat := range m.record.Pair {
+		switch {
+		case seat == m.ownSeat():
+		case m.staysCopy(seat):
+			extra = seat
+		default:
+			bad = seat
+		}
+	}
+	// A new primary takes recorded copies for good until their time to answer is
+	// over, so that none is recruited needlessly; but none is given up because of
+	// one that has not answered.
+	want, good, proven := m.set.Losses+1, m.countCopies(m.staysCopy), m.countCopies(m.provenCopy)
+	without := func(lost wire.Seat) []wire.Seat {
+		return slices.DeleteFunc(slices.Clone(m.record.Pair), func(seat wire.Seat) bool { return seat == lost })
+	}
+	switch {
+	case proven >= want && bad != wire.Seat{}:
+		m.note("%s is a copy no longer; enough others are", bad.Name)
+		return without(bad), m.record.Gone, true
+	case proven > want && extra != wire.Seat{}:
+		m.note("%s is a copy no longer; more are kept than must be", extra.Name)
+		return without(extra), m.record.Gone, true
+	case good >= want:
+		return nil, nil, false
+	}
+	spare, found := m.recruit(bad)
+	if !found {
+		return nil, nil, false
+	}
+	gone = m.record.Gone
+	// A disk that came back blank under the name takes over the name.
+	if old, ok := m.record.Names(spare.Name); ok && old != spare {
+		gone = m.record.Replaced(old)
+	}
+	m.note("recruiting %s as a copy", spare.Name)
+	return append(without(bad), spare), gone, true
+}
+
+// heir is the copy that a primary which stops on purpose asks to take over.
+func (m *Machine) heir() (wire.Seat, bool) {
+	for _, seat := range m.record.Pair {
+		if seat != m.ownSeat() && m.staysCopy(seat) {
+			return seat, true
+		}
+	}
+	return m.record.Fellow(m.set.Self.Name)
+}
+
+// recruit picks a follower that holds every change that was answered, in
+// another zone if it can. What is answered from then on needs it as well, so
+// it need not have what is still on its way.
+func (m *Machine) recruit(lost wire.Seat) (wire.Seat, bool) {
+	var best wire.Seat
+	found, other := false, false
+	for _, place := range m.roster.Part(wire.Controller) {
+		seat := wire.Seat{Name: place.Name, Incarnation: place.Incarnation}
+		c := m.copies.fellows[place.Name]
+		if seat == lost || m.record.Pairs(seat) || c == nil || c.acked < m.copies.committed {
+			continue
+		}
+		if !m.copies.keepsUp(m.nowMs, seat) || m.copies.leaves(seat) {
+			continue
+		}
+		elsewhere := place.Zone != m.set.Self.Zone
+		if !found || elsewhere && !other {
+			best, found, other = seat, true, elsewhere
+		}
+	}
+	return best, found
+}
