--- a/comparison/comparison.go
+++ b/comparison/comparison.go
@@ -92,7 +92,7 @@
 	}
 	b.put("epoch", fmt.Sprint(s.Record.Epoch), ageMs)
 	b.put("primary", s.Record.Primary, ageMs)
-	b.put("pair", seats(s.Record.Pair), ageMs)
+	b.put("pair", seats(s.Record.Replicas), ageMs)
 	b.put("witnesses", seats(s.Record.Witnesses), ageMs)
 	b.put("revision", fmt.Sprint(s.Revision), ageMs)
 	for _, row := range s.Rows {
--- a/control/tenant_test.go
+++ b/control/cluster_test.go
@@ -255,9 +255,9 @@
 		}
 		m := n.machine
 		out = append(out, fmt.Sprintf("%s disk %s: role %s, record %v, witness keeps %v promised %v, proposal %v, lease %d, established %v, broken %v, retired %v, at %v",
-			name, n.place.Incarnation, roleNames[m.seat.role], m.record, m.witness.Record, m.witness.Promised, m.seat.proposal,
-			m.seat.holdUntilMs-w.nowMs, m.seat.established, m.broken, m.retired, m.copies.synced))
-		for peer, f := range m.copies.peers {
+			name, n.place.Incarnation, roleNames[m.election.role], m.record, m.witness.Record, m.witness.Promised, m.election.proposal,
+			m.election.leaseUntilMs-w.nowMs, m.election.established, m.broken, m.retired, m.replication.synced))
+		for peer, f := range m.replication.peers {
 			out = append(out, fmt.Sprintf("    peer %s: %+v heard %d ago", peer, *f, w.nowMs-f.heardMs))
 		}
 	}
@@ -277,7 +277,7 @@
 			w.until(2500, "founding", w.serves)
 			w.run(2000)
 			record := w.record()
-			w.c.Assert(record.Pair, qt.HasLen, test.copies)
+			w.c.Assert(record.Replicas, qt.HasLen, test.copies)
 			w.c.Assert(record.Witnesses, qt.HasLen, test.witnesses)
 		})
 	}
@@ -292,7 +292,7 @@
 				w := newCore(qt.New(t), shape[0], shape[1])
 				w.kill(fmt.Sprintf("core-%d", gone))
 				w.until(9000, "bootstrap", w.serves)
-				w.c.Assert(w.record().Pair, qt.HasLen, shape[0]+1)
+				w.c.Assert(w.record().Replicas, qt.HasLen, shape[0]+1)
 				answered := w.put("kept")
 				w.until(1000, "an answer", func() bool { return *answered })
 			})
@@ -467,7 +467,7 @@
 		w.c.Assert(w.nodes[w.primary()].tenant.row, qt.Equals, "kept")
 	}
 	record := w.record()
-	for _, seat := range append(record.Pair, record.Witnesses...) {
+	for _, seat := range append(record.Replicas, record.Witnesses...) {
 		w.c.Assert(w.nodes[seat.Name].down, qt.IsFalse, qt.Commentf("%s sits still", seat.Name))
 	}
 }
--- a/control/departure.go
+++ b/control/departure.go
@@ -56,7 +56,7 @@
 	if !m.leaving.wanted || m.leaving.done {
 		return
 	}
-	if m.active() && m.seat.proposal == nil && m.mayLeave(m.ownSeat()) {
+	if m.active() && m.election.proposal == nil && m.mayLeave(m.ownSeat()) {
 		m.stepDown("planned stop")
 		m.depart("nothing is left to hand over")
 		return
@@ -82,15 +82,15 @@
 // mayLeave says, at the primary, whether a member has nothing left that some
 // other daemon could take over. A successor that still catches up is waited for.
 func (m *Machine) mayLeave(seat wire.Seat) bool {
-	return m.seat.proposal == nil && !m.copyIsAwaited(seat) && !m.voteIsAwaited(seat) && m.copiesKnowRecord(seat)
+	return m.election.proposal == nil && !m.copyIsAwaited(seat) && !m.voteIsAwaited(seat) && m.copiesKnowRecord(seat)
 }
 
 // copiesKnowRecord says whether all other copies that stay know the record that
 // names them. One that does not would not take over, and might be the only one
 // left once the member is gone.
 func (m *Machine) copiesKnowRecord(but wire.Seat) bool {
-	return !slices.ContainsFunc(m.record.Pair, func(seat wire.Seat) bool {
-		return seat != but && seat != m.ownSeat() && m.staysCopy(seat) && m.copies.peers[seat.Name].epoch != m.record.Epoch
+	return !slices.ContainsFunc(m.record.Replicas, func(seat wire.Seat) bool {
+		return seat != but && seat != m.ownSeat() && m.staysCopy(seat) && m.replication.peers[seat.Name].epoch != m.record.Epoch
 	})
 }
 
@@ -99,9 +99,9 @@
 func (m *Machine) copyIsAwaited(seat wire.Seat) bool {
 	enough := m.countCopies(func(other wire.Seat) bool { return other != seat && m.provenCopy(other) }) > m.set.Losses
 	if seat == m.ownSeat() {
-		return !enough && m.successor(m.record.Pair)
+		return !enough && m.successor(m.record.Replicas)
 	}
-	return m.record.Pairs(seat) && (enough || m.successor(m.record.Pair))
+	return m.record.HasReplica(seat) && (enough || m.successor(m.record.Replicas))
 }
 
 // voteIsAwaited says whether the vote of a member that leaves is to pass to
@@ -119,7 +119,7 @@
 	for _, place := range m.roster.Part(wire.Controller) {
 		seat := wire.Seat{Name: place.Name, Incarnation: place.Incarnation}
 		sits := slices.ContainsFunc(members, func(member wire.Seat) bool { return member.Name == seat.Name })
-		if !sits && m.copies.live(m.nowMs, seat) && !m.copies.leaves(seat) {
+		if !sits && m.replication.live(m.nowMs, seat) && !m.replication.leaves(seat) {
 			return true
 		}
 	}
@@ -129,7 +129,7 @@
 // countCopies counts the recorded copies of which something holds.
 func (m *Machine) countCopies(holds func(wire.Seat) bool) int {
 	count := 0
-	for _, seat := range m.record.Pair {
+	for _, seat := range m.record.Replicas {
 		if holds(seat) {
 			count++
 		}
@@ -142,18 +142,18 @@
 	if seat == m.ownSeat() {
 		return !m.leaving.wanted
 	}
-	return m.copies.keepsUp(m.nowMs, seat) && !m.copies.leaves(seat)
+	return m.replication.keepsUp(m.nowMs, seat) && !m.replication.leaves(seat)
 }
 
 // provenCopy says whether a recorded copy can be relied on and has answered
 // this primary.
 func (m *Machine) provenCopy(seat wire.Seat) bool {
-	f := m.copies.peers[seat.Name]
+	f := m.replication.peers[seat.Name]
 	return m.staysCopy(seat) && (seat == m.ownSeat() || f.answered)
 }
 
 // leaves says whether the disk's daemon is stopping as planned.
-func (c *copies) leaves(seat wire.Seat) bool {
+func (c *replication) leaves(seat wire.Seat) bool {
 	f := c.peers[seat.Name]
 	return f != nil && f.incarnation == seat.Incarnation && f.leaving
 }
--- a/control/departure_test.go
+++ b/control/departure_test.go
@@ -61,7 +61,7 @@
 		return w.backup()
 	}
 	for _, seat := range w.record().Witnesses {
-		if !w.record().Pairs(seat) {
+		if !w.record().HasReplica(seat) {
 			return seat.Name
 		}
 	}
@@ -78,7 +78,7 @@
 			newest = n.machine.record
 		}
 	}
-	members := newest.Pair
+	members := newest.Replicas
 	if which == "votes" {
 		members = newest.Witnesses
 	}
@@ -145,8 +145,8 @@
 	primary := w.nodes[w.primary()].machine
 	for _, n := range w.nodes {
 		n.machine.record = record
-		n.machine.witness.Record, n.machine.witness.Kept = record, primary.seat.ballot
-		n.machine.witness.Promised = primary.seat.ballot
+		n.machine.witness.Record, n.machine.witness.Kept = record, primary.election.ballot
+		n.machine.witness.Promised = primary.election.ballot
 	}
 }
 
@@ -173,7 +173,7 @@
 	w := served(qt.New(t), 1, 4)
 	leaver := w.backup()
 	for name, n := range w.nodes {
-		if !w.record().Pairs(wire.Seat{Name: name, Incarnation: n.place.Incarnation}) {
+		if !w.record().HasReplica(wire.Seat{Name: name, Incarnation: n.place.Incarnation}) {
 			n.saveMs = 100_000
 		}
 	}
--- a/control/duty.go
+++ b/control/duty.go
@@ -225,7 +225,7 @@
 
 // mayOrder says whether an order given now can't cross one of another holder.
 func (m *Machine) mayOrder() bool {
-	return m.active() && m.nowMs >= m.seat.ordersMs && m.described != nil && m.fencedAll()
+	return m.active() && m.nowMs >= m.election.ordersMs && m.described != nil && m.fencedAll()
 }
 
 // fencedAll says whether every listed runner that answers is fenced. One that
@@ -367,7 +367,7 @@
 
 // settled says whether both disks hold all that is in memory: nothing that
 // was written after the last answered change may reach a runner.
-func (m *Machine) settled() bool { return m.copies.committed >= m.state.Position.Number }
+func (m *Machine) settled() bool { return m.replication.committed >= m.state.Position.Number }
 
 func (m *Machine) sendOrder(name string) {
 	row, s := m.state.Rows[name], m.duty.seen[name]
@@ -379,7 +379,7 @@
 	}
 	s.orderMs = m.nowMs
 	m.out.Calls = append(m.out.Calls, wire.Call{Address: row.Address, Body: wire.OrderCall{
-		Runner: name, UntilMs: m.seat.holdUntilMs,
+		Runner: name, UntilMs: m.election.leaseUntilMs,
 		Order: wire.Order{
 			Holder: m.set.Self.Name, Epoch: m.record.Epoch, Number: row.Intent.Number, Incarnation: row.Incarnation, Action: row.Intent.Action,
 			Model: row.Intent.Model, Adapter: row.Intent.Adapter, Size: row.Intent.Size,
--- a/control/duty_test.go
+++ b/control/duty_test.go
@@ -32,9 +32,9 @@
 	}
 	m.state.Do(wire.Position{Epoch: 1, Number: 1}, []ledger.Command{ledger.Accept{Text: described, Epoch: 1}})
 	qt.Assert(t, m.describe(), qt.IsNil)
-	m.copies.synced, m.copies.taken = m.state.Position, m.state.Position
-	m.seat.grants = map[wire.Seat]int64{a: 1 << 40, b: 1 << 40}
-	m.becomePrimary(wire.Record{Epoch: 1, Primary: "a", Pair: []wire.Seat{a, b}, Witnesses: set, Before: set})
+	m.replication.synced, m.replication.taken = m.state.Position, m.state.Position
+	m.election.grants = map[wire.Seat]int64{a: 1 << 40, b: 1 << 40}
+	m.becomePrimary(wire.Record{Epoch: 1, Primary: "a", Replicas: []wire.Seat{a, b}, Witnesses: set, Before: set})
 	settle(m, 100_000)
 	qt.Assert(t, m.active(), qt.IsTrue)
 	return m
@@ -140,7 +140,7 @@
 				orders = append(orders, calls[wire.OrderCall](effects)...)
 				answerAll(m, nowMs, calls[wire.ReportCall](effects), test.epoch, test.silent)
 				// The hold and the backup live on.
-				m.seat.holdUntilMs = nowMs + 1000
+				m.election.leaseUntilMs = nowMs + 1000
 				for len(m.saves) > 0 {
 					for number := range m.saves {
 						orders = append(orders, calls[wire.OrderCall](m.Step(nowMs, wire.Saved{Number: number, Ok: true}))...)
--- a/control/seat.go
+++ b/control/election.go
@@ -24,8 +24,8 @@
 
 var roleNames = []string{"follower", "asking", "promising", "keeping", "primary"}
 
-// seat is this daemon's part in epochs.
-type seat struct {
+// election is this daemon's part in epochs.
+type election struct {
 	role    role
 	sinceMs int64
 	nextMs  int64
@@ -45,11 +45,11 @@
 	keepers   map[wire.Seat]bool
 	completes bool
 	// grants holds when the last renewal that was granted had been sent.
-	grants      map[wire.Seat]int64
-	holdUntilMs int64
-	ordersMs    int64
-	takesMs     int64
-	established bool
+	grants       map[wire.Seat]int64
+	leaseUntilMs int64
+	ordersMs     int64
+	takesMs      int64
+	established  bool
 	// quietMs is until when a recovered site says nothing.
 	quietMs  int64
 	founding *Founding
@@ -61,19 +61,19 @@
 	finishes bool
 }
 
-func (m *Machine) isPrimary() bool { return m.seat.role == primary }
+func (m *Machine) isPrimary() bool { return m.election.role == primary }
 
-// active says whether this daemon may speak for the site: the hold runs and
+// active says whether this daemon may speak for the site: the lease runs and
 // the other disk of the pair has all that this one has.
 func (m *Machine) active() bool {
-	return m.isPrimary() && m.nowMs < m.seat.holdUntilMs && m.seat.established && m.nowMs >= m.seat.quietMs
+	return m.isPrimary() && m.nowMs < m.election.leaseUntilMs && m.election.established && m.nowMs >= m.election.quietMs
 }
 
 // entitled says whether this disk may become primary under the record.
 func (m *Machine) entitled(record wire.Record) bool {
 	// The older interface has no one who takes over from a daemon that stops.
 	stops := m.leaving.wanted && m.set.Tenant == nil
-	return !m.broken && !stops && record.Pairs(m.ownSeat())
+	return !m.broken && !stops && record.HasReplica(m.ownSeat())
 }
 
 // mayStand also heeds what only this daemon's witness knows: the pair's new
@@ -82,14 +82,14 @@
 	return m.entitled(m.record) || m.witness.Record.Epoch > m.record.Epoch && m.entitled(m.witness.Record)
 }
 
-func (m *Machine) checkHold() {
-	if m.isPrimary() && m.nowMs >= m.seat.holdUntilMs {
-		m.loseSeat("the hold ran out")
+func (m *Machine) checkLease() {
+	if m.isPrimary() && m.nowMs >= m.election.leaseUntilMs {
+		m.losePrimacy("the lease ran out")
 	}
 }
 
-func (m *Machine) tickSeat() {
-	s := &m.seat
+func (m *Machine) tickElection() {
+	s := &m.election
 	switch s.role {
 	case follower:
 		if !m.mayStand() {
@@ -144,7 +144,7 @@
 // candidate asks. One that held off a moment ago may be free by now, and where
 // just a majority is left, one lost message would cost the whole attempt.
 func (m *Machine) askAgain() {
-	s := &m.seat
+	s := &m.election
 	if m.nowMs-s.askedMs < m.waits.RepeatMs {
 		return
 	}
@@ -161,11 +161,11 @@
 }
 
 func (m *Machine) retreat(waitMs int64) {
-	m.seat.role = follower
-	m.seat.nextMs = m.nowMs + waitMs
-	m.seat.proposal = nil
-	if f := m.seat.founding; f != nil {
-		m.seat.founding = nil
+	m.election.role = follower
+	m.election.nextMs = m.nowMs + waitMs
+	m.election.proposal = nil
+	if f := m.election.founding; f != nil {
+		m.election.founding = nil
 		m.answer(f.ID, wire.Dropped{Kind: defect.NotTaken, Detail: "not all witnesses agreed; they must be up (for a founding: blank, or left by this same act); repeat it"})
 	}
 }
@@ -173,9 +173,9 @@
 // askOpinions keeps one bad view from starting a take-over: the other core
 // daemons and the primary's watchers must miss it too.
 func (m *Machine) askOpinions() {
-	m.seat.role = asking
-	m.seat.sinceMs = m.nowMs
-	m.seat.opposed = false
+	m.election.role = asking
+	m.election.sinceMs = m.nowMs
+	m.election.opposed = false
 	asked := m.roster.Part(wire.Controller)
 	for _, place := range m.roster.Watchers(m.record.Primary) {
 		if !slices.Contains(asked, place) && place.Name != m.set.Self.Name {
@@ -192,7 +192,7 @@
 func (m *Machine) opinion(e wire.Envelope, ask wire.Opinion) {
 	// What counts is the primary's own word, not that its daemon lives: it may
 	// have lost its disk or stepped down.
-	heardMs := m.nowMs - m.seat.heardMs
+	heardMs := m.nowMs - m.election.heardMs
 	if m.isPrimary() {
 		heardMs = 0
 	}
@@ -203,22 +203,22 @@
 // newer one from then on, and asks anew: those who know the newest record may
 // hold no copy, and then only those who don't know it can take over.
 func (m *Machine) opined(_ wire.Place, said wire.Opined) {
-	if len(said.Record.Pair) > 0 && said.Record.Epoch > m.record.Epoch && !m.isPrimary() {
+	if len(said.Record.Replicas) > 0 && said.Record.Epoch > m.record.Epoch && !m.isPrimary() {
 		m.adopt(said.Record, wire.Ballot{})
-		if m.seat.role == asking {
+		if m.election.role == asking {
 			m.retreat(0)
 		}
 		return
 	}
-	if m.seat.role == asking && said.Epoch == m.record.Epoch && said.HeardMs < m.waits.MissMs {
-		m.seat.opposed = true
+	if m.election.role == asking && said.Epoch == m.record.Epoch && said.HeardMs < m.waits.MissMs {
+		m.election.opposed = true
 	}
 }
 
 // tickLearn asks the other controllers for a newer record while the primary is
 // missing: this daemon may be one that it entitles.
 func (m *Machine) tickLearn() {
-	s := &m.seat
+	s := &m.election
 	if m.record.Epoch == 0 || m.nowMs-s.heardMs <= m.waits.MissMs || m.nowMs-s.learnMs < m.waits.OpinionMs {
 		return
 	}
@@ -228,17 +228,17 @@
 	}
 }
 
-func (m *Machine) yielded(from wire.Place, said wire.Yield) {
+func (m *Machine) transferred(from wire.Place, said wire.Transfer) {
 	if said.Record.Primary == from.Name && !m.isPrimary() {
 		m.adopt(said.Record, wire.Ballot{})
 	}
-	if said.Record.Epoch == m.record.Epoch && from.Name == m.record.Primary && m.entitled(m.record) && m.seat.role == follower {
+	if said.Record.Epoch == m.record.Epoch && from.Name == m.record.Primary && m.entitled(m.record) && m.election.role == follower {
 		m.askPromises(false)
 	}
 }
 
 func (m *Machine) askPromises(found bool) {
-	s := &m.seat
+	s := &m.election
 	s.role = promising
 	s.sinceMs, s.askedMs = m.nowMs, m.nowMs
 	s.round = max(s.round, m.ballot.Round, m.witness.Promised.Round) + 1
@@ -258,27 +258,27 @@
 
 // promise is what a candidate asks of each witness.
 func (m *Machine) promise() wire.Promise {
-	f := m.seat.founding
+	f := m.election.founding
 	// Seeds that have not kept a half-recorded first record are blank still; they
 	// must be able to agree to its end.
-	finishes := m.set.Tenant != nil && f == nil && m.record.Epoch == 0 && m.seat.top.Epoch == firstEpoch
+	finishes := m.set.Tenant != nil && f == nil && m.record.Epoch == 0 && m.election.top.Epoch == firstEpoch
 	return wire.Promise{
-		Ballot: m.seat.ballot, Found: finishes || f != nil && !f.Recover, Recover: f != nil && f.Recover,
+		Ballot: m.election.ballot, Found: finishes || f != nil && !f.Recover, Recover: f != nil && f.Recover,
 		AllSeeds: f != nil && len(f.Witnesses) == len(m.set.Seeds),
 	}
 }
 
 func (m *Machine) askMore() {
-	for _, voter := range m.seat.top.Voters() {
-		if !m.seat.asked[voter] {
-			m.seat.asked[voter] = true
+	for _, voter := range m.election.top.Voters() {
+		if !m.election.asked[voter] {
+			m.election.asked[voter] = true
 			m.sendName(voter.Name, m.promise())
 		}
 	}
 }
 
 func (m *Machine) promised(from wire.Place, said wire.Promised) {
-	s := &m.seat
+	s := &m.election
 	s.round = max(s.round, said.Highest.Round)
 	if s.role != promising || said.Ballot != s.ballot {
 		return
@@ -322,7 +322,7 @@
 // heedRival gives way to a candidate under a higher ballot. Two that go on side
 // by side hold each other's witnesses off for as long as both of them try.
 func (m *Machine) heedRival(highest wire.Ballot) {
-	s := &m.seat
+	s := &m.election
 	if s.founding != nil || !s.ballot.Less(highest) {
 		return
 	}
@@ -337,7 +337,7 @@
 
 // keep asks the witnesses to store a record under the present ballot.
 func (m *Machine) keep(record wire.Record, completes bool) {
-	s := &m.seat
+	s := &m.election
 	if s.role != primary {
 		s.role = keeping
 		s.sinceMs = m.nowMs
@@ -352,16 +352,16 @@
 }
 
 func (m *Machine) sendKeeps() {
-	for _, voter := range m.seat.proposal.Voters() {
-		if m.seat.keepers[voter] {
+	for _, voter := range m.election.proposal.Voters() {
+		if m.election.keepers[voter] {
 			continue
 		}
-		m.sendName(voter.Name, wire.Keep{Ballot: m.seat.ballot, Record: *m.seat.proposal, EchoMs: m.nowMs})
+		m.sendName(voter.Name, wire.Keep{Ballot: m.election.ballot, Record: *m.election.proposal, EchoMs: m.nowMs})
 	}
 }
 
 func (m *Machine) kept(from wire.Place, said wire.Kept) {
-	s := &m.seat
+	s := &m.election
 	s.round = max(s.round, said.Highest.Round)
 	voter := wire.Seat{Name: from.Name, Incarnation: from.Incarnation}
 	if said.Ballot != s.ballot || !said.Granted {
@@ -376,12 +376,12 @@
 		}
 		return
 	}
-	// Any grant under this ballot holds others off, so it counts for the hold.
+	// Any grant under this ballot holds others off, so it counts for the lease.
 	if s.grants != nil {
 		s.grants[voter] = max(s.grants[voter], said.EchoMs)
 	}
 	if s.role == primary {
-		m.countHold()
+		m.countLease()
 	}
 	if s.proposal == nil || said.Epoch != s.proposal.Epoch || s.role != keeping && s.role != primary {
 		return
@@ -394,10 +394,10 @@
 	s.proposal = nil
 	if s.role == primary {
 		m.adopt(record, s.ballot)
-		m.countHold()
+		m.countLease()
 		m.advance()
 		// Who is entitled by it should know at the next tick.
-		m.copies.sentMs = m.nowMs - m.waits.FollowMs
+		m.replication.sentMs = m.nowMs - m.waits.FollowMs
 		return
 	}
 	if s.completes {
@@ -407,7 +407,7 @@
 			return
 		}
 		m.keep(wire.Record{
-			Epoch: record.Epoch + 1, Primary: m.set.Self.Name, Pair: record.Pair,
+			Epoch: record.Epoch + 1, Primary: m.set.Self.Name, Replicas: record.Replicas,
 			Witnesses: record.Witnesses, Before: record.Witnesses, Gone: record.Gone,
 		}, false)
 		return
@@ -415,10 +415,10 @@
 	m.becomePrimary(record)
 }
 
-// countHold counts the hold from when the renewals that a majority granted
+// countLease counts the lease from when the renewals that a majority granted
 // were sent, so that it ends here before it ends at any of them.
-func (m *Machine) countHold() {
-	s := &m.seat
+func (m *Machine) countLease() {
+	s := &m.election
 	sent := make([]int64, 0, len(s.grants))
 	for _, at := range s.grants {
 		sent = append(sent, at)
@@ -426,93 +426,93 @@
 	slices.Sort(sent)
 	for _, at := range slices.Backward(sent) {
 		if m.record.Majority(func(v wire.Seat) bool { given, ok := s.grants[v]; return ok && given >= at }) {
-			s.holdUntilMs = max(s.holdUntilMs, at+m.waits.LeaseMs)
+			s.leaseUntilMs = max(s.leaseUntilMs, at+m.waits.LeaseMs)
 			return
 		}
 	}
 }
 
 func (m *Machine) becomePrimary(record wire.Record) {
-	s := &m.seat
+	s := &m.election
 	m.adopt(record, s.ballot)
 	s.role = primary
 	s.established = false
-	s.holdUntilMs = 0
-	m.countHold()
+	s.leaseUntilMs = 0
+	m.countLease()
 	s.renewMs = m.nowMs
 	// Another may have ordered until now.
 	s.ordersMs = m.nowMs + m.set.GapMs
 	s.takesMs = m.nowMs + RouterHoldMs
 	m.duty.begin(m.nowMs, record.Epoch)
-	m.beginCopies()
+	m.beginReplication()
 	m.note("primary of epoch %d", record.Epoch)
 	recovers := s.founding != nil && s.founding.Recover
 	m.submit(func(ok bool) {
 		if !ok {
 			return
 		}
-		m.seat.established = true
+		m.election.established = true
 		if m.set.Tenant != nil {
-			m.seat.founding = nil
+			m.election.founding = nil
 			m.note("the copies are whole; epoch %d serves", m.record.Epoch)
 			m.set.Tenant.Began(host{m})
 			return
 		}
 		// What the lost pair gave must have run out before anyone hears of
 		// what may be older than it.
-		if m.seat.quietMs = 0; recovers {
-			m.seat.quietMs = m.nowMs + RouterHoldMs
+		if m.election.quietMs = 0; recovers {
+			m.election.quietMs = m.nowMs + RouterHoldMs
 		}
 		m.offer.current = m.state.Revision
 		m.offer.token = fmt.Sprintf("%s-%d", wire.Sum(m.state.Revision.Text), m.record.Epoch)
 		m.nudge()
 		m.note("the pair is whole; epoch %d serves", m.record.Epoch)
-		if f := m.seat.founding; f != nil {
-			m.seat.founding = nil
-			// No router has ever been given a hold.
+		if f := m.election.founding; f != nil {
+			m.election.founding = nil
+			// No router has ever been given a lease.
 			if !recovers {
-				m.seat.takesMs = m.nowMs
+				m.election.takesMs = m.nowMs
 			}
 			m.answer(f.ID, Founded{Epoch: m.record.Epoch, Primary: m.record.Primary, Backup: f.Backup})
 		}
 	}, m.beginWith()...)
 }
 
-// loseSeat ends this daemon's primacy without a word to anyone.
-func (m *Machine) loseSeat(why string) {
+// losePrimacy ends this daemon's primacy without a word to anyone.
+func (m *Machine) losePrimacy(why string) {
 	m.note("no longer primary: %s", why)
-	m.seat.role = follower
-	m.seat.established = false
-	m.seat.proposal = nil
-	m.seat.holdUntilMs = 0
-	m.seat.nextMs = m.nowMs + m.waits.RenewMs
-	m.seat.heardMs = m.nowMs
-	m.endCopies()
+	m.election.role = follower
+	m.election.established = false
+	m.election.proposal = nil
+	m.election.leaseUntilMs = 0
+	m.election.nextMs = m.nowMs + m.waits.RenewMs
+	m.election.heardMs = m.nowMs
+	m.endReplication()
 	if m.set.Tenant != nil {
 		m.set.Tenant.Ended(host{m})
 	} else {
 		m.endOffer()
 	}
-	if f := m.seat.founding; f != nil {
-		m.seat.founding = nil
+	if f := m.election.founding; f != nil {
+		m.election.founding = nil
 		m.answer(f.ID, wire.Dropped{Kind: defect.AcceptanceUnknown, Detail: "the founding may have been recorded; ask for the status"})
 	}
 }
 
 // stepDown ends the primacy on purpose, so that the next need not wait for
-// the hold to run out. The backup is told last, when this one has stopped.
+// the lease to run out. The backup is told last, when this one has stopped.
 func (m *Machine) stepDown(why string) {
 	if !m.isPrimary() {
 		return
 	}
 	epoch, voters := m.record.Epoch, m.record.Voters()
-	peer, paired := m.heir()
-	m.loseSeat(why)
-	m.seat.nextMs = m.nowMs + 2*m.waits.LeaseMs
+	peer, paired := m.nextPrimary()
+	m.losePrimacy(why)
+	m.election.nextMs = m.nowMs + 2*m.waits.LeaseMs
 	for _, voter := range voters {
-		m.sendName(voter.Name, wire.Release{Epoch: epoch, Ballot: m.seat.ballot})
+		m.sendName(voter.Name, wire.Release{Epoch: epoch, Ballot: m.election.ballot})
 	}
 	if paired {
-		m.sendName(peer.Name, wire.Yield{Record: m.record})
+		m.sendName(peer.Name, wire.Transfer{Record: m.record})
 	}
 }
--- a/control/seat_test.go
+++ b/control/election_test.go
@@ -8,7 +8,7 @@
 	"myrtlewinch/wire"
 )
 
-// The hold runs from when the renewals that a majority granted were sent, of
+// The lease runs from when the renewals that a majority granted were sent, of
 // the present witnesses and of those before.
 func TestCountHold(t *testing.T) {
 	a, b, c, d := diskOf("a", "1"), diskOf("b", "1"), diskOf("c", "1"), diskOf("d", "1")
@@ -31,13 +31,13 @@
 	for _, test := range cases {
 		t.Run(test.about, func(t *testing.T) {
 			m := &Machine{waits: usualTiming, record: wire.Record{Epoch: 1, Witnesses: test.witnesses, Before: test.before}}
-			m.seat.grants = test.grants
-			m.countHold()
+			m.election.grants = test.grants
+			m.countLease()
 			untilMs := int64(0)
 			if test.fromMs > 0 {
 				untilMs = test.fromMs + usualTiming.LeaseMs
 			}
-			qt.Assert(t, m.seat.holdUntilMs, qt.Equals, untilMs)
+			qt.Assert(t, m.election.leaseUntilMs, qt.Equals, untilMs)
 		})
 	}
 }
@@ -46,10 +46,10 @@
 func TestHoldRunsOut(t *testing.T) {
 	m := serving(t)
 	qt.Assert(t, m.active(), qt.IsTrue)
-	m.seat.holdUntilMs = m.nowMs + 100
+	m.election.leaseUntilMs = m.nowMs + 100
 	m.Step(m.nowMs+99, wire.Tick{})
 	qt.Assert(t, m.isPrimary(), qt.IsTrue)
-	m.seat.holdUntilMs = m.nowMs + 1
+	m.election.leaseUntilMs = m.nowMs + 1
 	effects := m.Step(m.nowMs+1, HandOver{ID: 3, Base: 1, Text: described})
 	qt.Assert(t, m.isPrimary(), qt.IsFalse)
 	qt.Assert(t, effects.Answers, qt.HasLen, 1)
@@ -69,17 +69,17 @@
 	for _, test := range cases {
 		t.Run(test.about, func(t *testing.T) {
 			m := serving(t)
-			m.loseSeat("test")
+			m.losePrimacy("test")
 			m.record.Primary = "b"
 			nowMs := m.nowMs + usualTiming.MissMs + usualTiming.RenewMs + 50
 			m.Step(nowMs, wire.Tick{})
-			qt.Assert(t, m.seat.role, qt.Equals, asking)
+			qt.Assert(t, m.election.role, qt.Equals, asking)
 			m.Step(nowMs+10, wire.Envelope{
 				Site: "s", To: "a", From: wire.Place{Name: "c", Address: "c:1", Part: wire.Controller, Incarnation: "1"},
 				Body: wire.Opined{Epoch: 1, HeardMs: test.heardMs},
 			})
 			m.Step(nowMs+usualTiming.OpinionMs, wire.Tick{})
-			qt.Assert(t, m.seat.role == promising, qt.Equals, test.takes)
+			qt.Assert(t, m.election.role == promising, qt.Equals, test.takes)
 		})
 	}
 }
@@ -101,10 +101,10 @@
 			m := w.nodes[primary].machine
 			next := m.record
 			next.Epoch++
-			ballot := m.seat.ballot
+			ballot := m.election.ballot
 			w.kill(primary)
 			for name, n := range w.nodes {
-				if n.down || next.Pairs(wire.Seat{Name: name, Incarnation: n.place.Incarnation}) {
+				if n.down || next.HasReplica(wire.Seat{Name: name, Incarnation: n.place.Incarnation}) {
 					continue
 				}
 				n.machine.witness.Record, n.machine.witness.Kept = next, ballot
@@ -128,24 +128,24 @@
 	m := w.nodes[primary].machine
 	var spare string
 	for name, n := range w.nodes {
-		if !m.record.Pairs(wire.Seat{Name: name, Incarnation: n.place.Incarnation}) {
+		if !m.record.HasReplica(wire.Seat{Name: name, Incarnation: n.place.Incarnation}) {
 			spare = name
 		}
 	}
 	next := m.record
 	next.Epoch++
 	var replaced string
-	for i, seat := range next.Pair {
+	for i, seat := range next.Replicas {
 		if seat.Name != primary {
 			replaced = seat.Name
-			next.Pair = append(append([]wire.Seat{}, next.Pair[:i]...), next.Pair[i+1:]...)
+			next.Replicas = append(append([]wire.Seat{}, next.Replicas[:i]...), next.Replicas[i+1:]...)
 			break
 		}
 	}
-	next.Pair = append(next.Pair, wire.Seat{Name: spare, Incarnation: w.nodes[spare].place.Incarnation})
+	next.Replicas = append(next.Replicas, wire.Seat{Name: spare, Incarnation: w.nodes[spare].place.Incarnation})
 	for name, n := range w.nodes {
 		if name != spare {
-			n.machine.witness.Record, n.machine.witness.Kept = next, m.seat.ballot
+			n.machine.witness.Record, n.machine.witness.Kept = next, m.election.ballot
 		}
 	}
 	w.kill(primary)
@@ -177,10 +177,10 @@
 			m := w.nodes[name].machine
 			w.kill(primary)
 			m.askPromises(false)
-			var refusal any = wire.Promised{Ballot: m.seat.ballot, Highest: test.highest}
+			var refusal any = wire.Promised{Ballot: m.election.ballot, Highest: test.highest}
 			if test.keeps {
 				m.keep(m.record, true)
-				refusal = wire.Kept{Ballot: m.seat.ballot, Highest: test.highest, Record: m.record}
+				refusal = wire.Kept{Ballot: m.election.ballot, Highest: test.highest, Record: m.record}
 			}
 			var other string
 			for peer := range w.nodes {
@@ -189,7 +189,7 @@
 				}
 			}
 			effects := m.Step(w.nowMs, w.from(other, name, refusal))
-			qt.Assert(t, m.seat.role == follower, qt.Equals, test.givesWay)
+			qt.Assert(t, m.election.role == follower, qt.Equals, test.givesWay)
 			released := 0
 			for _, send := range effects.Sends {
 				if _, is := send.Body.(wire.Release); is {
--- a/control/copy_test.go
+++ b/control/followers_test.go
@@ -24,8 +24,8 @@
 	}
 	for _, test := range cases {
 		t.Run(test.about, func(t *testing.T) {
-			f := &peerCopy{incarnation: "1"}
-			c := copies{waits: usualTiming, peers: map[string]*peerCopy{"b": f}}
+			f := &followerState{incarnation: "1"}
+			c := replication{waits: usualTiming, peers: map[string]*followerState{"b": f}}
 			nowMs := int64(5000)
 			for _, acked := range test.told {
 				nowMs += 300
--- a/control/founding.go
+++ b/control/founding.go
@@ -27,7 +27,7 @@
 		drop(defect.AlreadyFounded, "this controller belongs to a founded site")
 		return
 	}
-	if m.seat.founding != nil || m.seat.role != follower && m.witness.Record.Epoch == 0 {
+	if m.election.founding != nil || m.election.role != follower && m.witness.Record.Epoch == 0 {
 		drop(defect.NotTaken, "a founding is under way")
 		return
 	}
@@ -36,12 +36,12 @@
 		drop(defect.BadRequest, fault)
 		return
 	}
-	m.seat.first = first
-	if m.witness.Record.Epoch > 0 && !same(m.witness.Record, m.seat.first) {
+	m.election.first = first
+	if m.witness.Record.Epoch > 0 && !same(m.witness.Record, m.election.first) {
 		drop(defect.AlreadyFounded, "this controller's witness belongs to another founding")
 		return
 	}
-	m.seat.founding, m.seat.finishes = &f, false
+	m.election.founding, m.election.finishes = &f, false
 	m.askPromises(true)
 }
 
@@ -69,19 +69,19 @@
 	}
 	return wire.Record{
 		Epoch: 1, Primary: m.set.Self.Name,
-		Pair:      []wire.Seat{m.ownSeat(), {Name: backup.Name, Incarnation: backup.Incarnation}},
+		Replicas:  []wire.Seat{m.ownSeat(), {Name: backup.Name, Incarnation: backup.Incarnation}},
 		Witnesses: witnesses, Before: witnesses,
 	}, ""
 }
 
 // same says whether two records are of one act.
 func same(a, b wire.Record) bool {
-	return a.Epoch == b.Epoch && a.Primary == b.Primary && slices.Equal(a.Pair, b.Pair) && slices.Equal(a.Witnesses, b.Witnesses)
+	return a.Epoch == b.Epoch && a.Primary == b.Primary && slices.Equal(a.Replicas, b.Replicas) && slices.Equal(a.Witnesses, b.Witnesses)
 }
 
 // otherFounding ends a founding once a witness is seen to hold another record.
 func (m *Machine) otherFounding(from wire.Place, said wire.Promised) bool {
-	s := &m.seat
+	s := &m.election
 	if s.founding.Recover {
 		return m.otherRecovery(from, said)
 	}
@@ -94,7 +94,7 @@
 		return false
 	}
 	// A record that names this disk as a copy may have no other to finish it.
-	if said.Granted && said.Record.Epoch == firstEpoch && said.Record.Pairs(m.ownSeat()) {
+	if said.Granted && said.Record.Epoch == firstEpoch && said.Record.HasReplica(m.ownSeat()) {
 		s.first, s.top, s.topKept, s.finishes = said.Record, said.Record, said.Kept, true
 		m.askMore()
 		return false
@@ -111,18 +111,18 @@
 // them, not a majority: if any later epoch were recorded, one would know. To
 // finish another's attempt a majority will do, as for any half-recorded record.
 func (m *Machine) foundWith() {
-	if m.seat.finishes {
-		if m.seat.first.Majority(func(v wire.Seat) bool { return m.seat.granted[v] }) {
-			m.keep(m.seat.first, true)
+	if m.election.finishes {
+		if m.election.first.Majority(func(v wire.Seat) bool { return m.election.granted[v] }) {
+			m.keep(m.election.first, true)
 		}
 		return
 	}
-	for _, seat := range m.seat.first.Witnesses {
-		if !m.seat.granted[seat] {
+	for _, seat := range m.election.first.Witnesses {
+		if !m.election.granted[seat] {
 			return
 		}
 	}
-	m.keep(m.seat.first, false)
+	m.keep(m.election.first, false)
 }
 
 // foundAfterMs lets the seeds try one after the other, so that a seed that died
@@ -160,12 +160,12 @@
 // agreed to the other, unless more disks were lost than may be.
 func (m *Machine) tickFounding() {
 	m.markFirstDisk()
-	if !m.firstDisk || m.record.Epoch > 0 || m.state.Position.Number > 0 || m.seat.role != follower || m.seat.founding != nil {
+	if !m.firstDisk || m.record.Epoch > 0 || m.state.Position.Number > 0 || m.election.role != follower || m.election.founding != nil {
 		return
 	}
 	seeds := slices.Sorted(slices.Values(m.set.Seeds))
 	turn := slices.Index(seeds, m.set.Self.Address)
-	if turn < 0 || m.nowMs < m.startMs+int64(turn)*foundAfterMs || m.nowMs < m.seat.nextMs {
+	if turn < 0 || m.nowMs < m.startMs+int64(turn)*foundAfterMs || m.nowMs < m.election.nextMs {
 		return
 	}
 	waited := m.nowMs >= m.startMs+majorityAfterMs+int64(turn)*foundAfterMs
@@ -195,10 +195,10 @@
 // seedsRecord is the first record of a site that its seeds found: as many of
 // them as may be lost, and one more, hold copies.
 func (m *Machine) seedsRecord(witnesses []wire.Seat) wire.Record {
-	record := wire.Record{Epoch: 1, Primary: m.set.Self.Name, Pair: []wire.Seat{m.ownSeat()}, Witnesses: witnesses, Before: witnesses}
+	record := wire.Record{Epoch: 1, Primary: m.set.Self.Name, Replicas: []wire.Seat{m.ownSeat()}, Witnesses: witnesses, Before: witnesses}
 	for _, seat := range witnesses {
-		if seat != m.ownSeat() && len(record.Pair) < m.set.Losses+1 {
-			record.Pair = append(record.Pair, seat)
+		if seat != m.ownSeat() && len(record.Replicas) < m.set.Losses+1 {
+			record.Replicas = append(record.Replicas, seat)
 		}
 	}
 	return record
--- a/control/index.go
+++ b/control/index.go
@@ -27,7 +27,7 @@
 	if m.active() {
 		return 0
 	}
-	return m.nowMs - m.seat.heardMs
+	return m.nowMs - m.election.heardMs
 }
 
 func (m *Machine) lookUp(e wire.Envelope, ask wire.LookUp) {
@@ -63,7 +63,7 @@
 	if m.isPrimary() {
 		return m.duty.soft(m.nowMs)
 	}
-	return m.copies.soft
+	return m.replication.soft
 }
 
 // tellWaiting tells routers that asked lately of what has become loaded.
--- a/control/index_test.go
+++ b/control/index_test.go
@@ -85,7 +85,7 @@
 	told := 0
 	for range 40 {
 		nowMs += 50
-		m.seat.holdUntilMs = nowMs + 1000
+		m.election.leaseUntilMs = nowMs + 1000
 		for _, s := range m.duty.seen {
 			s.okMs = nowMs
 		}
--- a/control/machine.go
+++ b/control/machine.go
@@ -100,16 +100,16 @@
 	roster  *watch.Roster
 	// peers is the list last kept on the disk, peersSum what names it, and
 	// peersMs when it was written.
-	peers    string
-	peersSum uint64
-	peersMs  int64
-	seat     seat
-	copies   copies
-	offer    offer
-	index    index
-	duty     duty
-	table    choice.Table
-	startMs  int64
+	peers       string
+	peersSum    uint64
+	peersMs     int64
+	election    election
+	replication replication
+	offer       offer
+	index       index
+	duty        duty
+	table       choice.Table
+	startMs     int64
 }
 
 // New makes a controller from what its disk holds.
@@ -163,8 +163,8 @@
 		}
 	}
 	m.roster = watch.New(set.Self, set.Seeds, places)
-	m.seat = seat{heardMs: nowMs}
-	m.copies = copies{waits: set.Timing, synced: m.state.Position, taken: m.state.Position}
+	m.election = election{heardMs: nowMs}
+	m.replication = replication{waits: set.Timing, synced: m.state.Position, taken: m.state.Position}
 	m.offer.forget()
 	m.index = index{waiting: map[choice.Key]map[string]int64{}, counts: map[string]int64{}}
 	m.duty = newDuty()
@@ -230,7 +230,7 @@
 		return m.out
 	}
 	// A hold that ran out while nothing was done is noticed before anything else.
-	m.checkHold()
+	m.checkLease()
 	switch in := input.(type) {
 	case wire.Envelope:
 		m.receive(in)
@@ -281,9 +281,9 @@
 func (m *Machine) tick() {
 	primary := m.record.Primary
 	m.out.Sends = append(m.out.Sends, m.roster.Tick(m.nowMs, m.record.Epoch, primary, m.active())...)
-	m.tickSeat()
+	m.tickElection()
 	m.tickDeparture()
-	m.tickCopies()
+	m.tickReplication()
 	if m.set.Tenant != nil {
 		m.tickFounding()
 		m.set.Tenant.Tick(host{m})
@@ -336,7 +336,7 @@
 		m.roster.Learn(m.nowMs, body.Peers)
 		// What a core peer holds as its record is complete, so it may be
 		// taken; a router knows only the epoch and who is primary.
-		if len(body.Record.Pair) > 0 && body.Record.Epoch > m.record.Epoch && !m.isPrimary() {
+		if len(body.Record.Replicas) > 0 && body.Record.Epoch > m.record.Epoch && !m.isPrimary() {
 			m.adopt(body.Record, wire.Ballot{})
 		}
 	case wire.Retire:
@@ -352,7 +352,7 @@
 			return
 		}
 		answer, changed := m.witness.Promise(m.nowMs, e.From.Name, body)
-		answer.At = m.copies.synced
+		answer.At = m.replication.synced
 		m.saveWitness(changed, func() { m.reply(e, answer) })
 	case wire.Keep:
 		answer, changed := m.witness.Keep(m.nowMs, body)
@@ -370,12 +370,12 @@
 		m.opinion(e, body)
 	case wire.Opined:
 		m.opined(e.From, body)
-	case wire.Yield:
-		m.yielded(e.From, body)
+	case wire.Transfer:
+		m.transferred(e.From, body)
 	case wire.Follow:
 		m.follow(e, body)
-	case wire.Image:
-		m.image(e, body)
+	case wire.Snapshot:
+		m.takeSnapshot(e, body)
 	case wire.Followed:
 		m.followed(e.From, body)
 	case wire.Ask:
--- a/control/machine_test.go
+++ b/control/machine_test.go
@@ -11,7 +11,7 @@
 // A record is taken over only from who can have it whole.
 func TestKnownRecords(t *testing.T) {
 	seats := []wire.Seat{{Name: "b", Incarnation: "1"}, {Name: "a", Incarnation: "1"}}
-	whole := wire.Record{Epoch: 7, Primary: "b", Pair: seats, Witnesses: seats, Before: seats}
+	whole := wire.Record{Epoch: 7, Primary: "b", Replicas: seats, Witnesses: seats, Before: seats}
 	cases := []struct {
 		about  string
 		record wire.Record
@@ -19,15 +19,15 @@
 	}{
 		{"whole and newer", whole, 7},
 		{"a router's, without the pair", wire.Record{Epoch: 7, Primary: "b"}, 2},
-		{"older", wire.Record{Epoch: 1, Primary: "b", Pair: seats, Witnesses: seats, Before: seats}, 2},
-		{"one that says that this disk is gone", wire.Record{Epoch: 7, Primary: "b", Pair: seats[:1], Witnesses: seats, Before: seats, Gone: seats[1:]}, 2},
+		{"older", wire.Record{Epoch: 1, Primary: "b", Replicas: seats, Witnesses: seats, Before: seats}, 2},
+		{"one that says that this disk is gone", wire.Record{Epoch: 7, Primary: "b", Replicas: seats[:1], Witnesses: seats, Before: seats, Gone: seats[1:]}, 2},
 	}
 	for _, test := range cases {
 		t.Run(test.about, func(t *testing.T) {
 			self := wire.Place{Name: "a", Address: "a:1", Zone: "z", Part: wire.Controller, Incarnation: "1"}
 			m, err := New(Settings{Site: "s", Self: self}, map[string]string{}, 100_000)
 			qt.Assert(t, err, qt.IsNil)
-			m.record = wire.Record{Epoch: 2, Primary: "b", Pair: seats, Witnesses: seats, Before: seats}
+			m.record = wire.Record{Epoch: 2, Primary: "b", Replicas: seats, Witnesses: seats, Before: seats}
 			m.Step(100_001, wire.Envelope{
 				Site: "s", To: "a", From: wire.Place{Name: "x", Address: "x:1", Part: wire.Router, Incarnation: "1"},
 				Body: wire.Known{Record: test.record},
--- a/control/membership.go
+++ b/control/membership.go
@@ -8,8 +8,8 @@
 
 // tendRecord recruits a new backup for a lost one and takes a blank witness in.
 func (m *Machine) tendRecord() {
-	s := &m.seat
-	if s.proposal != nil || m.nowMs >= s.holdUntilMs {
+	s := &m.election
+	if s.proposal != nil || m.nowMs >= s.leaseUntilMs {
 		return
 	}
 	next := m.record
@@ -17,7 +17,7 @@
 	next.Before = m.record.Witnesses
 	// The copies go first: without them nothing is written.
 	if copies, gone, ok := m.nextCopies(); ok {
-		next.Pair, next.Gone = copies, gone
+		next.Replicas, next.Gone = copies, gone
 		m.keep(next, false)
 		return
 	}
@@ -46,7 +46,7 @@
 // another has taken its place; only what is over the number that must be is.
 func (m *Machine) nextCopies() (copies, gone []wire.Seat, changes bool) {
 	var bad, extra wire.Seat
-	for _, seat := range m.record.Pair {
+	for _, seat := range m.record.Replicas {
 		switch {
 		case seat == m.ownSeat():
 		case m.staysCopy(seat):
@@ -60,7 +60,7 @@
 	// one that has not answered.
 	want, good, proven := m.set.Losses+1, m.countCopies(m.staysCopy), m.countCopies(m.provenCopy)
 	without := func(lost wire.Seat) []wire.Seat {
-		return slices.DeleteFunc(slices.Clone(m.record.Pair), func(seat wire.Seat) bool { return seat == lost })
+		return slices.DeleteFunc(slices.Clone(m.record.Replicas), func(seat wire.Seat) bool { return seat == lost })
 	}
 	switch {
 	case proven >= want && bad != wire.Seat{}:
@@ -85,9 +85,9 @@
 	return append(without(bad), spare), gone, true
 }
 
-// heir is the copy that a primary which stops on purpose asks to take over.
-func (m *Machine) heir() (wire.Seat, bool) {
-	for _, seat := range m.record.Pair {
+// nextPrimary is the copy that a primary which stops on purpose asks to take over.
+func (m *Machine) nextPrimary() (wire.Seat, bool) {
+	for _, seat := range m.record.Replicas {
 		if seat != m.ownSeat() && m.staysCopy(seat) {
 			return seat, true
 		}
@@ -103,11 +103,11 @@
 	found, other := false, false
 	for _, place := range m.roster.Part(wire.Controller) {
 		seat := wire.Seat{Name: place.Name, Incarnation: place.Incarnation}
-		c := m.copies.peers[place.Name]
-		if seat == lost || m.record.Pairs(seat) || c == nil || c.acked < m.copies.committed {
+		c := m.replication.peers[place.Name]
+		if seat == lost || m.record.HasReplica(seat) || c == nil || c.acked < m.replication.committed {
 			continue
 		}
-		if !m.copies.keepsUp(m.nowMs, seat) || m.copies.leaves(seat) {
+		if !m.replication.keepsUp(m.nowMs, seat) || m.replication.leaves(seat) {
 			continue
 		}
 		elsewhere := place.Zone != m.set.Self.Zone
--- a/control/offer.go
+++ b/control/offer.go
@@ -114,7 +114,7 @@
 			m.drop(in.ID, kind, "the description has no effect", faults)
 			continue
 		}
-		if m.nowMs < m.seat.takesMs {
+		if m.nowMs < m.election.takesMs {
 			return
 		}
 		o.line = o.line[1:]
--- a/control/offer_test.go
+++ b/control/offer_test.go
@@ -32,7 +32,7 @@
 		{"nobody was heard", nil, false},
 		{"all acknowledged", map[wire.Seat]routerHold{diskOf("a", "1"): {acked: "t"}, diskOf("b", "1"): {acked: "t"}, diskOf("c", "1"): {acked: "t"}}, true},
 		{"one may still use the old", map[wire.Seat]routerHold{diskOf("a", "1"): {acked: "t"}, diskOf("b", "1"): {acked: "t"}, diskOf("c", "1"): {untilMs: nowMs + 1}}, false},
-		{"its hold has run out", map[wire.Seat]routerHold{diskOf("a", "1"): {acked: "t"}, diskOf("b", "1"): {acked: "t"}, diskOf("c", "1"): {untilMs: nowMs}}, true},
+		{"its lease has run out", map[wire.Seat]routerHold{diskOf("a", "1"): {acked: "t"}, diskOf("b", "1"): {acked: "t"}, diskOf("c", "1"): {untilMs: nowMs}}, true},
 		{"no majority", map[wire.Seat]routerHold{diskOf("a", "1"): {acked: "t"}, diskOf("b", "1"): {untilMs: nowMs}, diskOf("c", "1"): {untilMs: nowMs}}, false},
 		{"what was given to peers may run", map[wire.Seat]routerHold{diskOf("a", "1"): {acked: "t", givenMs: nowMs + 1}, diskOf("b", "1"): {acked: "t"}}, false},
 		{"that was waited out", map[wire.Seat]routerHold{diskOf("a", "1"): {acked: "t", givenMs: nowMs}, diskOf("b", "1"): {acked: "t"}}, true},
--- a/control/recovery.go
+++ b/control/recovery.go
@@ -25,14 +25,14 @@
 	case m.broken:
 		drop(defect.NotTaken, "this controller's disk failed")
 		return
-	case m.seat.founding != nil:
+	case m.election.founding != nil:
 		drop(defect.NotTaken, "a recovery is under way")
 		return
 	case m.isPrimary() || m.entitled(m.record) || m.mayStand():
 		drop(defect.NotTaken, "this disk is one of the pair: it takes over by itself")
 		return
 	}
-	for _, seat := range m.record.Pair {
+	for _, seat := range m.record.Replicas {
 		if place, known := m.roster.Place(seat.Name); known && place.Incarnation == seat.Incarnation && m.roster.Live(m.nowMs, seat.Name) {
 			drop(defect.NotTaken, "a disk of the pair is there: "+seat.Name+" takes over by itself")
 			return
@@ -52,19 +52,19 @@
 	// A disk of the lost pair that returns has another chain; it may not come
 	// back, and a blank one under its name is none of it.
 	first.Gone = m.record.Gone
-	for _, seat := range m.record.Pair {
+	for _, seat := range m.record.Replicas {
 		lost := wire.Record{Gone: first.Gone}
 		first.Gone = lost.Replaced(seat)
 	}
 	m.note("recovering: %s", shown)
-	m.seat.first, m.seat.founding = first, &f
+	m.election.first, m.election.founding = first, &f
 	m.askPromises(true)
 }
 
 // otherRecovery ends a recovery where a witness has a later copy, and goes
 // above any epoch that one knows.
 func (m *Machine) otherRecovery(from wire.Place, said wire.Promised) bool {
-	s := &m.seat
+	s := &m.election
 	if said.Record.Epoch >= s.first.Epoch {
 		s.first.Epoch = said.Record.Epoch + epochStep
 	}
@@ -81,7 +81,7 @@
 
 // beginWith is what a new primary writes first.
 func (m *Machine) beginWith() []ledger.Command {
-	if f := m.seat.founding; f != nil && f.Recover {
+	if f := m.election.founding; f != nil && f.Recover {
 		return []ledger.Command{beginCommand, ledger.Restart{Epoch: m.record.Epoch}}
 	}
 	return []ledger.Command{beginCommand}
--- a/control/copy.go
+++ b/control/replication.go
@@ -13,21 +13,21 @@
 	recentMost = 256
 	// recentBytesMost bounds the changes that are kept for followers which lack
 	// them, and so the message that brings them. Changes of a large row are soon
-	// more bytes than an image, which holds each row once.
+	// more bytes than a snapshot, which holds each row once.
 	recentBytesMost = 1 << 20
 )
 
 var beginCommand ledger.Command = ledger.Begin{}
 
-// copies is the copying of the control state: the primary's side of it, and
+// replication is the copying of the control state: the primary's side of it, and
 // what a follower has taken.
-type copies struct {
+type replication struct {
 	waits Timing
 	// synced is what this disk holds; taken is what was asked of it.
 	synced, taken wire.Position
 	writing       bool
 	writeMs       int64
-	line          []batch
+	line          []submission
 	waiting       []waiter
 	// committed is the last change that all copies have; at the start of a
 	// primacy it is all that this disk held, since any of it may have been
@@ -37,7 +37,7 @@
 	recent    []wire.Change
 	// recentBytes is the size of the rows in recent.
 	recentBytes int
-	peers       map[string]*peerCopy
+	peers       map[string]*followerState
 	soft        wire.Soft
 	sentMs      int64
 	beganMs     int64
@@ -61,7 +61,7 @@
 
 // overtaken says whether a later message of a primary was heard before this
 // one. It notes the message otherwise.
-func (c *copies) overtaken(epoch, sequence uint64) bool {
+func (c *replication) overtaken(epoch, sequence uint64) bool {
 	if epoch == c.heard.epoch && sequence <= c.heard.sequence || epoch < c.heard.epoch {
 		return true
 	}
@@ -69,7 +69,7 @@
 	return false
 }
 
-type batch struct {
+type submission struct {
 	commands []ledger.Command
 	then     func(ok bool)
 }
@@ -79,18 +79,18 @@
 	then   func(ok bool)
 }
 
-// peerCopy is how far a peer has followed.
-type peerCopy struct {
+// followerState is how far a peer has followed.
+type followerState struct {
 	incarnation string
 	heardMs     int64
 	// at is the furthest position that the disk was said to hold.
 	at    wire.Position
 	acked uint64
 	// sentSequence is the message that brought the newest changes.
-	sentSequence uint64
-	sent         uint64
-	sentMs       int64
-	needsImage   bool
+	sentSequence  uint64
+	sent          uint64
+	sentMs        int64
+	needsSnapshot bool
 	// peersSum names the list of peers that it has.
 	peersSum uint64
 	// behindMs is since when it lacks changes without taking any, or nought.
@@ -105,14 +105,14 @@
 }
 
 // live says whether the very disk answered lately.
-func (c *copies) live(nowMs int64, seat wire.Seat) bool {
+func (c *replication) live(nowMs int64, seat wire.Seat) bool {
 	f := c.peers[seat.Name]
 	return f != nil && f.incarnation == seat.Incarnation && nowMs-f.heardMs <= c.waits.MissMs
 }
 
 // keepsUp says whether the disk also takes writes: one that stalls lets its
 // daemon answer and would hold up every write of the site.
-func (c *copies) keepsUp(nowMs int64, seat wire.Seat) bool {
+func (c *replication) keepsUp(nowMs int64, seat wire.Seat) bool {
 	if !c.live(nowMs, seat) {
 		return false
 	}
@@ -121,7 +121,7 @@
 }
 
 // counted notes how far the peer is, and since when it lacks something.
-func (f *peerCopy) counted(nowMs int64, acked, last uint64) {
+func (f *followerState) counted(nowMs int64, acked, last uint64) {
 	if acked > f.acked || acked >= last {
 		f.behindMs = 0
 	}
@@ -131,23 +131,23 @@
 	}
 }
 
-func (m *Machine) beginCopies() {
-	c := &m.copies
-	c.peers = map[string]*peerCopy{}
+func (m *Machine) beginReplication() {
+	c := &m.replication
+	c.peers = map[string]*followerState{}
 	c.base, c.recent, c.recentBytes = m.state.Position, nil, 0
 	c.writing = false
 	c.committed = m.state.Position.Number
 	c.sentMs, c.beganMs = m.nowMs-m.waits.FollowMs, m.nowMs
 	c.sequence = 0
 	// A recorded peer has a time to show itself; the one before may be lost.
-	for _, seat := range m.record.Pair {
-		c.peers[seat.Name] = &peerCopy{incarnation: seat.Incarnation, heardMs: m.nowMs - m.waits.MissMs + m.set.ShowMs}
+	for _, seat := range m.record.Replicas {
+		c.peers[seat.Name] = &followerState{incarnation: seat.Incarnation, heardMs: m.nowMs - m.waits.MissMs + m.set.ShowMs}
 	}
 }
 
-// endCopies gives every write that waits the answer that its end is unknown.
-func (m *Machine) endCopies() {
-	c := &m.copies
+// endReplication gives every write that waits the answer that its end is unknown.
+func (m *Machine) endReplication() {
+	c := &m.replication
 	waiting, line := c.waiting, c.line
 	c.waiting, c.line, c.peers, c.recent, c.recentBytes = nil, nil, nil, nil, 0
 	c.writing = false
@@ -162,12 +162,12 @@
 // submit hands commands over; then runs once both disks of the pair have
 // them, or with false when that can't be known any more.
 func (m *Machine) submit(then func(ok bool), commands ...ledger.Command) {
-	m.copies.line = append(m.copies.line, batch{commands, then})
+	m.replication.line = append(m.replication.line, submission{commands, then})
 	m.pump()
 }
 
 func (m *Machine) pump() {
-	c := &m.copies
+	c := &m.replication
 	if c.writing || len(c.line) == 0 || !m.isPrimary() || m.broken {
 		return
 	}
@@ -185,19 +185,19 @@
 	c.writing, c.writeMs = true, m.nowMs
 	m.keepRows(disk.Write{Sets: change.Rows}, change.At, func() {
 		if m.isPrimary() {
-			m.copies.writing = false
+			m.replication.writing = false
 			m.advance()
 			m.pump()
 		}
 	})
 	for _, place := range m.roster.Part(wire.Controller) {
-		m.sendCopy(place)
+		m.sendFollow(place)
 	}
 }
 
 // keepRecent keeps a change for followers that lack it, and forgets the oldest
-// beyond the bounds: who lacks one of those gets an image.
-func (c *copies) keepRecent(change wire.Change) {
+// beyond the bounds: who lacks one of those gets a snapshot.
+func (c *replication) keepRecent(change wire.Change) {
 	c.recent = append(c.recent, change)
 	c.recentBytes += rowBytes(change.Rows)
 	for len(c.recent) > recentMost || c.recentBytes > recentBytesMost && len(c.recent) > 1 {
@@ -218,10 +218,10 @@
 
 // keepRows saves state rows; saves end in the order they were asked for.
 func (m *Machine) keepRows(w disk.Write, at wire.Position, then func()) {
-	m.copies.taken = at
+	m.replication.taken = at
 	m.save(w, func(ok bool) {
 		if ok {
-			m.copies.synced = at
+			m.replication.synced = at
 			then()
 		}
 	})
@@ -229,19 +229,19 @@
 
 // advance answers the writes that both disks of the pair now have.
 func (m *Machine) advance() {
-	c := &m.copies
-	if !m.isPrimary() || m.nowMs >= m.seat.holdUntilMs {
+	c := &m.replication
+	if !m.isPrimary() || m.nowMs >= m.election.leaseUntilMs {
 		return
 	}
 	// As many disks may be lost at once as there are further copies.
-	if m.set.Tenant != nil && len(m.record.Pair) < m.minCopies {
+	if m.set.Tenant != nil && len(m.record.Replicas) < m.minCopies {
 		return
 	}
 	done := c.synced.Number
-	pairs := [][]wire.Seat{m.record.Pair}
+	pairs := [][]wire.Seat{m.record.Replicas}
 	// While a new pair is being recorded, either may turn out to be in force.
-	if m.seat.proposal != nil {
-		pairs = append(pairs, m.seat.proposal.Pair)
+	if m.election.proposal != nil {
+		pairs = append(pairs, m.election.proposal.Replicas)
 	}
 	for _, pair := range pairs {
 		for _, seat := range pair {
@@ -263,57 +263,57 @@
 	}
 }
 
-func (m *Machine) tickCopies() {
-	if !m.isPrimary() || m.nowMs-m.copies.sentMs < m.waits.FollowMs {
+func (m *Machine) tickReplication() {
+	if !m.isPrimary() || m.nowMs-m.replication.sentMs < m.waits.FollowMs {
 		return
 	}
 	// A stalled disk would hold up the whole site; another's will not.
-	if m.copies.writing && m.nowMs-m.copies.writeMs > m.waits.StallMs {
+	if m.replication.writing && m.nowMs-m.replication.writeMs > m.waits.StallMs {
 		m.stepDown("the disk stalls")
 		return
 	}
-	m.copies.sentMs = m.nowMs
+	m.replication.sentMs = m.nowMs
 	if m.set.Tenant == nil {
-		m.copies.soft = m.duty.soft(m.nowMs)
+		m.replication.soft = m.duty.soft(m.nowMs)
 	}
 	for _, place := range m.roster.Part(wire.Controller) {
-		m.sendCopy(place)
+		m.sendFollow(place)
 	}
 }
 
-func (m *Machine) sendCopy(to wire.Place) {
-	c := &m.copies
+func (m *Machine) sendFollow(to wire.Place) {
+	c := &m.replication
 	f := c.peers[to.Name]
 	if f == nil {
-		f = &peerCopy{incarnation: to.Incarnation}
+		f = &followerState{incarnation: to.Incarnation}
 		c.peers[to.Name] = f
 	}
-	// One image is on its way at a time; meanwhile the word goes on.
-	if f.needsImage && m.nowMs-f.sentMs >= m.waits.ResendMs {
+	// One snapshot is on its way at a time; meanwhile the word goes on.
+	if f.needsSnapshot && m.nowMs-f.sentMs >= m.waits.ResendMs {
 		f.sentMs, f.sent = m.nowMs, m.state.Position.Number
 		c.sequence++
-		m.send(to, wire.Image{Sequence: c.sequence, Contact: f.contact, Record: m.record, At: m.state.Position, Rows: m.state.Rowset()})
+		m.send(to, wire.Snapshot{Sequence: c.sequence, Contact: f.contact, Record: m.record, At: m.state.Position, Rows: m.state.Rowset()})
 		return
 	}
 	// The time runs from the last change that came through, not from the last
 	// that was sent: a storm of changes would put it off for ever.
-	if !f.needsImage && f.acked < f.sent && m.nowMs-f.sentMs >= m.waits.ResendMs {
+	if !f.needsSnapshot && f.acked < f.sent && m.nowMs-f.sentMs >= m.waits.ResendMs {
 		f.sent, f.sentMs = f.acked, m.nowMs
 	}
 	c.sequence++
 	follow := wire.Follow{
-		Record: m.record, Ballot: m.seat.ballot, Last: m.state.Position, Soft: c.soft, PeersSum: m.roster.Sum(),
+		Record: m.record, Ballot: m.election.ballot, Last: m.state.Position, Soft: c.soft, PeersSum: m.roster.Sum(),
 		Sequence: c.sequence, MayLeave: f.leaving && m.mayLeave(wire.Seat{Name: to.Name, Incarnation: f.incarnation}),
 	}
 	// Without the lease a majority may stand behind another by now.
-	if m.nowMs < m.seat.holdUntilMs {
+	if m.nowMs < m.election.leaseUntilMs {
 		follow.Contact = f.contact
 	}
 	if f.peersSum != follow.PeersSum {
 		follow.Peers = m.roster.Places()
 	}
 	for _, change := range c.recent {
-		if change.At.Number > f.sent && !f.needsImage {
+		if change.At.Number > f.sent && !f.needsSnapshot {
 			follow.Changes = append(follow.Changes, change)
 		}
 	}
@@ -327,7 +327,7 @@
 }
 
 // onChain says whether a position is one this primary's state went through.
-func (c *copies) onChain(at wire.Position) bool {
+func (c *replication) onChain(at wire.Position) bool {
 	if at == c.base {
 		return true
 	}
@@ -340,13 +340,13 @@
 }
 
 func (m *Machine) followed(from wire.Place, said wire.Followed) {
-	c := &m.copies
+	c := &m.replication
 	if !m.isPrimary() || said.Epoch != m.record.Epoch && said.Epoch != m.record.Epoch-1 {
 		return
 	}
 	f := c.peers[from.Name]
 	if f == nil || f.incarnation != from.Incarnation {
-		f = &peerCopy{incarnation: from.Incarnation}
+		f = &followerState{incarnation: from.Incarnation}
 		c.peers[from.Name] = f
 	}
 	// A disk never goes back, so what tells of less was overtaken on its way.
@@ -358,13 +358,13 @@
 	f.heardMs, f.peersSum, f.contact, f.leaving = m.nowMs, said.PeersSum, said.Contact, said.Leaving
 	if !c.onChain(said.At) {
 		f.counted(m.nowMs, 0, m.state.Position.Number)
-		if !f.needsImage {
-			f.needsImage = true
+		if !f.needsSnapshot {
+			f.needsSnapshot = true
 			f.sentMs = m.nowMs - m.waits.ResendMs
 		}
 		return
 	}
-	f.needsImage = false
+	f.needsSnapshot = false
 	if said.At.Number > f.acked {
 		f.sentMs = m.nowMs
 	}
@@ -376,7 +376,7 @@
 
 // resendGap has changes sent again that the follower lacks although it heard
 // the message that brought them or a later one.
-func (f *peerCopy) resendGap(said wire.Followed) {
+func (f *followerState) resendGap(said wire.Followed) {
 	if said.Heard >= f.sentSequence && said.Taken.Number < f.sent {
 		f.sent = max(f.acked, said.Taken.Number)
 	}
@@ -389,7 +389,7 @@
 		return false
 	}
 	if record.Epoch > m.record.Epoch && m.isPrimary() {
-		m.loseSeat("a higher epoch serves")
+		m.losePrimacy("a higher epoch serves")
 	}
 	m.adopt(record, ballot)
 	return true
@@ -402,9 +402,9 @@
 		m.count(defect.Overtaken)
 		return
 	}
-	m.seat.heardMs = m.nowMs
+	m.election.heardMs = m.nowMs
 	// A candidate that hears the primary after all has no more cause.
-	if m.seat.role == asking {
+	if m.election.role == asking {
 		m.retreat(0)
 	}
 }
@@ -415,7 +415,7 @@
 	}
 	// Changes chain, so that of a message that was overtaken they still count;
 	// all else in it is older than what is known here.
-	if m.copies.overtaken(said.Record.Epoch, said.Sequence) {
+	if m.replication.overtaken(said.Record.Epoch, said.Sequence) {
 		m.count(defect.Overtaken)
 	} else {
 		m.hearPrimary(said.Contact)
@@ -433,7 +433,7 @@
 	changed := map[string]string{}
 	took := false
 	for _, change := range changes {
-		if change.Before != m.copies.taken || m.broken {
+		if change.Before != m.replication.taken || m.broken {
 			continue
 		}
 		if err := m.state.Take(change.Rows); err != nil {
@@ -454,12 +454,12 @@
 // heedWord takes what a primary's message says beside the changes.
 func (m *Machine) heedWord(said wire.Follow) {
 	if len(said.Peers) > 0 {
-		m.copies.peersSum = 0
+		m.replication.peersSum = 0
 		if m.roster.Learn(m.nowMs, said.Peers) {
-			m.copies.peersSum = said.PeersSum
+			m.replication.peersSum = said.PeersSum
 		}
 	}
-	m.copies.soft = said.Soft
+	m.replication.soft = said.Soft
 	m.table.Forget()
 	m.noteContact(said.Contact)
 	if said.MayLeave && m.leaving.wanted {
@@ -473,7 +473,7 @@
 	if echo.StartMs != m.startMs || echo.SentMs > m.nowMs {
 		return
 	}
-	m.copies.contactMs = max(m.copies.contactMs, echo.SentMs)
+	m.replication.contactMs = max(m.replication.contactMs, echo.SentMs)
 }
 
 // inContact says whether a majority stood behind what this daemon knows within
@@ -483,33 +483,33 @@
 	if m.isPrimary() {
 		return m.active()
 	}
-	return m.copies.contactMs > 0 && m.nowMs < m.copies.contactMs+m.waits.LeaseMs
+	return m.replication.contactMs > 0 && m.nowMs < m.replication.contactMs+m.waits.LeaseMs
 }
 
-func (m *Machine) image(e wire.Envelope, said wire.Image) {
+func (m *Machine) takeSnapshot(e wire.Envelope, said wire.Snapshot) {
 	if m.isPrimary() || m.broken || !m.heedPrimary(e.From, said.Record, wire.Ballot{}) {
 		return
 	}
-	// An image that a later change or image overtook would take back what this
+	// An snapshot that a later change or snapshot overtook would take back what this
 	// disk has acknowledged. Positions grow along every lawful history, so one
 	// that is not further than what was taken can only be late.
-	if !m.copies.taken.Less(said.At) {
+	if !m.replication.taken.Less(said.At) {
 		m.count(defect.Overtaken)
 		m.tellFollowed(e.From)
 		return
 	}
-	if !m.copies.overtaken(said.Record.Epoch, said.Sequence) {
+	if !m.replication.overtaken(said.Record.Epoch, said.Sequence) {
 		m.hearPrimary(said.Contact)
 	}
 	fresh := ledger.New()
 	if err := fresh.Take(said.Rows); err != nil {
-		m.note("an image can't be read: %v", err)
+		m.note("a snapshot can't be read: %v", err)
 		m.count(defect.Malformed)
 		return
 	}
 	m.state = fresh
 	m.stateChanged(said.Rows)
-	m.note("took an image at change %d", said.At.Number)
+	m.note("took a snapshot at change %d", said.At.Number)
 	m.keepRows(disk.Write{Clear: ledger.Prefix, Sets: said.Rows}, said.At, func() { m.tellFollowed(e.From) })
 }
 
@@ -520,9 +520,9 @@
 		return
 	}
 	m.send(to, wire.Followed{
-		Epoch: m.record.Epoch, At: m.copies.synced, WitnessBlank: m.witness.Blank(), PeersSum: m.copies.peersSum,
+		Epoch: m.record.Epoch, At: m.replication.synced, WitnessBlank: m.witness.Blank(), PeersSum: m.replication.peersSum,
 		Contact: wire.Contact{SentMs: m.nowMs, StartMs: m.startMs}, Leaving: m.leaving.wanted,
-		Taken: m.copies.taken, Heard: m.copies.heard.sequence,
+		Taken: m.replication.taken, Heard: m.replication.heard.sequence,
 	})
 }
 
--- a/control/replication_test.go
+++ b/control/replication_test.go
@@ -12,7 +12,7 @@
 // backup names a copy that is not the primary's.
 func (w *core) backup() string {
 	primary := w.primary()
-	for _, seat := range w.record().Pair {
+	for _, seat := range w.record().Replicas {
 		if seat.Name != primary {
 			return seat.Name
 		}
@@ -34,14 +34,14 @@
 		// late makes the message before the write that it must not undo.
 		late func(m *Machine) any
 	}{
-		{"an image", func(m *Machine) any {
-			return wire.Image{Sequence: m.copies.sequence, Record: m.record, At: m.state.Position, Rows: m.state.Rowset()}
+		{"a snapshot", func(m *Machine) any {
+			return wire.Snapshot{Sequence: m.replication.sequence, Record: m.record, At: m.state.Position, Rows: m.state.Rowset()}
 		}},
-		{"an image that no sequence tells from a later one", func(m *Machine) any {
-			return wire.Image{Sequence: 1 << 40, Record: m.record, At: m.state.Position, Rows: m.state.Rowset()}
+		{"a snapshot that no sequence tells from a later one", func(m *Machine) any {
+			return wire.Snapshot{Sequence: 1 << 40, Record: m.record, At: m.state.Position, Rows: m.state.Rowset()}
 		}},
 		{"a change that was taken before", func(m *Machine) any {
-			return wire.Follow{Sequence: m.copies.sequence, Record: m.record, Ballot: m.seat.ballot, Changes: m.copies.recent}
+			return wire.Follow{Sequence: m.replication.sequence, Record: m.record, Ballot: m.election.ballot, Changes: m.replication.recent}
 		}},
 	}
 	for _, test := range cases {
@@ -53,7 +53,7 @@
 				late := test.late(w.nodes[primary].machine)
 				w.write("after")
 				var backups []string
-				for _, seat := range w.record().Pair {
+				for _, seat := range w.record().Replicas {
 					if seat.Name != primary {
 						backups = append(backups, seat.Name)
 					}
@@ -78,10 +78,10 @@
 	m := w.nodes[primary].machine
 	old := wire.Followed{Epoch: m.record.Epoch, At: m.state.Position, Taken: m.state.Position}
 	w.write("after")
-	acked := m.copies.peers[backup].acked
+	acked := m.replication.peers[backup].acked
 	w.step(primary, w.from(backup, primary, old))
-	w.c.Assert(m.copies.peers[backup].acked, qt.Equals, acked)
-	w.c.Assert(m.copies.peers[backup].needsImage, qt.IsFalse)
+	w.c.Assert(m.replication.peers[backup].acked, qt.Equals, acked)
+	w.c.Assert(m.replication.peers[backup].needsSnapshot, qt.IsFalse)
 	w.c.Assert(m.out.Counts, qt.Contains, string(defect.Overtaken))
 }
 
@@ -118,7 +118,7 @@
 		t.Run(test.about, func(t *testing.T) {
 			w := served(qt.New(t), 1, 3)
 			m := w.nodes[w.backup()].machine
-			m.copies.contactMs = 0
+			m.replication.contactMs = 0
 			m.noteContact(test.echo(m))
 			qt.Assert(t, m.inContact(), qt.Equals, test.has)
 		})
@@ -154,7 +154,7 @@
 }
 
 // What is kept for followers that lack it stays within its bounds, and who
-// lacks more gets an image.
+// lacks more gets a snapshot.
 func TestRecentChangesAreBounded(t *testing.T) {
 	cases := []struct {
 		about              string
@@ -167,7 +167,7 @@
 	}
 	for _, test := range cases {
 		t.Run(test.about, func(t *testing.T) {
-			var c copies
+			var c replication
 			for i := range test.count {
 				at := wire.Position{Epoch: 1, Number: uint64(i + 1)}
 				c.keepRecent(wire.Change{At: at, Rows: map[string]string{"row": string(make([]byte, test.bytes))}})
@@ -204,8 +204,8 @@
 			m, p := w.nodes[name].machine, w.nodes[primary].machine
 			w.kill(primary)
 			w.run(800)
-			m.Step(w.nowMs, w.from(primary, name, wire.Follow{Record: m.record, Ballot: p.seat.ballot, Sequence: p.copies.sequence + 1, Contact: test.echo(m)}))
-			qt.Assert(t, m.seat.heardMs == w.nowMs, qt.Equals, test.lives)
+			m.Step(w.nowMs, w.from(primary, name, wire.Follow{Record: m.record, Ballot: p.election.ballot, Sequence: p.replication.sequence + 1, Contact: test.echo(m)}))
+			qt.Assert(t, m.election.heardMs == w.nowMs, qt.Equals, test.lives)
 		})
 	}
 }
--- a/control/retired.go
+++ b/control/retired.go
@@ -43,7 +43,7 @@
 	}
 	m.note("retired: another disk has this daemon's name; stop this one")
 	if m.isPrimary() {
-		m.loseSeat("this disk was replaced")
+		m.losePrimacy("this disk was replaced")
 	}
 	m.retired = true
 	if !m.broken {
--- a/control/status.go
+++ b/control/status.go
@@ -71,7 +71,7 @@
 	}
 	s := Status{
 		Site: m.set.Site, Name: m.set.Self.Name, Part: m.set.Self.Part, Incarnation: m.set.Self.Incarnation,
-		Role: roleNames[m.seat.role], Active: m.active(), Orders: m.mayOrder(), DiskBroken: m.broken, Retired: m.retired,
+		Role: roleNames[m.election.role], Active: m.active(), Orders: m.mayOrder(), DiskBroken: m.broken, Retired: m.retired,
 		WitnessBlank: m.witness.Blank(), Record: m.record, Position: m.state.Position, Revision: m.state.Revision.Number,
 		LookUps: m.index.looked, Platform: -1,
 	}
--- a/control/tenant.go
+++ b/control/tenant.go
@@ -34,10 +34,10 @@
 	// knows within the last lease: the primary by its lease, a follower by the
 	// primary's word. Without it nothing may be handed out.
 	InContact() bool
-	// HoldUntilMs is until when it may, if nothing more is heard.
-	HoldUntilMs() int64
+	// LeaseUntilMs is until when it may, if nothing more is heard.
+	LeaseUntilMs() int64
 	// OrdersFromMs is from when a new primary may order, since the one before
-	// may have ordered until its hold ran out.
+	// may have ordered until its lease ran out.
 	OrdersFromMs() int64
 	Self() wire.Place
 	Epoch() uint64
@@ -65,8 +65,8 @@
 func (h host) NowMs() int64        { return h.m.nowMs }
 func (h host) Active() bool        { return h.m.active() }
 func (h host) InContact() bool     { return h.m.inContact() }
-func (h host) HoldUntilMs() int64  { return h.m.seat.holdUntilMs }
-func (h host) OrdersFromMs() int64 { return h.m.seat.ordersMs }
+func (h host) LeaseUntilMs() int64 { return h.m.election.leaseUntilMs }
+func (h host) OrdersFromMs() int64 { return h.m.election.ordersMs }
 func (h host) Self() wire.Place    { return h.m.set.Self }
 func (h host) Epoch() uint64       { return h.m.record.Epoch }
 
--- a/control/timing.go
+++ b/control/timing.go
@@ -18,7 +18,7 @@
 	RepeatMs int64
 	// FollowMs passes between two words of the primary to a follower.
 	FollowMs int64
-	// ResendMs is how long a change or an image may stay unacknowledged before
+	// ResendMs is how long a change or a snapshot may stay unacknowledged before
 	// it is sent again.
 	ResendMs int64
 	// StallMs is how long a disk may take for a write before its daemon does not
--- a/control/witnesses.go
+++ b/control/witnesses.go
@@ -11,14 +11,14 @@
 
 // silentMs is how long the peer of a seat has not answered this primacy.
 func (m *Machine) silentMs(seat wire.Seat) int64 {
-	c := m.copies.peers[seat.Name]
+	c := m.replication.peers[seat.Name]
 	if seat == m.ownSeat() {
 		return 0
 	}
 	if c == nil {
-		return m.nowMs - m.copies.beganMs
+		return m.nowMs - m.replication.beganMs
 	}
-	return m.nowMs - max(c.heardMs, m.copies.beganMs)
+	return m.nowMs - max(c.heardMs, m.replication.beganMs)
 }
 
 // nextWitness gives the seat to change next, one at a time: a witness that
@@ -28,7 +28,7 @@
 // some witness of whatever set it knows.
 func (m *Machine) nextWitness() (int, wire.Seat, bool) {
 	for i, seat := range m.record.Witnesses {
-		if c := m.copies.peers[seat.Name]; c != nil && c.incarnation != seat.Incarnation && m.nowMs-c.heardMs <= m.waits.MissMs {
+		if c := m.replication.peers[seat.Name]; c != nil && c.incarnation != seat.Incarnation && m.nowMs-c.heardMs <= m.waits.MissMs {
 			m.note("taking in the new witness disk of %s", seat.Name)
 			return i, wire.Seat{Name: seat.Name, Incarnation: c.incarnation}, true
 		}
@@ -41,15 +41,15 @@
 		away = append(away, seat)
 	}
 	if len(away) == 0 {
-		m.copies.away = ""
+		m.replication.away = ""
 		return 0, wire.Seat{}, false
 	}
 	if seat, ok := m.outsider(); ok {
 		m.note("%s takes the place of witness %s, which stays away or leaves", seat.Name, away[0].Name)
 		return slices.Index(m.record.Witnesses, away[0]), seat, true
 	}
-	if m.copies.away != away[0].Name {
-		m.copies.away = away[0].Name
+	if m.replication.away != away[0].Name {
+		m.replication.away = away[0].Name
 		m.note("witness %s stays away and no other core machine can take its place; the next loss stops control", away[0].Name)
 	}
 	return 0, wire.Seat{}, false
@@ -72,7 +72,7 @@
 // leavingWitness gives a witness whose daemon is stopping as planned.
 func (m *Machine) leavingWitness() (wire.Seat, bool) {
 	for _, seat := range m.record.Witnesses {
-		if m.copies.leaves(seat) || seat == m.ownSeat() && m.leaving.wanted {
+		if m.replication.leaves(seat) || seat == m.ownSeat() && m.leaving.wanted {
 			return seat, true
 		}
 	}
@@ -84,7 +84,7 @@
 	for _, place := range m.roster.Part(wire.Controller) {
 		seat := wire.Seat{Name: place.Name, Incarnation: place.Incarnation}
 		sits := slices.ContainsFunc(m.record.Witnesses, func(w wire.Seat) bool { return w.Name == seat.Name })
-		if !sits && m.copies.keepsUp(m.nowMs, seat) && !m.copies.leaves(seat) && m.copies.peers[seat.Name].acked >= m.copies.committed {
+		if !sits && m.replication.keepsUp(m.nowMs, seat) && !m.replication.leaves(seat) && m.replication.peers[seat.Name].acked >= m.replication.committed {
 			return seat, true
 		}
 	}
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -142,7 +142,7 @@
 // others are small.
 func weight(e wire.Envelope) (bytes int) {
 	switch body := e.Body.(type) {
-	case wire.Image:
+	case wire.Snapshot:
 		return rowBytes(body.Rows)
 	case wire.Follow:
 		for _, change := range body.Changes {
--- a/daemon/peers_test.go
+++ b/daemon/peers_test.go
@@ -13,7 +13,7 @@
 )
 
 func imageOf(bytes int) wire.Envelope {
-	return wire.Envelope{Body: wire.Image{Rows: map[string]string{"map": strings.Repeat("r", bytes)}}}
+	return wire.Envelope{Body: wire.Snapshot{Rows: map[string]string{"map": strings.Repeat("r", bytes)}}}
 }
 
 func followOf(changes, bytes int) wire.Envelope {
--- a/endurance/site_test.go
+++ b/endurance/site_test.go
@@ -377,10 +377,10 @@
 		return false
 	}
 	record := s.record(primary)
-	if len(record.Pair) != s.losses+1 || len(record.Witnesses) != 2*s.losses+1 {
+	if len(record.Replicas) != s.losses+1 || len(record.Witnesses) != 2*s.losses+1 {
 		return false
 	}
-	for _, seat := range append(slices.Clone(record.Pair), record.Witnesses...) {
+	for _, seat := range append(slices.Clone(record.Replicas), record.Witnesses...) {
 		if !slices.ContainsFunc(s.members, func(m *member) bool {
 			return !m.down && m.name == seat.Name && m.incarnation == seat.Incarnation
 		}) {
--- a/endurance/wire_test.go
+++ b/endurance/wire_test.go
@@ -32,7 +32,7 @@
 		atMost  int
 		tooMuch bool
 	}{
-		{"an image", wire.Image{Rows: rows(rowBytes)}, 1, 56_000, false},
+		{"an image", wire.Snapshot{Rows: rows(rowBytes)}, 1, 56_000, false},
 		{"10 changes", changes(10, rowBytes), 1, 545_000, false},
 		{"100 changes", changes(100, rowBytes), 1, 5_430_000, false},
 		{"150 changes", changes(150, rowBytes), 1, 8_150_000, false},
@@ -40,7 +40,7 @@
 		{"256 changes", changes(256, rowBytes), 1, 0, true},
 		{"a batch of 64 changes", changes(1, rowBytes), 64, 3_480_000, false},
 		{"a batch of 9 times 1 MiB", changes(19, rowBytes), 9, 0, true},
-		{"an image of the largest configuration", wire.Image{Rows: rows(4 << 20 * 4 / 3)}, 1, 5_600_000, false},
+		{"an image of the largest configuration", wire.Snapshot{Rows: rows(4 << 20 * 4 / 3)}, 1, 5_600_000, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
--- a/holdings/index_test.go
+++ b/holdings/index_test.go
@@ -169,7 +169,7 @@
 }
 
 // A follower answers as the primary does, counts, and goes on from there.
-func TestFollowerAnswersFromTheImage(t *testing.T) {
+func TestFollowerAnswersFromTheSnapshot(t *testing.T) {
 	c := qt.New(t)
 	s := newStand(t, 8, newMap(20, 42, 4.2), 8)
 	s.fill(0, 1)
--- a/modelcheck/cluster.go
+++ b/modelcheck/cluster.go
@@ -264,7 +264,7 @@
 // active says whether a member may speak for the site at this moment.
 func (c *cluster) active(m *member) bool {
 	host := m.tenant.host
-	return !m.down && host != nil && host.Active() && c.nowMs < host.HoldUntilMs()
+	return !m.down && host != nil && host.Active() && c.nowMs < host.LeaseUntilMs()
 }
 
 // primary gives the active member, or -1.
--- a/modelcheck/explore_test.go
+++ b/modelcheck/explore_test.go
@@ -89,7 +89,7 @@
 	c := qt.New(t)
 	scope := Scope{
 		Deviations: 1, Depth: 1000, ProbeDeviations: -1, Scenario: scenarioNamed(c, "replica wiped, writes"),
-		Faults: []FaultKind{DelayMessage, DuplicateMessage}, Messages: []string{"Image"},
+		Faults: []FaultKind{DelayMessage, DuplicateMessage}, Messages: []string{"Snapshot"},
 	}
 	report := Explore(scope)
 	assertNone(c, scope, report)
--- a/modelcheck/fault_test.go
+++ b/modelcheck/fault_test.go
@@ -32,7 +32,7 @@
 		{"all lose power, and a disk beside a loss", 1, []int64{0, startMs + 100, 0}, Fault{Kind: PowerLoss, Set: 1}, nil, false},
 		{"the lost member again", 1, []int64{startMs + 100, 0, 0}, Fault{Kind: Crash}, nil, true},
 		{"a lost message beside a loss", 1, []int64{0, startMs + 100, 0}, Fault{Kind: DropMessage}, nil, true},
-		{"a message that is not looked at", 1, []int64{0, 0, 0}, Fault{Kind: DropMessage}, []string{"Image"}, false},
+		{"a message that is not looked at", 1, []int64{0, 0, 0}, Fault{Kind: DropMessage}, []string{"Snapshot"}, false},
 		{"a stalled disk beside a loss", 1, []int64{0, startMs + 100, 0}, Fault{Kind: DelayWrite, Ms: stalledWriteMs}, nil, false},
 		{"a slow disk beside a loss", 1, []int64{0, startMs + 100, 0}, Fault{Kind: DelayWrite, Ms: slowWriteMs}, nil, true},
 	} {
--- a/modelcheck/scenario.go
+++ b/modelcheck/scenario.go
@@ -186,6 +186,6 @@
 		return -1
 	}
 	return slices.IndexFunc(c.members, func(m *member) bool {
-		return m != c.members[primary] && !m.down && remembered.Record.Pairs(m.seat()) == (role == Replica)
+		return m != c.members[primary] && !m.down && remembered.Record.HasReplica(m.seat()) == (role == Replica)
 	})
 }
--- a/modelcheck/scope.go
+++ b/modelcheck/scope.go
@@ -43,7 +43,7 @@
 	LeaveMs int64
 	// Faults says which kinds of fault are explored; empty means all.
 	Faults []FaultKind
-	// Messages names the types of message, such as Image, that faults of messages
+	// Messages names the types of message, such as Snapshot, that faults of messages
 	// apply to; empty means all.
 	Messages []string
 	// ProbeDeviations is the most deviations of a schedule after which every set
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -186,7 +186,7 @@
 
 // goOn carries out what the ledger has due.
 func (s *Steward) goOn(h control.Host) {
-	calls, tells := s.keeper.Tick(h.NowMs(), h.HoldUntilMs())
+	calls, tells := s.keeper.Tick(h.NowMs(), h.LeaseUntilMs())
 	for _, call := range calls {
 		if order, is := call.Body.(wire.CommandCall); is {
 			h.Note("order %d to %s: %s %s %s", order.Number, order.Runner, action(order.Load), order.Model, order.Adapter)
--- a/wire/bodies.go
+++ b/wire/bodies.go
@@ -15,7 +15,7 @@
 }
 
 // Heartbeat goes to the few watchers that the sender's place on the ring
-// names. Serving says that the sender is the primary and its hold runs: that
+// names. Serving says that the sender is the primary and its lease runs: that
 // a daemon lives does not mean that it still serves.
 type Heartbeat struct {
 	Epoch   uint64
@@ -72,7 +72,7 @@
 	Ballot Ballot
 	Record Record
 	Found  bool
-	// EchoMs is the sender's own time, for counting the hold it begins.
+	// EchoMs is the sender's own time, for counting the lease it begins.
 	EchoMs int64
 }
 
@@ -101,9 +101,9 @@
 	Ballot Ballot
 }
 
-// Yield tells a copy to take over now. It may not have been told of the last
+// Transfer tells a copy to take over now. It may not have been told of the last
 // record yet.
-type Yield struct{ Record Record }
+type Transfer struct{ Record Record }
 
 // Opinion asks a peer whether it too misses the primary.
 type Opinion struct{ Epoch uint64 }
@@ -158,7 +158,7 @@
 	// word costs the same however large the site is.
 	Peers    []Place
 	PeersSum uint64
-	// Sequence counts the primary's messages of this kind and its images within
+	// Sequence counts the primary's messages of this kind and its snapshots within
 	// an epoch; a follower refuses one that was overtaken.
 	Sequence uint64
 	// Contact echoes the follower's own clock while the primary's lease runs.
@@ -176,8 +176,8 @@
 	SentMs, StartMs int64
 }
 
-// Image replaces a follower's whole state.
-type Image struct {
+// Snapshot replaces a follower's whole state.
+type Snapshot struct {
 	Sequence uint64
 	// Contact is that of Follow.
 	Contact Contact
@@ -192,7 +192,7 @@
 	return hex.EncodeToString(sum[:8])
 }
 
-// Followed answers a Follow or an Image, once what it brought is synced.
+// Followed answers a Follow or a Snapshot, once what it brought is synced.
 type Followed struct {
 	Epoch uint64
 	At    Position
@@ -231,7 +231,7 @@
 	Number uint64
 }
 
-// Prolong asks a peer router to renew the hold on a revision, while the
+// Prolong asks a peer router to renew the lease on a revision, while the
 // primary is silent.
 type Prolong struct {
 	EchoMs   int64
@@ -320,7 +320,7 @@
 func init() {
 	for _, body := range []any{
 		Heartbeat{}, Hello{}, Known{}, Sightings{}, Promise{}, Promised{}, Keep{}, Kept{}, Renew{},
-		Release{}, Yield{}, Opinion{}, Opined{}, Follow{}, Image{}, Followed{}, Ask{}, Word{}, Nudge{}, Prolong{}, Prolonged{},
+		Release{}, Transfer{}, Opinion{}, Opined{}, Follow{}, Snapshot{}, Followed{}, Ask{}, Word{}, Nudge{}, Prolong{}, Prolonged{},
 		LookUp{}, Index{}, Demand{}, Retire{},
 	} {
 		gob.Register(body)
--- a/wire/record.go
+++ b/wire/record.go
@@ -26,8 +26,8 @@
 type Record struct {
 	Epoch   uint64 `json:"epoch"`
 	Primary string `json:"primary"`
-	// Pair names the two disks that hold every answered write.
-	Pair      []Seat `json:"pair"`
+	// Replicas names the two disks that hold every answered write.
+	Replicas  []Seat `json:"pair"`
 	Witnesses []Seat `json:"witnesses"`
 	// Before is the witness set that had to agree to this record.
 	Before []Seat `json:"before"`
@@ -46,7 +46,7 @@
 
 // Names gives the disk that the record names for a daemon, if it does.
 func (r Record) Names(name string) (Seat, bool) {
-	for _, seat := range append(slices.Clone(r.Pair), r.Witnesses...) {
+	for _, seat := range append(slices.Clone(r.Replicas), r.Witnesses...) {
 		if seat.Name == name {
 			return seat, true
 		}
@@ -54,12 +54,12 @@
 	return Seat{}, false
 }
 
-// Pairs says whether the disk is one of the pair.
-func (r Record) Pairs(seat Seat) bool { return slices.Contains(r.Pair, seat) }
+// HasReplica says whether the disk is one of the pair.
+func (r Record) HasReplica(seat Seat) bool { return slices.Contains(r.Replicas, seat) }
 
 // Peer gives the other disk of the pair.
 func (r Record) Peer(name string) (Seat, bool) {
-	for _, seat := range r.Pair {
+	for _, seat := range r.Replicas {
 		if seat.Name != name {
 			return seat, true
 		}
--- a/witness/witness.go
+++ b/witness/witness.go
@@ -24,10 +24,10 @@
 	Memory
 	self wire.Seat
 	// leaseMs is how long no other may become primary after a renewal.
-	leaseMs     int64
-	startMs     int64
-	holder      string
-	holdUntilMs int64
+	leaseMs      int64
+	startMs      int64
+	holder       string
+	leaseUntilMs int64
 }
 
 // New makes a witness from what its disk holds. A lease lasts leaseMs, at all
@@ -41,8 +41,8 @@
 	// A hold given before the restart may still run. Only the one whose record
 	// was kept last can have been given it, since a renewal is of a kept record;
 	// so all others wait it out, and that one need not.
-	w.holdUntilMs = nowMs + w.leaseMs
-	// Where a promise came after the record, to whom a hold was given may be
+	w.leaseUntilMs = nowMs + w.leaseMs
+	// Where a promise came after the record, to whom a lease was given may be
 	// forgotten: then no one gets a vote until it is out.
 	if w.Kept == w.Promised {
 		w.holder = w.Kept.Name
@@ -74,8 +74,8 @@
 		return answer, false
 	}
 	// The hold that was given keeps every other out while it runs.
-	if nowMs < w.holdUntilMs && w.holder != from {
-		answer.WaitMs = w.holdUntilMs - nowMs
+	if nowMs < w.leaseUntilMs && w.holder != from {
+		answer.WaitMs = w.leaseUntilMs - nowMs
 		return answer, false
 	}
 	if ask.Ballot.Less(w.Promised) {
@@ -110,7 +110,7 @@
 		w.Kept = ask.Ballot
 	}
 	// The hold is the candidate's own, also while it completes another's record.
-	w.hold(nowMs, ask.Ballot.Name)
+	w.grantLease(nowMs, ask.Ballot.Name)
 	answer.Granted = true
 	answer.Highest = w.Promised
 	answer.Record = w.Record
@@ -129,20 +129,20 @@
 	if ask.Record.Epoch > w.Record.Epoch || ask.Ballot != w.Kept {
 		return w.Keep(nowMs, wire.Keep{Ballot: ask.Ballot, Record: ask.Record, EchoMs: ask.EchoMs})
 	}
-	w.hold(nowMs, ask.Ballot.Name)
+	w.grantLease(nowMs, ask.Ballot.Name)
 	answer.Granted = true
 	return answer, false
 }
 
-// Release ends the hold on purpose.
+// Release ends the lease on purpose.
 func (w *Witness) Release(from string, ask wire.Release) {
 	if ask.Epoch == w.Record.Epoch && ask.Ballot == w.Kept && from == w.holder {
-		w.holdUntilMs = 0
+		w.leaseUntilMs = 0
 		w.holder = ""
 	}
 }
 
-func (w *Witness) hold(nowMs int64, holder string) {
+func (w *Witness) grantLease(nowMs int64, holder string) {
 	w.holder = holder
-	w.holdUntilMs = nowMs + w.leaseMs
+	w.leaseUntilMs = nowMs + w.leaseMs
 }
--- a/witness/witness_test.go
+++ b/witness/witness_test.go
@@ -14,7 +14,7 @@
 const leaseMs = 1500
 
 func record(epoch uint64, primary string) wire.Record {
-	return wire.Record{Epoch: epoch, Primary: primary, Pair: seats[:2], Witnesses: seats, Before: seats}
+	return wire.Record{Epoch: epoch, Primary: primary, Replicas: seats[:2], Witnesses: seats, Before: seats}
 }
 
 func ballot(round uint64, name string) wire.Ballot { return wire.Ballot{Round: round, Name: name} }
