--- a/steward/words_test.go
+++ b/steward/words_test.go
@@ -41,7 +41,7 @@
 func (h *wordHost) NowMs() int64              { return h.nowMs }
 func (h *wordHost) Active() bool              { return true }
 func (h *wordHost) InContact() bool           { return !h.outOfContact }
-func (h *wordHost) LeaseUntilMs() int64        { return h.nowMs + 2000 }
+func (h *wordHost) LeaseUntilMs() int64       { return h.nowMs + 2000 }
 func (h *wordHost) OrdersFromMs() int64       { return h.nowMs }
 func (h *wordHost) Self() wire.Place          { return wordSelf }
 func (h *wordHost) Epoch() uint64             { return 1 }
