--- a/defect/kind.go
+++ b/defect/kind.go
@@ -107,6 +107,9 @@
 	NotHeld:       {http.StatusConflict, 0, true},
 	StaleRevision: {http.StatusConflict, 0, true},
 	OtherRunner:   {http.StatusConflict, 0, true},
+	Overtaken:     {http.StatusConflict, 0, true},
+	NotFirstDisk:  {http.StatusConflict, 0, true},
+	NoContact:     {http.StatusServiceUnavailable, 1, true},
 	RingFull:      {http.StatusServiceUnavailable, 1, true},
 }
 
