Give way to a higher ballot only where no majority is left

Mend: a candidate gives way once the witnesses that refused for the sake of a higher ballot leave no majority of those that are there.

--- a/control/election.go
+++ b/control/election.go
@@ -38,6 +38,8 @@
 	// asked holds whom the promise was asked of; granted who gave it.
 	asked   map[wire.Seat]bool
 	granted map[wire.Seat]bool
+	// refused holds who refused for the sake of a higher ballot.
+	refused map[wire.Seat]bool
 	top     wire.Record
 	topKept wire.Ballot
 	// proposal is the record being kept, by this ballot.
@@ -243,7 +245,7 @@
 	s.sinceMs, s.askedMs = m.nowMs, m.nowMs
 	s.round = max(s.round, m.ballot.Round, m.witness.Promised.Round) + 1
 	s.ballot = wire.Ballot{Round: s.round, Name: m.set.Self.Name}
-	s.asked, s.granted = map[wire.Seat]bool{}, map[wire.Seat]bool{}
+	s.asked, s.granted, s.refused = map[wire.Seat]bool{}, map[wire.Seat]bool{}, map[wire.Seat]bool{}
 	s.top, s.topKept = m.record, m.ballot
 	// What only this daemon's own witness keeps names whom to ask, too: of a
 	// bootstrap that was cut short there is nothing else.
@@ -305,7 +307,7 @@
 			m.askPromises(true)
 			s.sinceMs = sinceMs
 		} else {
-			m.heedRival(said.Highest)
+			m.heedRival(from, said.Highest, s.top, s.granted)
 		}
 		return
 	}
@@ -319,13 +321,23 @@
 	}
 }
 
-// heedRival gives way to a candidate under a higher ballot. Two that go on side
-// by side hold each other's witnesses off for as long as both of them try.
-func (m *Machine) heedRival(highest wire.Ballot) {
+// heedRival gives way to a candidate under a higher ballot, once so many refuse
+// for its sake that no majority is left. Two that go on side by side hold each
+// other's witnesses off for as long as both of them try; but one witness may
+// remember a ballot of long ago.
+func (m *Machine) heedRival(from wire.Place, highest wire.Ballot, record wire.Record, agreed map[wire.Seat]bool) {
 	s := &m.election
 	if s.founding != nil || !s.ballot.Less(highest) {
 		return
 	}
+	s.refused[wire.Seat{Name: from.Name, Incarnation: from.Incarnation}] = true
+	mayAgree := func(voter wire.Seat) bool {
+		there := voter == m.ownSeat() || m.roster.Live(m.nowMs, voter.Name)
+		return agreed[voter] || there && !s.refused[voter]
+	}
+	if record.Majority(mayAgree) {
+		return
+	}
 	if s.role == keeping {
 		// What witnesses granted with the record would keep the other out.
 		for _, voter := range s.proposal.Voters() {
@@ -372,7 +384,7 @@
 			m.send(from, wire.Keep{Ballot: s.ballot, Record: m.record, EchoMs: m.nowMs})
 		}
 		if s.role == keeping && said.Ballot == s.ballot {
-			m.heedRival(said.Highest)
+			m.heedRival(from, said.Highest, *s.proposal, s.keepers)
 		}
 		return
 	}
