--- a/control/election.go
+++ b/control/election.go
@@ -331,8 +331,10 @@
 		return
 	}
 	s.refused[wire.Seat{Name: from.Name, Incarnation: from.Incarnation}] = true
+	// Right after its start this daemon has not heard of the others yet.
+	started := m.nowMs-m.startMs < m.waits.MissMs
 	mayAgree := func(voter wire.Seat) bool {
-		there := voter == m.ownSeat() || m.roster.Live(m.nowMs, voter.Name)
+		there := started || voter == m.ownSeat() || m.roster.Live(m.nowMs, voter.Name)
 		return agreed[voter] || there && !s.refused[voter]
 	}
 	if record.Majority(mayAgree) {
--- a/control/election_test.go
+++ b/control/election_test.go
@@ -6,6 +6,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"myrtlewinch/wire"
+	"myrtlewinch/witness"
 )
 
 // The lease runs from when the renewals that a majority granted were sent, of
@@ -204,3 +205,31 @@
 		})
 	}
 }
+
+// After a kill of all the recorded primary serves again at once, also where one
+// witness remembers a ballot of long ago.
+func TestRestartedPrimaryHeedsNoBallotOfLongAgo(t *testing.T) {
+	for _, remembers := range []string{"core-1", "core-2", "core-3"} {
+		t.Run(remembers, func(t *testing.T) {
+			w := served(qt.New(t), 1, 3)
+			w.write("kept")
+			primary := w.primary()
+			if remembers == primary {
+				return
+			}
+			// Some attempts of its own, behind a cut, that nobody heard of.
+			n := w.nodes[remembers]
+			n.machine.witness.Promised = wire.Ballot{Round: 40, Name: remembers}
+			n.keys[witness.Key] = n.machine.witness.Text()
+			for name := range w.nodes {
+				w.kill(name)
+			}
+			w.ahead = nil
+			w.run(700)
+			for name := range w.nodes {
+				w.restart(name)
+			}
+			w.until(300, "the recorded primary", func() bool { return w.primary() == primary })
+		})
+	}
+}
