Bring the refusal before all else in the test of a restarted primary

It passed without the mend before: the third member was heard in the same ms. It fails now with the members that start not counted as there.

--- a/control/election_test.go
+++ b/control/election_test.go
@@ -227,9 +227,13 @@
 			w.ahead = nil
 			w.run(700)
 			for name := range w.nodes {
+				// The refusal comes before anything of the third member.
+				w.cut[name+">"+primary] = name != remembers
 				w.restart(name)
 			}
-			w.until(300, "the recorded primary", func() bool { return w.primary() == primary })
+			w.run(100)
+			w.cut = map[string]bool{}
+			w.until(400, "the recorded primary", func() bool { return w.primary() == primary })
 		})
 	}
 }
