--- a/internal/proxy/clientconn.go
+++ b/internal/proxy/clientconn.go
@@ -1,9 +1,11 @@
 package proxy
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -89,7 +91,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &clientConn{Conn: accepted, limits: l.limits}
+	c := &clientConn{Conn: accepted, limits: l.limits, acceptedAt: time.Now()}
 	c.setIdle()
 	return c, nil
 }
@@ -115,6 +117,25 @@
 	phase  connPhase
 	// since is when the phase began.
 	since time.Time
+	// acceptedAt is when the connection was accepted.
+	acceptedAt time.Time
+	// closed is set by Close, from any goroutine.
+	closed atomic.Bool
+}
+
+// clientConnKey is the key of a request's clientConn in its context.
+type clientConnKey struct{}
+
+// withClientConn is the standard server's callback that makes the context of a
+// connection's requests.
+func withClientConn(ctx context.Context, connection net.Conn) context.Context {
+	return context.WithValue(ctx, clientConnKey{}, connection)
+}
+
+// clientConnOf returns the connection of a request, or nil.
+func clientConnOf(r *http.Request) *clientConn {
+	c, _ := r.Context().Value(clientConnKey{}).(*clientConn)
+	return c
 }
 
 // trackClientConn is the standard server's callback for state changes of a
@@ -137,6 +158,13 @@
 	c.phase, c.since = connIdle, time.Now()
 }
 
+// Close closes the connection. The standard server calls it when the goroutine
+// that serves the connection ends, and for connections that it takes for idle.
+func (c *clientConn) Close() error {
+	c.closed.Store(true)
+	return c.Conn.Close()
+}
+
 // Read reads within the limit of the phase.
 func (c *clientConn) Read(p []byte) (int, error) {
 	switch c.phase {
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -70,6 +70,7 @@
 	defer func() {
 		if !finished {
 			runtime.Submit(ClientDisconnected{ID: id})
+			e.noteClosedHere()
 		}
 	}()
 	for !finished {
@@ -86,6 +87,17 @@
 	}
 }
 
+// noteClosedHere counts and logs a request that ends without a response
+// because this process, not its client, closed the connection.
+func (e *exchange) noteClosedHere() {
+	connection := clientConnOf(e.request)
+	if connection == nil || !connection.closed.Load() {
+		return
+	}
+	e.server.runtime.Count(countClosedUnder)
+	e.server.logger.Warn("connection closed under a request", "request", e.params.RequestID, "forwarded", e.forwarded)
+}
+
 // perform carries out one output of the machine. It reports whether the
 // request is finished for the machine, and whether the client's connection is
 // to be aborted.
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"context"
 	"io"
 	"net"
 	"net/http"
@@ -29,8 +28,6 @@
 	smallBodyBytes = 64 << 10
 	// bodyReadTimeout is how long the reading of a body may take.
 	bodyReadTimeout = 10 * time.Second
-	// drainPoll is the time between two looks for the end of a shutdown.
-	drainPoll = 20 * time.Millisecond
 
 	// defaultLargeBodyBytes limits the bodies above smallBodyBytes that are
 	// held at the same time, if the memory is not limited; otherwise it is one
@@ -50,12 +47,6 @@
 	requestMemoryKb      = 96
 	requestMemoryDivisor = 2
 
-	// clientsLeaveMs is how long after the ready page answers 503 the platform
-	// may still send new clients here.
-	clientsLeaveMs = 2200
-	// shutdownMarginMs is how long before the end of the grace period a
-	// shutdown ends even if requests are under way.
-	shutdownMarginMs = 700
 	// retryOverloadMs is the Retry-After of a router that is overloaded.
 	retryOverloadMs = 300
 )
@@ -67,6 +58,7 @@
 	countStreamsAborted   = "streams broken off"
 	countSilentRunner     = "sends to a dark runner given up"
 	countInvalidResponses = "answers that are none"
+	countClosedUnder      = "connections closed under a request"
 )
 
 // Server is a router as a process: its machine in a process.Runtime, and the
@@ -78,11 +70,13 @@
 	codec          Codec
 	clientListener net.Listener
 	clientServer   *http.Server
+	logger         *log.Logger
 	// activeRequests counts the requests that are served now, at most
 	// maxRequests.
 	activeRequests atomic.Int64
 	maxRequests    int64
 	draining       atomic.Bool
+	shutdown       shutdownObserver
 	tracker        attemptTracker
 	// largeBodyBytes is the announced length of all large bodies held now, at
 	// most maxLargeBodyBytes.
@@ -100,14 +94,14 @@
 	clock := process.NewClock()
 	s := &Server{
 		machine: New(settings, format, clock.NowMs()), settings: settings, codec: codec, clientListener: clients,
-		maxRequests: maxRequestsOf(settings), maxLargeBodyBytes: maxLargeBodyBytesOf(settings),
+		logger: logger, maxRequests: maxRequestsOf(settings), maxLargeBodyBytes: maxLargeBodyBytesOf(settings),
 	}
 	s.runtime = process.New(process.Options{
 		Site: settings.Site, Self: settings.Self, Clock: clock, Log: logger, TickMs: tickMs, Caller: caller,
 	}, s.machine, nil, peers, ready, http.HandlerFunc(s.servePlatform))
 	s.clientServer = &http.Server{
 		// clientConn sets the deadlines for idle connections and heads.
-		Handler: s, ConnState: trackClientConn, MaxHeaderBytes: headBytesCeiling, DisableGeneralOptionsHandler: true,
+		Handler: s, ConnContext: withClientConn, ConnState: trackClientConn, MaxHeaderBytes: headBytesCeiling, DisableGeneralOptionsHandler: true,
 		ErrorLog: logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
 	return s, nil
@@ -150,16 +144,6 @@
 	return err
 }
 
-// closeClients closes the clients' connections, those of requests under way
-// only after half of the shutdown margin.
-func (s *Server) closeClients() {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownMarginMs/2*time.Millisecond)
-	defer cancel()
-	if s.clientServer.Shutdown(ctx) != nil {
-		_ = s.clientServer.Close()
-	}
-}
-
 // clientLimits returns the limits of the configuration in use.
 func (s *Server) clientLimits() clientLimits { return clientLimitsOf(s.machine.Configuration()) }
 
@@ -170,29 +154,6 @@
 // released. It is for tests.
 func (s *Server) Pause() (release func()) { return s.runtime.Pause() }
 
-// Shutdown makes the ready page answer 503, waits until the platform sends no
-// new clients and all requests have ended, and returns then, or shortly before
-// the end of the grace period.
-func (s *Server) Shutdown() {
-	clock := s.runtime.Clock()
-	startMs := clock.NowMs()
-	s.draining.Store(true)
-	s.runtime.Submit(Drain{})
-	endMs := startMs + max(clientsLeaveMs, s.settings.Bounds.GraceMs-shutdownMarginMs)
-	clientsLeft := false
-	for nowMs := startMs; nowMs < endMs; nowMs = clock.NowMs() {
-		if !clientsLeft && nowMs-startMs >= clientsLeaveMs {
-			clientsLeft = true
-			// Idle connections are not used any more.
-			s.clientServer.SetKeepAlivesEnabled(false)
-		}
-		if clientsLeft && s.activeRequests.Load() == 0 {
-			return
-		}
-		time.Sleep(drainPoll)
-	}
-}
-
 // servePlatform serves the status and counters pages, and under any other path
 // the ready page.
 func (s *Server) servePlatform(w http.ResponseWriter, r *http.Request) {
@@ -236,6 +197,7 @@
 	defer s.activeRequests.Add(-1)
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
+		s.shutdown.requestArrived(s.runtime.Clock().NowMs(), r)
 	}
 	if active > s.maxRequests {
 		s.runtime.Count(countTooManyRequests)
--- /dev/null
+++ b/internal/proxy/shutdown.go
@@ -0,0 +1,85 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// drainPoll is the time between two looks for the end of a shutdown.
+	drainPoll = 20 * time.Millisecond
+	// clientsLeaveMs is how long after the ready page answers 503 the platform
+	// may still send new clients here.
+	clientsLeaveMs = 2200
+	// shutdownMarginMs is how long before the end of the grace period a
+	// shutdown ends even if requests are under way.
+	shutdownMarginMs = 700
+)
+
+// Shutdown makes the ready page answer 503, waits until the platform sends no
+// new clients and all requests have ended, and returns then, or shortly before
+// the end of the grace period.
+func (s *Server) Shutdown() {
+	clock := s.runtime.Clock()
+	startMs := clock.NowMs()
+	s.shutdown.startedAt, s.shutdown.startMs = time.Now(), startMs
+	s.draining.Store(true)
+	s.logger.Info("stopping", "requests", s.activeRequests.Load())
+	defer s.logShutdown()
+	s.runtime.Submit(Drain{})
+	endMs := startMs + max(clientsLeaveMs, s.settings.Bounds.GraceMs-shutdownMarginMs)
+	clientsLeft := false
+	for nowMs := startMs; nowMs < endMs; nowMs = clock.NowMs() {
+		if !clientsLeft && nowMs-startMs >= clientsLeaveMs {
+			clientsLeft = true
+			// Idle connections are not used any more.
+			s.clientServer.SetKeepAlivesEnabled(false)
+		}
+		if clientsLeft && s.activeRequests.Load() == 0 {
+			return
+		}
+		time.Sleep(drainPoll)
+	}
+}
+
+// logShutdown logs how a planned shutdown went.
+func (s *Server) logShutdown() {
+	s.logger.Info("no longer serving",
+		"afterMs", s.runtime.Clock().NowMs()-s.shutdown.startMs, "lateRequests", s.shutdown.lateRequests.Load(),
+		"lateOnNewConnections", s.shutdown.lateOnNewConns.Load(), "underWay", s.activeRequests.Load())
+}
+
+// closeClients closes the clients' connections, those of requests under way
+// only after half of the shutdown margin.
+func (s *Server) closeClients() {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownMarginMs/2*time.Millisecond)
+	defer cancel()
+	if s.clientServer.Shutdown(ctx) != nil {
+		_ = s.clientServer.Close()
+	}
+}
+
+// shutdownObserver counts what arrives during a planned shutdown, for its log
+// line. It may be used from several goroutines.
+type shutdownObserver struct {
+	// startedAt is when the shutdown began; it is set before draining is.
+	startedAt time.Time
+	startMs   int64
+	// lateRequests arrived after the time at which clients should have left,
+	// lateOnNewConns of them on connections accepted after it.
+	lateRequests, lateOnNewConns atomic.Int64
+}
+
+// requestArrived counts a request that arrives during the shutdown.
+func (o *shutdownObserver) requestArrived(nowMs int64, r *http.Request) {
+	if nowMs-o.startMs < clientsLeaveMs {
+		return
+	}
+	o.lateRequests.Add(1)
+	connection := clientConnOf(r)
+	if connection != nil && connection.acceptedAt.Sub(o.startedAt) >= clientsLeaveMs*time.Millisecond {
+		o.lateOnNewConns.Add(1)
+	}
+}
