--- a/internal/proxy/exchange_model_test.go
+++ b/internal/proxy/exchange_model_test.go
@@ -528,7 +528,7 @@
 		}
 		addresses = append(addresses, listener.Addr().String())
 	}
-	_, url, stop, err := startServer(countingCodec{e.codec, &atomic.Int64{}}, e.document, addresses, io.Discard)
+	_, url, stop, err := startServer(countingCodec{e.codec, &atomic.Int64{}}, e.document, addresses, io.Discard, asItIs)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/proxy/fuzz_test.go
+++ b/internal/proxy/fuzz_test.go
@@ -78,7 +78,7 @@
 	threads.Go(func() { acceptAll(listener, runner.serve) })
 	document := exampleConfig(1)
 	document.BuildIndex()
-	g, _, stop, err := startServer(plainCodec{}, document, nil, io.Discard)
+	g, _, stop, err := startServer(plainCodec{}, document, nil, io.Discard, asItIs)
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -195,7 +195,7 @@
 		})
 	})
 	var logs lockedBuffer
-	_, url, stop, err := startServer(plainCodec{}, exampleConfig(1), []string{listener.Addr().String()}, &logs)
+	_, url, stop, err := startServer(plainCodec{}, exampleConfig(1), []string{listener.Addr().String()}, &logs, asItIs)
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/internal/proxy/server_test.go
+++ b/internal/proxy/server_test.go
@@ -180,14 +180,18 @@
 	for _, r := range runners {
 		addresses = append(addresses, r.at.Addr().String())
 	}
-	g, url, stop, err := startServer(plainCodec{}, exampleConfig(1), addresses, io.Discard)
+	g, url, stop, err := startServer(plainCodec{}, exampleConfig(1), addresses, io.Discard, asItIs)
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(stop)
 	return g, &httptest.Server{URL: url}
 }
 
-// startServer runs a router for runners that all hold all.
-func startServer(codec Codec, document config.Configuration, addresses []string, logs io.Writer) (g *Server, url string, stop func(), err error) {
+// asItIs lets a router accept its clients from the listener itself.
+func asItIs(front net.Listener) net.Listener { return front }
+
+// startServer runs a router for runners that all hold all. It accepts its clients
+// from what wrap makes of a listener on loopback.
+func startServer(codec Codec, document config.Configuration, addresses []string, logs io.Writer, wrap func(net.Listener) net.Listener) (g *Server, url string, stop func(), err error) {
 	var listeners [3]net.Listener
 	for i := range listeners {
 		if listeners[i], err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
@@ -197,7 +201,7 @@
 	peers, front, page := listeners[0], listeners[1], listeners[2]
 	g, err = NewServer(Settings{
 		Site: "site", Self: selfPlace, Bounds: bounds.Bounds{GraceMs: 3000, RetryRatio: 0.2, ExtraTries: 400},
-	}, codec, plainFormat{}, nil, peers, front, page, log.NewWithOptions(logs, log.Options{Level: log.DebugLevel}))
+	}, codec, plainFormat{}, nil, peers, wrap(front), page, log.NewWithOptions(logs, log.Options{Level: log.DebugLevel}))
 	if err != nil {
 		return nil, "", nil, err
 	}
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -22,26 +22,34 @@
 // new clients and all requests have ended, and returns then, or shortly before
 // the end of the grace period.
 func (s *Server) Shutdown() {
+	s.beginShutdown()
 	clock := s.runtime.Clock()
-	startMs := clock.NowMs()
-	s.shutdown.startedAt, s.shutdown.startMs = time.Now(), startMs
+	for !s.stepShutdown(clock.NowMs() - s.shutdown.startMs) {
+		time.Sleep(drainPoll)
+	}
+	s.logShutdown()
+}
+
+// beginShutdown begins a planned shutdown.
+func (s *Server) beginShutdown() {
+	s.shutdown.startedAt, s.shutdown.startMs = time.Now(), s.runtime.Clock().NowMs()
 	s.draining.Store(true)
-	s.logger.Info("stopping", "requests", s.activeRequests.Load())
-	defer s.logShutdown()
 	s.runtime.Submit(Drain{})
-	endMs := startMs + max(clientsLeaveMs, s.settings.Bounds.GraceMs-shutdownMarginMs)
-	clientsLeft := false
-	for nowMs := startMs; nowMs < endMs; nowMs = clock.NowMs() {
-		if !clientsLeft && nowMs-startMs >= clientsLeaveMs {
-			clientsLeft = true
-			// Idle connections are not used any more.
-			s.clientServer.SetKeepAlivesEnabled(false)
-		}
-		if clientsLeft && s.activeRequests.Load() == 0 {
-			return
-		}
-		time.Sleep(drainPoll)
+	s.logger.Info("stopping", "requests", s.activeRequests.Load())
+}
+
+// stepShutdown does what is due at a time since the beginning of the shutdown.
+// It returns true once the process may end.
+func (s *Server) stepShutdown(elapsedMs int64) bool {
+	if elapsedMs >= max(clientsLeaveMs, s.settings.Bounds.GraceMs-shutdownMarginMs) {
+		return true
+	}
+	if !s.shutdown.clientsLeft && elapsedMs >= clientsLeaveMs {
+		s.shutdown.clientsLeft = true
+		// Idle connections are not used any more.
+		s.clientServer.SetKeepAlivesEnabled(false)
 	}
+	return s.shutdown.clientsLeft && s.activeRequests.Load() == 0
 }
 
 // logShutdown logs how a planned shutdown went.
@@ -67,6 +75,8 @@
 	// startedAt is when the shutdown began; it is set before draining is.
 	startedAt time.Time
 	startMs   int64
+	// clientsLeft says that clients should have left; only Shutdown uses it.
+	clientsLeft bool
 	// lateRequests arrived after the time at which clients should have left,
 	// lateOnNewConns of them on connections accepted after it.
 	lateRequests, lateOnNewConns atomic.Int64
--- /dev/null
+++ b/internal/proxy/shutdown_test.go
@@ -0,0 +1,196 @@
+package proxy
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"myrtlewinch/internal/errkind"
+	"myrtlewinch/internal/threads"
+)
+
+// shutdownCase is a request that arrives during a planned shutdown.
+type shutdownCase struct {
+	about     string
+	graceMs   int64
+	afterMs   int64
+	path      string
+	timeoutMs int64
+	started   bool
+}
+
+// What arrives during a planned shutdown, after clients should have left, is sent to
+// a runner only if it must end before the process does.
+func TestRequestsThatOutlastTheShutdownAreRejected(t *testing.T) {
+	cases := []shutdownCase{
+		{"a stream while clients may still come", 8000, 2000, "/patient/", 20_000, true},
+		{"a long stream after it", 8000, 3067, "/patient/", 20_000, false},
+		{"a long stream just before half of the grace", 8000, 3983, "/patient/", 15_000, false},
+		{"a stream that ends in time", 8000, 3067, "/stream/", 3000, true},
+		{"a page", 8000, 3067, "/safe/", 1500, true},
+		{"a page, bound by its route", 8000, 3000, "/safe/", 60_000, true},
+		{"a page in the second half of the grace", 8000, 5000, "/safe/", 1500, true},
+		{"a page near the end", 8000, 6500, "/safe/", 1500, false},
+		{"a request that may run once", 8000, 3067, "/unsafe/", 1500, true},
+		{"that one near the end", 8000, 6500, "/unsafe/", 1500, false},
+		{"a long stream in a longer grace", 30_000, 5000, "/patient/", 20_000, true},
+		{"that one too late", 30_000, 12_000, "/patient/", 20_000, false},
+		{"a stream at the start of a short grace", 3000, 100, "/patient/", 20_000, true},
+		{"a stream late in a short grace", 3000, 1400, "/patient/", 20_000, false},
+	}
+	for _, test := range cases {
+		t.Run(test.about, func(t *testing.T) {
+			c := qt.New(t)
+			b := newReadyBench(c)
+			b.m.settings.Bounds.GraceMs = test.graceMs
+			b.step(Drain{})
+			b.m.drainStartMs -= test.afterMs
+			out := b.request(test.path, func(r *RequestParams) { r.TimeoutMs, r.Model = test.timeoutMs, "m" })
+			if test.started {
+				onlyOutput[StartAttempt](c, out)
+				return
+			}
+			rejected := onlyOutput[Reject](c, out)
+			c.Assert(rejected.Kind, qt.Equals, errkind.ShuttingDown)
+			c.Assert(rejected.RetryMs > 0, qt.IsTrue)
+		})
+	}
+}
+
+// stallingListener hands out connections whose reader can be held up right after
+// a read, as a busy processor holds it up.
+type stallingListener struct {
+	net.Listener
+	// read gets one value for each read that returns bytes; each then waits for
+	// one of resume.
+	read, resume chan struct{}
+}
+
+func newStallingListener(front net.Listener) *stallingListener {
+	return &stallingListener{front, make(chan struct{}), make(chan struct{})}
+}
+
+func (l *stallingListener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &stallingConn{Conn: accepted, listener: l}, nil
+}
+
+// stallingConn is a connection of a stallingListener.
+type stallingConn struct {
+	net.Conn
+	listener *stallingListener
+}
+
+func (s *stallingConn) Read(p []byte) (int, error) {
+	n, err := s.Conn.Read(p)
+	if n > 0 {
+		s.listener.read <- struct{}{}
+		<-s.listener.resume
+	}
+	return n, err
+}
+
+// wireRequest is a client's request to a path as bytes.
+func wireRequest(path, id string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nTry: %s\r\nLeft: 1500\r\nContent-Length: 0\r\n\r\n", path, id)
+}
+
+// A connection that its client has just used again is not closed as idle, however
+// far its reader has come.
+func TestNoConnectionIsClosedUnderARequestThatWasRead(t *testing.T) {
+	c := qt.New(t)
+	runner := newScriptedRunner(c, plain("one"), plain("two"))
+	var front *stallingListener
+	wrap := func(l net.Listener) net.Listener {
+		front = newStallingListener(l)
+		return front
+	}
+	g, url, stop, err := startServer(plainCodec{}, exampleConfig(1), []string{runner.at.Addr().String()}, io.Discard, wrap)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(stop)
+	client, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = client.Close() })
+	answers := bufio.NewReader(client)
+	ask := func(id string, meanwhile func()) (body string, err error) {
+		_, err = io.WriteString(client, wireRequest("/safe/x", id))
+		c.Assert(err, qt.IsNil)
+		<-front.read
+		meanwhile()
+		front.resume <- struct{}{}
+		answer, err := http.ReadResponse(answers, nil)
+		if err != nil {
+			return "", err
+		}
+		text, err := io.ReadAll(answer.Body)
+		return string(text), err
+	}
+	body, err := ask("t1", func() {})
+	c.Assert(err, qt.IsNil)
+	c.Assert(body, qt.Equals, "one")
+	g.beginShutdown()
+	body, err = ask("t2", func() { g.stepShutdown(clientsLeaveMs) })
+	c.Assert(err, qt.IsNil)
+	c.Assert(body, qt.Equals, "two")
+}
+
+// silentRunner accepts requests and never answers.
+func silentRunner(c *qt.C) (address string, asked <-chan struct{}) {
+	c.Helper()
+	at, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = at.Close() })
+	arrived := make(chan struct{}, 1)
+	threads.Go(func() {
+		for {
+			connection, err := at.Accept()
+			if err != nil {
+				return
+			}
+			c.Cleanup(func() { _ = connection.Close() })
+			threads.Go(func() {
+				if _, err := http.ReadRequest(bufio.NewReader(connection)); err == nil {
+					arrived <- struct{}{}
+				}
+			})
+		}
+	})
+	return at.Addr().String(), arrived
+}
+
+// A request that is still unanswered when the process ends gets a final response,
+// which does not promise that it has not run.
+func TestRequestsUnderWayAtTheEndGetAResponse(t *testing.T) {
+	c := qt.New(t)
+	address, asked := silentRunner(c)
+	g, url, stop, err := startServer(plainCodec{}, exampleConfig(1), []string{address}, io.Discard, asItIs)
+	c.Assert(err, qt.IsNil)
+	var once sync.Once
+	c.Cleanup(func() { once.Do(stop) })
+	var status int
+	var broken bool
+	answered := make(chan struct{})
+	threads.Go(func() {
+		defer close(answered)
+		status, _, _, broken = call(c, url, "/unsafe/x")
+	})
+	<-asked
+	g.beginShutdown()
+	g.stepShutdown(clientsLeaveMs)
+	if g.stepShutdown(g.settings.Bounds.GraceMs) {
+		once.Do(stop)
+	}
+	<-answered
+	c.Assert(broken, qt.IsFalse)
+	c.Assert(status, qt.Equals, http.StatusBadGateway)
+}
