Reject late requests at a stopping router unless they must end before it does

Cause: a stopping router took whatever came before half of its grace (4.0 s of 8), however long it might last, and cut it off at 7.65 s; clients do come that late, since the platform sends them to all routers of a zone while fewer than half are ready.

Now what arrives after clients should have left (2.2 s, or half of a short grace) is sent to a runner only if its deadline is before the end; all else gets its final answer at once with Retry-After. The margin before the end of the grace is a twelfth of it, 700 ms at most, so that a cut of what came in time falls in its last sixth whatever the grace is (700 ms of a grace of 4 s would not).

Ruled out: taking streams by their expected length (a stream may last as long as its deadline; one cut breaks the rule); closing the listener (its clients would not learn when to come back).

--- a/internal/proxy/machine.go
+++ b/internal/proxy/machine.go
@@ -91,9 +91,7 @@
 	controlPlane
 	ownListing
 
-	// draining is set by Drain, at drainStartMs.
-	draining     bool
-	drainStartMs int64
+	shutdown shutdownState
 	// drainingRunners are the runners that are shutting down, with the time of
 	// the last report of it.
 	drainingRunners map[string]int64
@@ -190,13 +188,6 @@
 	m.pollPrimary()
 }
 
-// startDraining notes when the planned shutdown began.
-func (m *Machine) startDraining() {
-	if !m.draining {
-		m.draining, m.drainStartMs = true, m.nowMs
-	}
-}
-
 // tick does what is due by the time.
 func (m *Machine) tick() {
 	if m.nowMs-m.lastPollMs >= pollEachMs {
--- a/internal/proxy/machine_test.go
+++ b/internal/proxy/machine_test.go
@@ -633,7 +633,7 @@
 	c := qt.New(t)
 	b := newReadyBench(c)
 	b.m.settings.Bounds.GraceMs = 4000
-	b.step(Drain{})
+	b.step(Drain{StartMs: b.nowMs})
 	// What can still be forwarded is forwarded.
 	onlyOutput[StartAttempt](c, b.request("/safe/"))
 	b.index(protocol.IndexReply{Service: "reader", Model: "m", Change: 4, Loading: true})
--- a/internal/proxy/messages.go
+++ b/internal/proxy/messages.go
@@ -68,9 +68,14 @@
 // ClientDisconnected reports that the client of a request disconnected.
 type ClientDisconnected struct{ ID uint64 }
 
-// Drain starts a planned shutdown. Requests continue as before until half of the
-// grace period is over; those that are still queued then are rejected.
-type Drain struct{}
+// Drain starts a planned shutdown. Requests that arrive before clients should have
+// left continue as before; those of them that are still queued at half of the grace
+// period are rejected. What arrives later is rejected at once unless it must end
+// before the process does.
+type Drain struct {
+	// StartMs is when the shutdown began, by the router's clock.
+	StartMs int64
+}
 
 // SetSeeds replaces the addresses at which the control plane is searched for.
 type SetSeeds struct{ Seeds []string }
@@ -82,7 +87,7 @@
 func (in ResponseStarted) apply(m *Machine)    { m.responseStarted(in) }
 func (in AttemptEnded) apply(m *Machine)       { m.attemptEnded(in) }
 func (in ClientDisconnected) apply(m *Machine) { m.clientDisconnected(in.ID) }
-func (Drain) apply(m *Machine)                 { m.startDraining() }
+func (in Drain) apply(m *Machine)              { m.shutdown.begin(in.StartMs, m.settings.Bounds.GraceMs) }
 func (in SetSeeds) apply(m *Machine)           { m.seeds = in.Seeds }
 func (in StatusQuery) apply(m *Machine)        { m.reply(in.ID, m.status()) }
 
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -233,7 +233,7 @@
 		}
 		return
 	}
-	if m.draining && m.nowMs >= m.drainStartMs+m.settings.Bounds.GraceMs/2 {
+	if !m.shutdown.mayAttempt(m.nowMs, r.arrivedMs, r.deadlineMs) {
 		m.reject(r, errkind.ShuttingDown, retryShutdownMs)
 		return
 	}
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -7,16 +7,8 @@
 	"time"
 )
 
-const (
-	// drainPoll is the time between two looks for the end of a shutdown.
-	drainPoll = 20 * time.Millisecond
-	// clientsLeaveMs is how long after the ready page answers 503 the platform
-	// may still send new clients here.
-	clientsLeaveMs = 2200
-	// shutdownMarginMs is how long before the end of the grace period a
-	// shutdown ends even if requests are under way.
-	shutdownMarginMs = 700
-)
+// drainPoll is the time between two looks for the end of a shutdown.
+const drainPoll = 20 * time.Millisecond
 
 // Shutdown makes the ready page answer 503, waits until the platform sends no
 // new clients and all requests have ended, and returns then, or shortly before
@@ -33,18 +25,20 @@
 // beginShutdown begins a planned shutdown.
 func (s *Server) beginShutdown() {
 	s.shutdown.startedAt, s.shutdown.startMs = time.Now(), s.runtime.Clock().NowMs()
+	s.shutdown.leaveMs = shutdownTimesOf(s.settings.Bounds.GraceMs).leaveMs
 	s.draining.Store(true)
-	s.runtime.Submit(Drain{})
+	s.runtime.Submit(Drain{StartMs: s.shutdown.startMs})
 	s.logger.Info("stopping", "requests", s.activeRequests.Load())
 }
 
 // stepShutdown does what is due at a time since the beginning of the shutdown.
 // It returns true once the process may end.
 func (s *Server) stepShutdown(elapsedMs int64) bool {
-	if elapsedMs >= max(clientsLeaveMs, s.settings.Bounds.GraceMs-shutdownMarginMs) {
+	times := shutdownTimesOf(s.settings.Bounds.GraceMs)
+	if elapsedMs >= times.endMs {
 		return true
 	}
-	if !s.shutdown.clientsLeft && elapsedMs >= clientsLeaveMs {
+	if !s.shutdown.clientsLeft && elapsedMs >= times.leaveMs {
 		s.shutdown.clientsLeft = true
 		// Idle connections are not used any more.
 		s.clientServer.SetKeepAlivesEnabled(false)
@@ -60,9 +54,10 @@
 }
 
 // closeClients closes the clients' connections, those of requests under way
-// only after half of the shutdown margin.
+// after a part of the shutdown margin.
 func (s *Server) closeClients() {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownMarginMs/2*time.Millisecond)
+	closing := time.Duration(shutdownTimesOf(s.settings.Bounds.GraceMs).closingMs) * time.Millisecond
+	ctx, cancel := context.WithTimeout(context.Background(), closing)
 	defer cancel()
 	if s.clientServer.Shutdown(ctx) != nil {
 		_ = s.clientServer.Close()
@@ -75,6 +70,8 @@
 	// startedAt is when the shutdown began; it is set before draining is.
 	startedAt time.Time
 	startMs   int64
+	// leaveMs is when clients should have left, since the beginning.
+	leaveMs int64
 	// clientsLeft says that clients should have left; only Shutdown uses it.
 	clientsLeft bool
 	// lateRequests arrived after the time at which clients should have left,
@@ -84,12 +81,12 @@
 
 // requestArrived counts a request that arrives during the shutdown.
 func (o *shutdownObserver) requestArrived(nowMs int64, r *http.Request) {
-	if nowMs-o.startMs < clientsLeaveMs {
+	if nowMs-o.startMs < o.leaveMs {
 		return
 	}
 	o.lateRequests.Add(1)
 	connection := clientConnOf(r)
-	if connection != nil && connection.acceptedAt.Sub(o.startedAt) >= clientsLeaveMs*time.Millisecond {
+	if connection != nil && connection.acceptedAt.Sub(o.startedAt) >= time.Duration(o.leaveMs)*time.Millisecond {
 		o.lateOnNewConns.Add(1)
 	}
 }
--- a/internal/proxy/shutdown_test.go
+++ b/internal/proxy/shutdown_test.go
@@ -50,8 +50,7 @@
 			c := qt.New(t)
 			b := newReadyBench(c)
 			b.m.settings.Bounds.GraceMs = test.graceMs
-			b.step(Drain{})
-			b.m.drainStartMs -= test.afterMs
+			b.step(Drain{StartMs: b.nowMs - test.afterMs})
 			out := b.request(test.path, func(r *RequestParams) { r.TimeoutMs, r.Model = test.timeoutMs, "m" })
 			if test.started {
 				onlyOutput[StartAttempt](c, out)
--- /dev/null
+++ b/internal/proxy/shutdowntimes_test.go
@@ -0,0 +1,44 @@
+package proxy
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+func TestShutdownTimes(t *testing.T) {
+	for _, test := range []struct {
+		graceMs int64
+		want    shutdownTimes
+	}{
+		{8000, shutdownTimes{leaveMs: 2200, queueEndMs: 4000, endMs: 7334, exitMs: 7500, closingMs: 166}},
+		{3000, shutdownTimes{leaveMs: 1375, queueEndMs: 1500, endMs: 2750, exitMs: 2812, closingMs: 62}},
+		{60_000, shutdownTimes{leaveMs: 2200, queueEndMs: 30_000, endMs: 59_300, exitMs: 59_475, closingMs: 175}},
+	} {
+		qt.Assert(t, shutdownTimesOf(test.graceMs) == test.want, qt.IsTrue, qt.Commentf("%+v", shutdownTimesOf(test.graceMs)))
+	}
+}
+
+// Whatever the grace is: the times are in order, attempts are cancelled in its last
+// sixth, and no attempt of a request that came after clients should have left can be
+// under way then.
+func TestNoLateRequestIsCutOff(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		graceMs := rapid.Int64Range(100, 120_000).Draw(t, "grace")
+		times := shutdownTimesOf(graceMs)
+		inOrder := 0 < times.leaveMs && times.leaveMs < times.endMs && times.queueEndMs <= times.endMs && times.endMs <= times.exitMs
+		if !inOrder || times.exitMs+times.closingMs > graceMs || times.endMs < graceMs*5/6 {
+			t.Fatalf("%+v", times)
+		}
+		var state shutdownState
+		startMs := rapid.Int64Range(0, 1_000_000).Draw(t, "start")
+		state.begin(startMs, graceMs)
+		arrivedMs := startMs + times.leaveMs + rapid.Int64Range(0, 2*graceMs).Draw(t, "arrived")
+		deadlineMs := arrivedMs + rapid.Int64Range(0, 2*graceMs).Draw(t, "time")
+		nowMs := arrivedMs + rapid.Int64Range(0, graceMs).Draw(t, "waited")
+		if state.mayAttempt(nowMs, arrivedMs, deadlineMs) && deadlineMs > startMs+times.endMs {
+			t.Fatalf("%d, %d, %d", arrivedMs, deadlineMs, nowMs)
+		}
+	})
+}
--- a/internal/proxy/status.go
+++ b/internal/proxy/status.go
@@ -71,7 +71,7 @@
 	maps.Copy(counters.Rejections, m.Counters.Rejections)
 	return Status{
 		Name: m.settings.Self.Name, Version: m.configVersion, Epoch: m.epoch, Primary: m.primary,
-		HeardMs: m.nowMs - m.primaryConfirmedMs, Routers: m.routerCount, Leaving: m.draining,
+		HeardMs: m.nowMs - m.primaryConfirmedMs, Routers: m.routerCount, Leaving: m.shutdown.draining,
 		Entries: len(m.cache), Runners: len(m.runners), Requests: len(m.requests), Waiting: len(m.queue),
 		Counters: counters,
 	}
--- a/internal/simulation/faultsim/node_lifecycle.go
+++ b/internal/simulation/faultsim/node_lifecycle.go
@@ -71,7 +71,7 @@
 		sim.after(sim.Bounds.GraceMs, exit)
 		return
 	}
-	sim.deliver(n, incarnation, proxy.Drain{})
+	sim.deliver(n, incarnation, proxy.Drain{StartMs: n.clock(sim.NowMs())})
 	sim.after(sim.Bounds.GraceMs-routerExitEarlyMs, exit)
 }
 
