Close idle connections from the goroutine that reads them

Cause: the HTTP server takes a connection for idle until it has parsed the whole next head, and SetKeepAlivesEnabled(false) closes idle connections from the shutdown's goroutine. A request that its reader had just read was sent to a runner on a closed connection.

Now the shutdown only wakes the readers: one whose connection waits for a further request looks once more for bytes and closes it itself; any byte that it has read is served. Every response says Connection: close since SIGTERM already.

Ruled out: leaving idle connections open (their clients would be rejected where a new connection costs them nothing); a lock round the server's own states (it has no hook between read and parse). Looked at and ruled out too: that a read deadline of an idle wait lasts into the request (the server clears it before the handler).

--- a/internal/proxy/clientconn.go
+++ b/internal/proxy/clientconn.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -83,6 +84,8 @@
 	net.Listener
 	// limits is called from the goroutines of all connections.
 	limits func() clientLimits
+	// connections are those that are open.
+	connections *clientConns
 }
 
 // Accept waits for the next connection.
@@ -91,9 +94,46 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &clientConn{Conn: accepted, limits: l.limits, acceptedAt: time.Now()}
-	c.setIdle()
-	return c, nil
+	return l.connections.add(accepted, l.limits), nil
+}
+
+// clientConns are the open connections of clients. It may be used from several
+// goroutines.
+type clientConns struct {
+	mu      sync.Mutex
+	open    map[*clientConn]struct{}
+	leaving bool
+}
+
+func newClientConns() *clientConns { return &clientConns{open: map[*clientConn]struct{}{}} }
+
+// add makes a client's connection of an accepted one.
+func (s *clientConns) add(accepted net.Conn, limits func() clientLimits) *clientConn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	c := &clientConn{Conn: accepted, limits: limits, connections: s, acceptedAt: now, since: now, leaving: s.leaving}
+	s.open[c] = struct{}{}
+	return c
+}
+
+// remove forgets a connection that was closed.
+func (s *clientConns) remove(c *clientConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, c)
+}
+
+// closeIdle makes each connection close before its next request, those that wait
+// for one now and those that will; one that was accepted and has had no request
+// yet may still bring its first.
+func (s *clientConns) closeIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+	for c := range s.open {
+		c.leave()
+	}
 }
 
 // connPhase is what is being read from a client's connection.
@@ -109,18 +149,25 @@
 )
 
 // clientConn sets read deadlines that follow changes of the configuration, which
-// those of the standard server cannot. All but the reads during a request
-// happen in the one goroutine that serves the connection.
+// those of the standard server cannot. It is closed as idle only by the goroutine
+// that reads from it, so that no request is lost that was read already: the
+// standard server takes a connection for idle until the whole next head is parsed.
 type clientConn struct {
 	net.Conn
-	limits func() clientLimits
-	phase  connPhase
-	// since is when the phase began.
-	since time.Time
+	limits      func() clientLimits
+	connections *clientConns
 	// acceptedAt is when the connection was accepted.
 	acceptedAt time.Time
 	// closed is set by Close, from any goroutine.
 	closed atomic.Bool
+
+	// mu protects what follows, and is held while a read deadline is set.
+	mu    sync.Mutex
+	phase connPhase
+	// since is when the phase began.
+	since time.Time
+	// served says that there was a request; leaving that there is to be no other.
+	served, leaving bool
 }
 
 // clientConnKey is the key of a request's clientConn in its context.
@@ -149,52 +196,86 @@
 	case http.StateIdle:
 		c.setIdle()
 	case http.StateActive:
-		c.phase = connActive
+		c.setActive()
 	}
 }
 
 // setIdle notes that the connection waits for its next request.
 func (c *clientConn) setIdle() {
-	c.phase, c.since = connIdle, time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase, c.since, c.served = connIdle, time.Now(), true
+}
+
+// setActive notes that a request has been read. The deadline of its head, or one
+// that leave has set meanwhile, does not hold for the rest.
+func (c *clientConn) setActive() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase = connActive
+	_ = c.SetReadDeadline(time.Time{})
+}
+
+// leave ends the wait for a further request, now or whenever it begins.
+func (c *clientConn) leave() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaving = true
+	if c.phase == connIdle && c.served {
+		_ = c.SetReadDeadline(time.Now())
+	}
 }
 
 // Close closes the connection. The standard server calls it when the goroutine
 // that serves the connection ends, and for connections that it takes for idle.
 func (c *clientConn) Close() error {
 	c.closed.Store(true)
+	c.connections.remove(c)
 	return c.Conn.Close()
 }
 
 // Read reads within the limit of the phase.
 func (c *clientConn) Read(p []byte) (int, error) {
-	switch c.phase {
-	case connIdle:
-		n, err := c.readUntil(p, func() time.Time { return c.since.Add(c.limits().idle) })
-		if n > 0 {
-			c.phase, c.since = connReadingHead, time.Now()
-		}
-		return n, err
-	case connReadingHead:
-		return c.readUntil(p, func() time.Time { return c.since.Add(c.limits().headTimeout) })
-	default:
+	if c.currentPhase() == connActive {
 		return c.Conn.Read(p)
 	}
+	n, err := c.readInTime(p)
+	if n > 0 {
+		c.headBegan()
+	}
+	return n, err
+}
+
+func (c *clientConn) currentPhase() connPhase {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.phase
+}
+
+// headBegan notes that a part of a head has been read.
+func (c *clientConn) headBegan() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == connIdle {
+		c.phase, c.since = connReadingHead, time.Now()
+	}
 }
 
-// readUntil reads until a deadline, which a new configuration may move: a later
-// one is used at once, an earlier one only from the next read on, since the
-// client may not know of it yet.
-func (c *clientConn) readUntil(p []byte, deadline func() time.Time) (int, error) {
+// readInTime reads until the deadline, which a new configuration or leave may
+// move: a later one is used at once, an earlier one of a configuration only from
+// the next read on, since the client may not know of it yet. After the deadline it
+// takes what has arrived all the same.
+func (c *clientConn) readInTime(p []byte) (int, error) {
 	for {
-		until := deadline()
-		if err := c.Conn.SetReadDeadline(until); err != nil {
+		until, err := c.setDeadline()
+		if err != nil {
 			return 0, err
 		}
 		n, err := c.Conn.Read(p)
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
-		if deadline().After(until) {
+		if c.deadline().After(until) {
 			continue
 		}
 		if err := c.Conn.SetReadDeadline(time.Now().Add(finalReadTimeout)); err != nil {
@@ -204,6 +285,32 @@
 	}
 }
 
+// setDeadline sets the read deadline of the phase and returns it.
+func (c *clientConn) setDeadline() (time.Time, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	until := c.lockedDeadline()
+	return until, c.Conn.SetReadDeadline(until)
+}
+
+// deadline returns the read deadline of the phase.
+func (c *clientConn) deadline() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lockedDeadline()
+}
+
+// lockedDeadline is deadline for callers that hold the lock.
+func (c *clientConn) lockedDeadline() time.Time {
+	switch {
+	case c.phase == connReadingHead:
+		return c.since.Add(c.limits().headTimeout)
+	case c.leaving && c.served:
+		return c.since
+	}
+	return c.since.Add(c.limits().idle)
+}
+
 // CloseWrite closes the connection for writing, so that a client can read the
 // last response although not all that it sent was read.
 func (c *clientConn) CloseWrite() error {
--- a/internal/proxy/clientconn_test.go
+++ b/internal/proxy/clientconn_test.go
@@ -42,6 +42,8 @@
 	client net.Conn
 	reader *bufio.Reader
 	limits atomic.Pointer[config.Limits]
+	// connections are those of the server, if it has the router's.
+	connections *clientConns
 }
 
 const (
@@ -80,7 +82,8 @@
 
 func serveByConfiguration(b *connectionBench, front net.Listener) (*http.Server, net.Listener) {
 	limits := func() clientLimits { return clientLimitsOf(&config.Configuration{Limits: *b.limits.Load()}) }
-	return &http.Server{ConnState: trackClientConn}, clientListener{front, limits}
+	b.connections = newClientConns()
+	return &http.Server{ConnState: trackClientConn}, clientListener{front, limits, b.connections}
 }
 
 // serveByFixedTimes serves with fixed time-outs, as an earlier router did.
@@ -188,6 +191,65 @@
 	}
 }
 
+// Connections that are closed as idle end between two requests only.
+func TestConnectionsCloseBetweenRequests(t *testing.T) {
+	cases := []struct {
+		about string
+		play  func(b *connectionBench) bool
+		want  bool
+	}{
+		{"it waits for its next request", func(b *connectionBench) bool {
+			b.request(wholeRequest)
+			b.connections.closeIdle()
+			wait(20)
+			return b.request(wholeRequest)
+		}, false},
+		{"it waits for its first request", func(b *connectionBench) bool {
+			b.connections.closeIdle()
+			wait(5_000)
+			return b.request(wholeRequest)
+		}, true},
+		{"it has had that one", func(b *connectionBench) bool {
+			b.connections.closeIdle()
+			wait(5_000)
+			b.request(wholeRequest)
+			wait(20)
+			return b.request(wholeRequest)
+		}, false},
+		{"a head is coming in", func(b *connectionBench) bool {
+			b.request(wholeRequest)
+			threads.Go(func() { wait(500); b.connections.closeIdle() })
+			return b.request("GET / HTTP/1.1\r\n", "Host: h\r\n", "\r\n")
+		}, true},
+		{"a first head is coming in", func(b *connectionBench) bool {
+			threads.Go(func() { wait(500); b.connections.closeIdle() })
+			return b.request("GET / HTTP/1.1\r\n", "Host: h\r\n", "\r\n")
+		}, true},
+		{"a request is served", func(b *connectionBench) bool {
+			b.request(wholeRequest)
+			threads.Go(func() { wait(500); b.connections.closeIdle() })
+			return b.request(slowRequest)
+		}, true},
+		{"a request was served meanwhile", func(b *connectionBench) bool {
+			threads.Go(func() { wait(500); b.connections.closeIdle() })
+			b.request(slowRequest)
+			wait(20)
+			return b.request(wholeRequest)
+		}, false},
+		{"the next request was sent at once", func(b *connectionBench) bool {
+			threads.Go(func() { wait(500); b.connections.closeIdle() })
+			return b.request(slowRequest+wholeRequest) && b.request()
+		}, true},
+	}
+	for _, test := range cases {
+		t.Run(test.about, func(t *testing.T) {
+			answered := false
+			runConnectionBench(t, serveByConfiguration, func(b *connectionBench) { answered = test.play(b) })
+			qt.Assert(t, answered, qt.Equals, test.want)
+		})
+	}
+}
+
 // A client may reuse a connection that was idle for four fifths of the configuration's
 // idle time, whatever that is. A fixed time-out fails this.
 func TestNoAllowedIdleConnectionIsClosed(t *testing.T) {
@@ -228,8 +290,7 @@
 
 func TestBytesThatArrivedDuringAStallAreRead(t *testing.T) {
 	c := qt.New(t)
-	connection := &clientConn{Conn: &stalledConn{text: "GET"}, limits: func() clientLimits { return clientLimitsOf(nil) }}
-	connection.setIdle()
+	connection := newClientConns().add(&stalledConn{text: "GET"}, func() clientLimits { return clientLimitsOf(nil) })
 	buffer := make([]byte, 8)
 	n, err := connection.Read(buffer)
 	c.Assert(err, qt.IsNil)
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -70,6 +70,7 @@
 	codec          Codec
 	clientListener net.Listener
 	clientServer   *http.Server
+	clientConns    *clientConns
 	logger         *log.Logger
 	// activeRequests counts the requests that are served now, at most
 	// maxRequests.
@@ -93,7 +94,7 @@
 func NewServer(settings Settings, codec Codec, format Format, caller process.OutboundCaller, peers, clients, ready net.Listener, logger *log.Logger) (*Server, error) {
 	clock := process.NewClock()
 	s := &Server{
-		machine: New(settings, format, clock.NowMs()), settings: settings, codec: codec, clientListener: clients,
+		machine: New(settings, format, clock.NowMs()), settings: settings, codec: codec, clientListener: clients, clientConns: newClientConns(),
 		logger: logger, maxRequests: maxRequestsOf(settings), maxLargeBodyBytes: maxLargeBodyBytesOf(settings),
 	}
 	s.runtime = process.New(process.Options{
@@ -137,7 +138,7 @@
 
 // serveClients accepts clients until closeClients.
 func (s *Server) serveClients() error {
-	err := s.clientServer.Serve(clientListener{s.clientListener, s.clientLimits})
+	err := s.clientServer.Serve(clientListener{s.clientListener, s.clientLimits, s.clientConns})
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -40,8 +40,8 @@
 	}
 	if !s.shutdown.clientsLeft && elapsedMs >= times.leaveMs {
 		s.shutdown.clientsLeft = true
-		// Idle connections are not used any more.
-		s.clientServer.SetKeepAlivesEnabled(false)
+		// Every response says since the beginning that its connection closes.
+		s.clientConns.closeIdle()
 	}
 	return s.shutdown.clientsLeft && s.activeRequests.Load() == 0
 }
