Give each request a final response before a stopping router ends

Cause: at the end of its grace a router closed the connections of all requests under way, also of those that had no response yet; and between its last look for requests and its end one could still be sent to a runner.

The shutdown now goes through phases (a pure function of time and requests under way): serve all; serve what ends in time; pass nothing on; cancel attempts, so that each unanswered request gets its honest 502 and each waiting one 503; end. The process ends only after a look at which nothing could be passed on any more.

Ruled out: answering from the exchange alone (only the machine knows what may have run).

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -130,6 +130,7 @@
 	ctx, cancel := context.WithCancel(e.request.Context())
 	defer cancel()
 	defer afterDelay(leftMs+deadlineSlackMs, cancel)()
+	defer context.AfterFunc(e.server.attempts, cancel)()
 	if order.Route.Retryable() {
 		defer e.server.tracker.start(nowMs, order.Params.Runner, e.id, cancel)()
 	}
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -76,8 +77,13 @@
 	// maxRequests.
 	activeRequests atomic.Int64
 	maxRequests    int64
-	draining       atomic.Bool
-	shutdown       shutdownObserver
+	// draining is set when a planned shutdown begins, refusing when no request
+	// is passed on any more.
+	draining, refusing atomic.Bool
+	shutdown           serverShutdown
+	// attempts is cancelled by cancelAttempts, which ends all attempts.
+	attempts       context.Context
+	cancelAttempts func()
 	tracker        attemptTracker
 	// largeBodyBytes is the announced length of all large bodies held now, at
 	// most maxLargeBodyBytes.
@@ -97,6 +103,7 @@
 		machine: New(settings, format, clock.NowMs()), settings: settings, codec: codec, clientListener: clients, clientConns: newClientConns(),
 		logger: logger, maxRequests: maxRequestsOf(settings), maxLargeBodyBytes: maxLargeBodyBytesOf(settings),
 	}
+	s.attempts, s.cancelAttempts = context.WithCancel(context.Background())
 	s.runtime = process.New(process.Options{
 		Site: settings.Site, Self: settings.Self, Clock: clock, Log: logger, TickMs: tickMs, Caller: caller,
 	}, s.machine, nil, peers, ready, http.HandlerFunc(s.servePlatform))
@@ -193,7 +200,7 @@
 
 // ServeHTTP serves one request of a client.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	// Counted before draining is read, so that Shutdown misses no request.
+	// Counted before refusing is read, so that Shutdown misses no request.
 	active := s.activeRequests.Add(1)
 	defer s.activeRequests.Add(-1)
 	if s.draining.Load() {
@@ -205,6 +212,10 @@
 		s.codec.WriteRejection(w, errkind.QueueFull, retryOverloadMs)
 		return
 	}
+	if s.refusing.Load() {
+		s.codec.WriteRejection(w, errkind.ShuttingDown, retryShutdownMs)
+		return
+	}
 	s.serveAdmitted(w, r)
 }
 
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -12,7 +12,8 @@
 
 // Shutdown makes the ready page answer 503, waits until the platform sends no
 // new clients and all requests have ended, and returns then, or shortly before
-// the end of the grace period.
+// the end of the grace period, with a final response to each request that has
+// none. See shutdownPhase for its steps.
 func (s *Server) Shutdown() {
 	s.beginShutdown()
 	clock := s.runtime.Clock()
@@ -25,7 +26,7 @@
 // beginShutdown begins a planned shutdown.
 func (s *Server) beginShutdown() {
 	s.shutdown.startedAt, s.shutdown.startMs = time.Now(), s.runtime.Clock().NowMs()
-	s.shutdown.leaveMs = shutdownTimesOf(s.settings.Bounds.GraceMs).leaveMs
+	s.shutdown.times = shutdownTimesOf(s.settings.Bounds.GraceMs)
 	s.draining.Store(true)
 	s.runtime.Submit(Drain{StartMs: s.shutdown.startMs})
 	s.logger.Info("stopping", "requests", s.activeRequests.Load())
@@ -34,16 +35,25 @@
 // stepShutdown does what is due at a time since the beginning of the shutdown.
 // It returns true once the process may end.
 func (s *Server) stepShutdown(elapsedMs int64) bool {
-	times := shutdownTimesOf(s.settings.Bounds.GraceMs)
-	if elapsedMs >= times.endMs {
-		return true
+	next := s.shutdown.times.next(s.shutdown.phase, elapsedMs, s.activeRequests.Load())
+	for s.shutdown.phase < next {
+		s.shutdown.phase++
+		s.enterShutdownPhase(s.shutdown.phase)
 	}
-	if !s.shutdown.clientsLeft && elapsedMs >= times.leaveMs {
-		s.shutdown.clientsLeft = true
+	return s.shutdown.phase == shutDown
+}
+
+// enterShutdownPhase does what a phase begins with.
+func (s *Server) enterShutdownPhase(phase shutdownPhase) {
+	switch phase {
+	case servingShort:
 		// Every response says since the beginning that its connection closes.
 		s.clientConns.closeIdle()
+	case refusing:
+		s.refusing.Store(true)
+	case cancelling:
+		s.cancelAttempts()
 	}
-	return s.shutdown.clientsLeft && s.activeRequests.Load() == 0
 }
 
 // logShutdown logs how a planned shutdown went.
@@ -64,29 +74,30 @@
 	}
 }
 
-// shutdownObserver counts what arrives during a planned shutdown, for its log
-// line. It may be used from several goroutines.
-type shutdownObserver struct {
-	// startedAt is when the shutdown began; it is set before draining is.
+// serverShutdown is the state of a Server's planned shutdown. Only Shutdown changes
+// it, but for the counts, which are for its log line.
+type serverShutdown struct {
+	// startedAt and startMs are when it began, times what follows from that;
+	// they are set before draining is.
 	startedAt time.Time
 	startMs   int64
-	// leaveMs is when clients should have left, since the beginning.
-	leaveMs int64
-	// clientsLeft says that clients should have left; only Shutdown uses it.
-	clientsLeft bool
+	times     shutdownTimes
+	phase     shutdownPhase
 	// lateRequests arrived after the time at which clients should have left,
 	// lateOnNewConns of them on connections accepted after it.
 	lateRequests, lateOnNewConns atomic.Int64
 }
 
-// requestArrived counts a request that arrives during the shutdown.
-func (o *shutdownObserver) requestArrived(nowMs int64, r *http.Request) {
-	if nowMs-o.startMs < o.leaveMs {
+// requestArrived counts a request that arrives during the shutdown. It may be
+// called from several goroutines.
+func (d *serverShutdown) requestArrived(nowMs int64, r *http.Request) {
+	if nowMs-d.startMs < d.times.leaveMs {
 		return
 	}
-	o.lateRequests.Add(1)
+	d.lateRequests.Add(1)
+	leaveTime := time.Duration(d.times.leaveMs) * time.Millisecond
 	connection := clientConnOf(r)
-	if connection != nil && connection.acceptedAt.Sub(o.startedAt) >= time.Duration(o.leaveMs)*time.Millisecond {
-		o.lateOnNewConns.Add(1)
+	if connection != nil && connection.acceptedAt.Sub(d.startedAt) >= leaveTime {
+		d.lateOnNewConns.Add(1)
 	}
 }
--- a/internal/proxy/shutdown_test.go
+++ b/internal/proxy/shutdown_test.go
@@ -193,3 +193,20 @@
 	c.Assert(broken, qt.IsFalse)
 	c.Assert(status, qt.Equals, http.StatusBadGateway)
 }
+
+// Once no request is under way and the process is about to end, none reaches a runner.
+func TestNoRequestIsPassedOnByAnEndingProcess(t *testing.T) {
+	c := qt.New(t)
+	runner := newScriptedRunner(c, plain("hello"))
+	g, server := newServerBench(c, runner)
+	g.beginShutdown()
+	c.Assert(g.stepShutdown(clientsLeaveMs), qt.IsFalse)
+	c.Assert(g.stepShutdown(clientsLeaveMs+20), qt.IsFalse)
+	status, header, _, broken := call(c, server.URL, "/safe/x")
+	c.Assert(broken, qt.IsFalse)
+	c.Assert(status, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(header.Get("Kind"), qt.Equals, string(errkind.ShuttingDown))
+	c.Assert(header.Get("Connection"), qt.Equals, "close")
+	c.Assert(runner.requests(), qt.HasLen, 0)
+	c.Assert(g.stepShutdown(clientsLeaveMs+40), qt.IsTrue)
+}
--- a/internal/proxy/shutdowntimes.go
+++ b/internal/proxy/shutdowntimes.go
@@ -41,6 +41,42 @@
 	}
 }
 
+// shutdownPhase is how far the shutdown of a Server is. It only goes up.
+type shutdownPhase int
+
+const (
+	// servingAll: clients may still come, and all requests are served.
+	servingAll shutdownPhase = iota
+	// servingShort: clients should have left. Idle connections are closed, and
+	// the machine rejects requests that may outlast the shutdown.
+	servingShort
+	// refusing: no request is passed on any more; those under way end.
+	refusing
+	// cancelling: attempts are cancelled, and each request gets its final response.
+	cancelling
+	// shutDown: the process may end.
+	shutDown
+)
+
+// next returns the phase that follows from the one before, the time since the
+// beginning and the number of requests under way. The process ends only after a
+// look at which no request was under way and none could be passed on any more, or
+// after cancelling, also if it stood still until then.
+func (t shutdownTimes) next(phase shutdownPhase, elapsedMs, activeRequests int64) shutdownPhase {
+	idle := activeRequests == 0
+	switch {
+	case phase >= refusing && idle, phase == cancelling && elapsedMs >= t.exitMs:
+		return shutDown
+	case elapsedMs >= t.endMs:
+		return max(phase, cancelling)
+	case phase == servingShort && idle:
+		return refusing
+	case elapsedMs >= t.leaveMs:
+		return max(phase, servingShort)
+	}
+	return phase
+}
+
 // shutdownState is what a machine knows of a planned shutdown.
 type shutdownState struct {
 	// draining is set by Drain; startMs is when the shutdown began.
--- a/internal/proxy/shutdowntimes_test.go
+++ b/internal/proxy/shutdowntimes_test.go
@@ -42,3 +42,30 @@
 		}
 	})
 }
+
+func TestShutdownPhases(t *testing.T) {
+	times := shutdownTimesOf(8000)
+	for _, test := range []struct {
+		about     string
+		phase     shutdownPhase
+		elapsedMs int64
+		active    int64
+		want      shutdownPhase
+	}{
+		{"clients may still come", servingAll, 2199, 0, servingAll},
+		{"they should have left", servingAll, 2200, 0, servingShort},
+		{"requests are under way", servingShort, 5000, 1, servingShort},
+		{"none is", servingShort, 2220, 0, refusing},
+		{"one came before it was refused", refusing, 2240, 1, refusing},
+		{"none came", refusing, 2240, 0, shutDown},
+		{"the grace is nearly over", servingShort, 7334, 3, cancelling},
+		{"it is while refusing", refusing, 7334, 1, cancelling},
+		{"it is after a stall", servingAll, 7900, 3, cancelling},
+		{"final responses are due", cancelling, 7400, 2, cancelling},
+		{"they were sent", cancelling, 7400, 0, shutDown},
+		{"they take too long", cancelling, 7500, 2, shutDown},
+		{"it is over", shutDown, 7600, 2, shutDown},
+	} {
+		qt.Assert(t, times.next(test.phase, test.elapsedMs, test.active), qt.Equals, test.want, qt.Commentf(test.about))
+	}
+}
