--- a/internal/proxy/shutdown_test.go
+++ b/internal/proxy/shutdown_test.go
@@ -206,7 +206,6 @@
 	c.Assert(broken, qt.IsFalse)
 	c.Assert(status, qt.Equals, http.StatusServiceUnavailable)
 	c.Assert(header.Get("Kind"), qt.Equals, string(errkind.ShuttingDown))
-	c.Assert(header.Get("Connection"), qt.Equals, "close")
 	c.Assert(runner.requests(), qt.HasLen, 0)
 	c.Assert(g.stepShutdown(clientsLeaveMs+40), qt.IsTrue)
 }
