Simulate routers restarted in rounds, with clients that still come to them, and check LOST

New fault 'routers restarted in rounds', rule LOST, injected bug IgnoreShutdown that shows it firing.

--- a/internal/simulation/faultsim/attempt.go
+++ b/internal/simulation/faultsim/attempt.go
@@ -128,7 +128,8 @@
 // produceChunk produces a chunk of a stream, and those after it.
 func (a *attempt) produceChunk(chunk int) {
 	sim := a.request.sim
-	sim.after(chunkMs+sim.random.Int63n(chunkSpreadMs), func() {
+	takesMs := (chunkMs + sim.random.Int63n(chunkSpreadMs)) * sim.fleet.streamSlowness
+	sim.after(takesMs, func() {
 		if a.isAborted() {
 			return
 		}
--- a/internal/simulation/faultsim/bugs.go
+++ b/internal/simulation/faultsim/bugs.go
@@ -43,6 +43,8 @@
 	WrongService bool
 	// DenyKnown answers requests for what the configuration has as unknown.
 	DenyKnown bool
+	// IgnoreShutdown keeps from routers that they are to stop.
+	IgnoreShutdown bool
 	// OmitRetryAfter leaves out of rejections when to retry.
 	OmitRetryAfter bool
 	// AnswerTwice gives rejected requests a second answer.
--- a/internal/simulation/faultsim/checker.go
+++ b/internal/simulation/faultsim/checker.go
@@ -21,6 +21,7 @@
 	RuleConfig   Rule = "CONFIG"
 	RuleAck      Rule = "ACK"
 	RuleBudget   Rule = "BUDGET"
+	RuleLost     Rule = "LOST"
 	RuleOrder    Rule = "ORDER"
 	RuleRecover  Rule = "RECOVER"
 	RuleOne      Rule = "ONE"
--- a/internal/simulation/faultsim/clients.go
+++ b/internal/simulation/faultsim/clients.go
@@ -61,6 +61,9 @@
 	popularModel   int
 	wantRareModels bool
 	outcomes       map[clientOutcome]int
+	// useStopping says that new requests also go to routers that stop, as when
+	// too few others are ready.
+	useStopping bool
 }
 
 func newClients(sim *Simulation) clients {
@@ -102,7 +105,7 @@
 	c.sim.after(1+c.sim.random.Int63n(2*c.intervalMs), func() { c.scheduleNext() })
 	available := slices.DeleteFunc(c.sim.nodeNames(protocol.RoleRouter), func(name string) bool {
 		n := c.sim.nodes[name]
-		return !n.isUp || n.isStopping
+		return !n.isUp || n.isStopping && !c.useStopping
 	})
 	if len(available) == 0 {
 		return
@@ -135,7 +138,7 @@
 // send sends one request to a router.
 func (c *clients) send(router, path string, retries int) {
 	n := c.sim.nodes[router]
-	if !n.isUp || n.isStopping && retries == 0 {
+	if !n.isUp || n.isStopping && retries == 0 && !c.useStopping {
 		return
 	}
 	c.lastID++
--- a/internal/simulation/faultsim/faults_serving.go
+++ b/internal/simulation/faultsim/faults_serving.go
@@ -13,6 +13,7 @@
 		sim.thawAfter(n, sim.randomDelayMs())
 	}},
 	{"routers stopped in turn", (*Simulation).stopRoutersInTurn},
+	{"routers restarted in rounds", (*Simulation).restartRoutersInRounds},
 }
 
 func (sim *Simulation) killRouters() {
@@ -28,6 +29,20 @@
 	}
 }
 
+// restartRoutersInRounds stops all routers so soon after each other that clients
+// still come to those that stop, while streams are slow.
+func (sim *Simulation) restartRoutersInRounds() {
+	const intervalMs, slowness = 1200, 18
+	names := sim.nodeNames(protocol.RoleRouter)
+	sim.clients.useStopping, sim.fleet.streamSlowness = true, slowness
+	for i, name := range names {
+		sim.after(int64(i)*intervalMs, func() { sim.stopGracefully(sim.nodes[name]) })
+	}
+	sim.after(int64(len(names)-1)*intervalMs+sim.Bounds.GraceMs, func() {
+		sim.clients.useStopping, sim.fleet.streamSlowness = false, 1
+	})
+}
+
 var runnerFaults = []fault{
 	{"runner leaves", func(sim *Simulation) { sim.replaceRunner(sim.randomRunner(""), false) }},
 	{"runner taken away", func(sim *Simulation) { sim.replaceRunner(sim.randomRunner(""), true) }},
--- a/internal/simulation/faultsim/fleet.go
+++ b/internal/simulation/faultsim/fleet.go
@@ -38,6 +38,8 @@
 	// lostAnswerShare of the runners' answers are lost, errorShare of their runs
 	// fail, and resetShare of them end with a reset of the connection.
 	lostAnswerShare, errorShare, resetShare float64
+	// streamSlowness multiplies the time that a chunk of a stream takes.
+	streamSlowness int64
 }
 
 // listing is the state of the list at a time.
@@ -47,7 +49,7 @@
 }
 
 func newFleet(sim *Simulation) fleet {
-	f := fleet{sim: sim, onDisk: map[string]map[string]bool{}}
+	f := fleet{sim: sim, onDisk: map[string]map[string]bool{}, streamSlowness: 1}
 	for i := range modelRunnerCount {
 		r := f.startRunner(modelService, f.newAddress())
 		for _, model := range []int{2 * i, 2*i + 1} {
--- a/internal/simulation/faultsim/node.go
+++ b/internal/simulation/faultsim/node.go
@@ -36,8 +36,9 @@
 	isUp, isFrozen            bool
 	// isRemoved says that the machine was replaced for good.
 	isRemoved bool
-	// isStopping says that a planned stop is under way.
-	isStopping bool
+	// isStopping says that a planned stop is under way, since stopStartedMs.
+	isStopping    bool
+	stopStartedMs int64
 	// incarnation counts the runs of the process, machines all machines of all
 	// runs: a process whose disk failed makes another one.
 	incarnation, machines int
--- a/internal/simulation/faultsim/node_lifecycle.go
+++ b/internal/simulation/faultsim/node_lifecycle.go
@@ -16,7 +16,7 @@
 	// restartDelayMs passes between a planned exit and the next start.
 	restartDelayMs = 500
 	// routerExitEarlyMs is how long before the end of its grace a router exits.
-	routerExitEarlyMs = 700
+	routerExitEarlyMs = 500
 )
 
 // startNode starts a daemon from what its disk holds.
@@ -61,7 +61,7 @@
 		return
 	}
 	sim.logf("%s is told to stop", n.name)
-	n.isStopping = true
+	n.isStopping, n.stopStartedMs = true, sim.NowMs()
 	sim.connectivity.disturb(n)
 	incarnation := n.incarnation
 	exit := func() { sim.exitAndRestart(n, incarnation) }
@@ -71,7 +71,9 @@
 		sim.after(sim.Bounds.GraceMs, exit)
 		return
 	}
-	sim.deliver(n, incarnation, proxy.Drain{StartMs: n.clock(sim.NowMs())})
+	if !sim.Bugs.IgnoreShutdown {
+		sim.deliver(n, incarnation, proxy.Drain{StartMs: n.clock(sim.NowMs())})
+	}
 	sim.after(sim.Bounds.GraceMs-routerExitEarlyMs, exit)
 }
 
@@ -80,6 +82,7 @@
 	if !n.runs(incarnation) {
 		return
 	}
+	sim.Checker.recordPlannedExit(n)
 	sim.killAndRestart(n, restartDelayMs)
 }
 
