Close idle connections of all servers from their readers

The same cause elsewhere: the own interface's router disables keep-alives when it stops, and the standard server then closes connections whose next request has been read but not parsed. The connections of the platform's router moved into internal/httpserver, which internal/process now uses for its server too (callers, operators, pages).

Looked at besides: stopWeb at the end of a controller (a submission cut off there is sent again and acknowledged again), pooled connections to runners and messages between daemons (both already treat a closed connection as unknown).

Test: TestDisablingKeepAlivesLosesNoRequest fails with SetKeepAlivesEnabled (tried).

--- /dev/null
+++ b/internal/httpserver/conn_test.go
@@ -0,0 +1,66 @@
+package httpserver
+
+import (
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// stalledConn gives its bytes only after its deadline has passed, as a connection
+// does whose reader was stalled.
+type stalledConn struct {
+	net.Conn
+	text  string
+	reads int
+}
+
+func (f *stalledConn) SetReadDeadline(time.Time) error { return nil }
+
+func (f *stalledConn) Read(p []byte) (int, error) {
+	if f.reads++; f.reads == 1 {
+		return 0, os.ErrDeadlineExceeded
+	}
+	return copy(p, f.text), nil
+}
+
+func TestBytesThatArrivedDuringAStallAreRead(t *testing.T) {
+	c := qt.New(t)
+	connections := NewConnections(func() Limits { return Limits{Idle: time.Second, Head: time.Second} })
+	connection := connections.add(&stalledConn{text: "GET"})
+	buffer := make([]byte, 8)
+	n, err := connection.Read(buffer)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(buffer[:n]), qt.Equals, "GET")
+	c.Assert(connection.phase, qt.Equals, phaseReadingHead)
+}
+
+func TestDeadlineOfEachPhase(t *testing.T) {
+	limits := Limits{Idle: 20 * time.Second, Head: 5 * time.Second, First: 2 * time.Second}
+	since := time.Unix(1000, 0)
+	for _, test := range []struct {
+		about           string
+		phase           phase
+		served, closing bool
+		first           time.Duration
+		want            time.Duration
+	}{
+		{"a first request", phaseIdle, false, false, 2 * time.Second, 2 * time.Second},
+		{"a first request without a limit of its own", phaseIdle, false, false, 0, 20 * time.Second},
+		{"a first request while connections close", phaseIdle, false, true, 2 * time.Second, 2 * time.Second},
+		{"a further request", phaseIdle, true, false, 2 * time.Second, 20 * time.Second},
+		{"a further request while connections close", phaseIdle, true, true, 2 * time.Second, 0},
+		{"a head", phaseReadingHead, true, true, 2 * time.Second, 5 * time.Second},
+	} {
+		t.Run(test.about, func(t *testing.T) {
+			limits.First = test.first
+			connections := NewConnections(func() Limits { return limits })
+			connection := connections.add(&stalledConn{})
+			connection.phase, connection.served, connection.closing = test.phase, test.served, test.closing
+			connection.since = since
+			qt.Assert(t, connection.deadline().Sub(since), qt.Equals, test.want)
+		})
+	}
+}
--- /dev/null
+++ b/internal/httpserver/stalltest/listener.go
@@ -0,0 +1,43 @@
+// Package stalltest lets tests hold up the reader of a connection right after a read,
+// as a busy processor holds it up.
+package stalltest
+
+import "net"
+
+// Listener hands out connections whose reads stall.
+type Listener struct {
+	net.Listener
+	// Read gets one value for each read that returned bytes. The reader then
+	// waits for a value of Resume.
+	Read, Resume chan struct{}
+}
+
+// New makes a stalling listener of another.
+func New(listener net.Listener) *Listener {
+	return &Listener{listener, make(chan struct{}), make(chan struct{})}
+}
+
+// Accept waits for the next connection.
+func (l *Listener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: accepted, listener: l}, nil
+}
+
+// conn is a connection of a Listener.
+type conn struct {
+	net.Conn
+	listener *Listener
+}
+
+// Read reads, and then waits until the test lets it go on.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.listener.Read <- struct{}{}
+		<-c.listener.Resume
+	}
+	return n, err
+}
--- a/internal/process/runtime.go
+++ b/internal/process/runtime.go
@@ -4,12 +4,14 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
 	"myrtlewinch/internal/httpclient"
+	"myrtlewinch/internal/httpserver"
 	"myrtlewinch/internal/protocol"
 	"myrtlewinch/internal/ringbuffer"
 	"myrtlewinch/internal/storage"
@@ -74,10 +76,13 @@
 	server *transport.Server
 	caller outboundCaller
 	// web serves callers and operators at webListener.
-	web         *http.Server
-	webListener net.Listener
-	replies     replyTable
-	counters    counters
+	web            *http.Server
+	webListener    net.Listener
+	webConnections *httpserver.Connections
+	// closeAfterResponse makes each response close its connection.
+	closeAfterResponse atomic.Bool
+	replies            replyTable
+	counters           counters
 	// ended is closed when the machine's goroutine ends.
 	ended chan struct{}
 	pause pauseSwitch
@@ -101,12 +106,27 @@
 		client: httpclient.New(), custom: options.Caller, writeCheck: r.WriteCheck, count: r.Count,
 	}
 	r.web = &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: r.closing(handler), MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: options.Log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
+	r.webConnections = httpserver.NewConnections(func() httpserver.Limits {
+		return httpserver.Limits{Idle: idleTimeout, Head: headerTimeout, First: headerTimeout}
+	})
+	r.webConnections.Attach(r.web)
 	return r
 }
 
+// closing serves a handler, and closes connections after their responses once that
+// is ordered.
+func (r *Runtime) closing(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		if r.closeAfterResponse.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, request)
+	})
+}
+
 // AddTasks adds the goroutines of the runtime to a group.
 func (r *Runtime) AddTasks(group *threads.Group) {
 	group.Add(r.runMachine, r.inputs.Close)
@@ -119,7 +139,7 @@
 }
 
 func (r *Runtime) serveWeb() error {
-	err := r.web.Serve(r.webListener)
+	err := r.web.Serve(r.webConnections.Listen(r.webListener))
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -171,9 +191,12 @@
 	}
 }
 
-// DisableKeepAlives closes each caller's connection after its next response, so
-// that a planned stop finds none in use.
-func (r *Runtime) DisableKeepAlives() { r.web.SetKeepAlivesEnabled(false) }
+// DisableKeepAlives closes each caller's connection that is idle, and the others
+// after their next response, so that a planned stop finds none in use.
+func (r *Runtime) DisableKeepAlives() {
+	r.closeAfterResponse.Store(true)
+	r.webConnections.CloseIdle()
+}
 
 // Count adds one to a named counter.
 func (r *Runtime) Count(name string) { r.counters.add(name) }
--- /dev/null
+++ b/internal/process/web_test.go
@@ -0,0 +1,65 @@
+package process
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/charmbracelet/log"
+	qt "github.com/frankban/quicktest"
+
+	"myrtlewinch/internal/httpserver/stalltest"
+	"myrtlewinch/internal/protocol"
+	"myrtlewinch/internal/threads"
+)
+
+// idleMachine does nothing.
+type idleMachine struct{}
+
+func (idleMachine) Step(int64, protocol.Input) protocol.Effects { return protocol.Effects{} }
+
+// A request that was read before keep-alives were disabled gets its response, which
+// then closes the connection.
+func TestDisablingKeepAlivesLosesNoRequest(t *testing.T) {
+	c := qt.New(t)
+	var listeners [2]net.Listener
+	for i := range listeners {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		c.Assert(err, qt.IsNil)
+		listeners[i] = listener
+	}
+	web := stalltest.New(listeners[1])
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.URL.Path) })
+	runtime := New(Options{Clock: NewClock(), Log: log.New(io.Discard), TickMs: 1000}, idleMachine{}, nil, listeners[0], web, handler)
+	group := &threads.Group{}
+	runtime.AddTasks(group)
+	stopped, done := make(chan struct{}), make(chan struct{})
+	group.StopWhen(stopped)
+	threads.Go(func() { defer close(done); _ = group.Run() })
+	c.Cleanup(func() { close(stopped); <-done })
+
+	client, err := net.Dial("tcp", listeners[1].Addr().String())
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = client.Close() })
+	answers := bufio.NewReader(client)
+	ask := func(path string, meanwhile func()) (body string, closes bool) {
+		_, err := io.WriteString(client, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n")
+		c.Assert(err, qt.IsNil)
+		<-web.Read
+		meanwhile()
+		web.Resume <- struct{}{}
+		answer, err := http.ReadResponse(answers, nil)
+		c.Assert(err, qt.IsNil)
+		text, err := io.ReadAll(answer.Body)
+		c.Assert(err, qt.IsNil)
+		return string(text), answer.Close
+	}
+	body, closes := ask("/one", func() {})
+	c.Assert(body, qt.Equals, "/one")
+	c.Assert(closes, qt.IsFalse)
+	body, closes = ask("/two", runtime.DisableKeepAlives)
+	c.Assert(body, qt.Equals, "/two")
+	c.Assert(closes, qt.IsTrue)
+}
--- a/internal/proxy/clientconn_test.go
+++ b/internal/proxy/clientlimits_test.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -18,6 +17,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"myrtlewinch/internal/config"
+	"myrtlewinch/internal/httpserver"
 	"myrtlewinch/internal/protocol"
 	"myrtlewinch/internal/threads"
 )
@@ -43,7 +43,7 @@
 	reader *bufio.Reader
 	limits atomic.Pointer[config.Limits]
 	// connections are those of the server, if it has the router's.
-	connections *clientConns
+	connections *httpserver.Connections
 }
 
 const (
@@ -81,9 +81,13 @@
 }
 
 func serveByConfiguration(b *connectionBench, front net.Listener) (*http.Server, net.Listener) {
-	limits := func() clientLimits { return clientLimitsOf(&config.Configuration{Limits: *b.limits.Load()}) }
-	b.connections = newClientConns()
-	return &http.Server{ConnState: trackClientConn}, clientListener{front, limits, b.connections}
+	limits := func() httpserver.Limits {
+		return clientLimitsOf(&config.Configuration{Limits: *b.limits.Load()}).Limits
+	}
+	b.connections = httpserver.NewConnections(limits)
+	server := &http.Server{}
+	b.connections.Attach(server)
+	return server, b.connections.Listen(front)
 }
 
 // serveByFixedTimes serves with fixed time-outs, as an earlier router did.
@@ -200,17 +204,17 @@
 	}{
 		{"it waits for its next request", func(b *connectionBench) bool {
 			b.request(wholeRequest)
-			b.connections.closeIdle()
+			b.connections.CloseIdle()
 			wait(20)
 			return b.request(wholeRequest)
 		}, false},
 		{"it waits for its first request", func(b *connectionBench) bool {
-			b.connections.closeIdle()
+			b.connections.CloseIdle()
 			wait(5_000)
 			return b.request(wholeRequest)
 		}, true},
 		{"it has had that one", func(b *connectionBench) bool {
-			b.connections.closeIdle()
+			b.connections.CloseIdle()
 			wait(5_000)
 			b.request(wholeRequest)
 			wait(20)
@@ -218,26 +222,26 @@
 		}, false},
 		{"a head is coming in", func(b *connectionBench) bool {
 			b.request(wholeRequest)
-			threads.Go(func() { wait(500); b.connections.closeIdle() })
+			threads.Go(func() { wait(500); b.connections.CloseIdle() })
 			return b.request("GET / HTTP/1.1\r\n", "Host: h\r\n", "\r\n")
 		}, true},
 		{"a first head is coming in", func(b *connectionBench) bool {
-			threads.Go(func() { wait(500); b.connections.closeIdle() })
+			threads.Go(func() { wait(500); b.connections.CloseIdle() })
 			return b.request("GET / HTTP/1.1\r\n", "Host: h\r\n", "\r\n")
 		}, true},
 		{"a request is served", func(b *connectionBench) bool {
 			b.request(wholeRequest)
-			threads.Go(func() { wait(500); b.connections.closeIdle() })
+			threads.Go(func() { wait(500); b.connections.CloseIdle() })
 			return b.request(slowRequest)
 		}, true},
 		{"a request was served meanwhile", func(b *connectionBench) bool {
-			threads.Go(func() { wait(500); b.connections.closeIdle() })
+			threads.Go(func() { wait(500); b.connections.CloseIdle() })
 			b.request(slowRequest)
 			wait(20)
 			return b.request(wholeRequest)
 		}, false},
 		{"the next request was sent at once", func(b *connectionBench) bool {
-			threads.Go(func() { wait(500); b.connections.closeIdle() })
+			threads.Go(func() { wait(500); b.connections.CloseIdle() })
 			return b.request(slowRequest+wholeRequest) && b.request()
 		}, true},
 	}
@@ -271,33 +275,6 @@
 	}
 }
 
-// stalledConn gives its bytes only after its deadline has passed, as a connection
-// does whose reader was stalled.
-type stalledConn struct {
-	net.Conn
-	text  string
-	reads int
-}
-
-func (f *stalledConn) SetReadDeadline(time.Time) error { return nil }
-
-func (f *stalledConn) Read(p []byte) (int, error) {
-	if f.reads++; f.reads == 1 {
-		return 0, os.ErrDeadlineExceeded
-	}
-	return copy(p, f.text), nil
-}
-
-func TestBytesThatArrivedDuringAStallAreRead(t *testing.T) {
-	c := qt.New(t)
-	connection := newClientConns().add(&stalledConn{text: "GET"}, func() clientLimits { return clientLimitsOf(nil) })
-	buffer := make([]byte, 8)
-	n, err := connection.Read(buffer)
-	c.Assert(err, qt.IsNil)
-	c.Assert(string(buffer[:n]), qt.Equals, "GET")
-	c.Assert(connection.phase, qt.Equals, connReadingHead)
-}
-
 // The head is counted as it was sent; one above the configuration's limit is answered with 431.
 func TestHeadSizeIsLimitedByTheMap(t *testing.T) {
 	c := qt.New(t)
@@ -339,11 +316,11 @@
 		limits config.Limits
 		want   clientLimits
 	}{
-		{"none", config.Limits{}, clientLimits{defaultIdle, defaultHeadTimeout, defaultHeadBytes}},
-		{"all", config.Limits{MaxHeaderBytes: 16384, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15_000}, clientLimits{17 * time.Second, 5 * time.Second, 16384}},
+		{"none", config.Limits{}, clientLimits{httpserver.Limits{Idle: defaultIdle, Head: defaultHeadTimeout}, defaultHeadBytes}},
+		{"all", config.Limits{MaxHeaderBytes: 16384, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15_000}, clientLimits{httpserver.Limits{Idle: 17 * time.Second, Head: 5 * time.Second}, 16384}},
 		{
 			"beyond what can be held", config.Limits{MaxHeaderBytes: 1 << 40, HeaderTimeoutMs: 1 << 60, IdleTimeoutMs: 1 << 60},
-			clientLimits{maxTimeout + timeoutSlack, maxTimeout + timeoutSlack, headBytesCeiling},
+			clientLimits{httpserver.Limits{Idle: maxTimeout + timeoutSlack, Head: maxTimeout + timeoutSlack}, headBytesCeiling},
 		},
 	}
 	for _, test := range cases {
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -11,6 +11,7 @@
 	"myrtlewinch/internal/config"
 	"myrtlewinch/internal/errkind"
 	"myrtlewinch/internal/httpclient"
+	"myrtlewinch/internal/httpserver"
 	"myrtlewinch/internal/protocol"
 )
 
@@ -90,8 +91,8 @@
 // noteClosedHere counts and logs a request that ends without a response
 // because this process, not its client, closed the connection.
 func (e *exchange) noteClosedHere() {
-	connection := clientConnOf(e.request)
-	if connection == nil || !connection.closed.Load() {
+	connection := httpserver.ConnOf(e.request)
+	if connection == nil || !connection.IsClosed() {
 		return
 	}
 	e.server.runtime.Count(countClosedUnder)
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -14,6 +14,7 @@
 
 	"myrtlewinch/internal/dataplane"
 	"myrtlewinch/internal/errkind"
+	"myrtlewinch/internal/httpserver"
 	"myrtlewinch/internal/process"
 	"myrtlewinch/internal/protocol"
 	"myrtlewinch/internal/threads"
@@ -71,7 +72,7 @@
 	codec          Codec
 	clientListener net.Listener
 	clientServer   *http.Server
-	clientConns    *clientConns
+	clientConns    *httpserver.Connections
 	logger         *log.Logger
 	// activeRequests counts the requests that are served now, at most
 	// maxRequests.
@@ -100,7 +101,7 @@
 func NewServer(settings Settings, codec Codec, format Format, caller process.OutboundCaller, peers, clients, ready net.Listener, logger *log.Logger) (*Server, error) {
 	clock := process.NewClock()
 	s := &Server{
-		machine: New(settings, format, clock.NowMs()), settings: settings, codec: codec, clientListener: clients, clientConns: newClientConns(),
+		machine: New(settings, format, clock.NowMs()), settings: settings, codec: codec, clientListener: clients,
 		logger: logger, maxRequests: maxRequestsOf(settings), maxLargeBodyBytes: maxLargeBodyBytesOf(settings),
 	}
 	s.attempts, s.cancelAttempts = context.WithCancel(context.Background())
@@ -108,10 +109,12 @@
 		Site: settings.Site, Self: settings.Self, Clock: clock, Log: logger, TickMs: tickMs, Caller: caller,
 	}, s.machine, nil, peers, ready, http.HandlerFunc(s.servePlatform))
 	s.clientServer = &http.Server{
-		// clientConn sets the deadlines for idle connections and heads.
-		Handler: s, ConnContext: withClientConn, ConnState: trackClientConn, MaxHeaderBytes: headBytesCeiling, DisableGeneralOptionsHandler: true,
+		// The connections set the deadlines for idle ones and heads.
+		Handler: s, MaxHeaderBytes: headBytesCeiling, DisableGeneralOptionsHandler: true,
 		ErrorLog: logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
+	s.clientConns = httpserver.NewConnections(func() httpserver.Limits { return s.clientLimits().Limits })
+	s.clientConns.Attach(s.clientServer)
 	return s, nil
 }
 
@@ -145,7 +148,7 @@
 
 // serveClients accepts clients until closeClients.
 func (s *Server) serveClients() error {
-	err := s.clientServer.Serve(clientListener{s.clientListener, s.clientLimits, s.clientConns})
+	err := s.clientServer.Serve(s.clientConns.Listen(s.clientListener))
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"myrtlewinch/internal/httpserver"
 )
 
 // drainPoll is the time between two looks for the end of a shutdown.
@@ -48,7 +50,7 @@
 	switch phase {
 	case servingShort:
 		// Every response says since the beginning that its connection closes.
-		s.clientConns.closeIdle()
+		s.clientConns.CloseIdle()
 	case refusing:
 		s.refusing.Store(true)
 	case cancelling:
@@ -96,8 +98,8 @@
 	}
 	d.lateRequests.Add(1)
 	leaveTime := time.Duration(d.times.leaveMs) * time.Millisecond
-	connection := clientConnOf(r)
-	if connection != nil && connection.acceptedAt.Sub(d.startedAt) >= leaveTime {
+	connection := httpserver.ConnOf(r)
+	if connection != nil && connection.AcceptedAt().Sub(d.startedAt) >= leaveTime {
 		d.lateOnNewConns.Add(1)
 	}
 }
--- a/internal/proxy/shutdown_test.go
+++ b/internal/proxy/shutdown_test.go
@@ -13,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"myrtlewinch/internal/errkind"
+	"myrtlewinch/internal/httpserver/stalltest"
 	"myrtlewinch/internal/threads"
 )
 
@@ -63,42 +64,6 @@
 	}
 }
 
-// stallingListener hands out connections whose reader can be held up right after
-// a read, as a busy processor holds it up.
-type stallingListener struct {
-	net.Listener
-	// read gets one value for each read that returns bytes; each then waits for
-	// one of resume.
-	read, resume chan struct{}
-}
-
-func newStallingListener(front net.Listener) *stallingListener {
-	return &stallingListener{front, make(chan struct{}), make(chan struct{})}
-}
-
-func (l *stallingListener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &stallingConn{Conn: accepted, listener: l}, nil
-}
-
-// stallingConn is a connection of a stallingListener.
-type stallingConn struct {
-	net.Conn
-	listener *stallingListener
-}
-
-func (s *stallingConn) Read(p []byte) (int, error) {
-	n, err := s.Conn.Read(p)
-	if n > 0 {
-		s.listener.read <- struct{}{}
-		<-s.listener.resume
-	}
-	return n, err
-}
-
 // wireRequest is a client's request to a path as bytes.
 func wireRequest(path, id string) string {
 	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nTry: %s\r\nLeft: 1500\r\nContent-Length: 0\r\n\r\n", path, id)
@@ -109,9 +74,9 @@
 func TestNoConnectionIsClosedUnderARequestThatWasRead(t *testing.T) {
 	c := qt.New(t)
 	runner := newScriptedRunner(c, plain("one"), plain("two"))
-	var front *stallingListener
+	var front *stalltest.Listener
 	wrap := func(l net.Listener) net.Listener {
-		front = newStallingListener(l)
+		front = stalltest.New(l)
 		return front
 	}
 	g, url, stop, err := startServer(plainCodec{}, exampleConfig(1), []string{runner.at.Addr().String()}, io.Discard, wrap)
@@ -124,9 +89,9 @@
 	ask := func(id string, meanwhile func()) (body string, err error) {
 		_, err = io.WriteString(client, wireRequest("/safe/x", id))
 		c.Assert(err, qt.IsNil)
-		<-front.read
+		<-front.Read
 		meanwhile()
-		front.resume <- struct{}{}
+		front.Resume <- struct{}{}
 		answer, err := http.ReadResponse(answers, nil)
 		if err != nil {
 			return "", err
