--- a/internal/proxy/rejection.go
+++ b/internal/proxy/rejection.go
@@ -36,7 +36,7 @@
 	retryAfterAttemptsMs    = 200
 	retryNoRunnerMs         = 300
 	retryUnknownMs          = 500
-	retryShutdownMs         = minRetryMs
+	retryShutdownMs         = 200
 	retryAfterLoadMs        = 50
 	minRetryMs              = 20
 	minSlotRetryMs          = 50
