Name the successors of files in the check of clocks

clientconn.go became clientlimits.go in internal/proxy and the connections of internal/httpserver; shutdown.go is the part of server.go that waits in real time. shutdowntimes.go is not on the list and stays free of package time.

--- a/internal/simulation/nativesim/clocks_test.go
+++ b/internal/simulation/nativesim/clocks_test.go
@@ -59,9 +59,10 @@
 	"internal/native/controller/api.go",
 	"internal/native/controller/daemon.go",
 	"internal/native/router/server.go",
-	"internal/proxy/clientconn.go",
+	"internal/proxy/clientlimits.go",
 	"internal/proxy/exchange.go",
 	"internal/proxy/server.go",
+	"internal/proxy/shutdown.go",
 }
 
 // goroutinePackage is the only one that starts goroutines.
