Give final responses at the end of the own interface's stop too

Attempts are cancelled then, and their requests answered (outcome unknown where they may have run), for half a second at most.

Tests: TestShutdownCutsRequestsShort, TestAttemptsEndWithTheShutdown, TestShutdownEndsOnceClientsAreGone.

--- a/internal/native/router/exchange.go
+++ b/internal/native/router/exchange.go
@@ -102,6 +102,7 @@
 	defer cancel()
 	timeout := startTimeout(leftMs, cancel)
 	defer timeout.stop()
+	defer context.AfterFunc(e.server.attempts, cancel)()
 	response, written, err := e.forwardRequest(ctx, order)
 	if err != nil {
 		ended.Outcome = sendFailure(written, err)
--- a/internal/native/router/server.go
+++ b/internal/native/router/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
@@ -35,11 +36,14 @@
 	maxNameLength = 128
 	// incarnationBytes is the length of a process's random incarnation.
 	incarnationBytes = 8
-	// maxShutdownMs is how long a shutdown takes at most. It ends before once
-	// no request is under way and none has come for quietShutdownMs, by when
-	// clients have learned to go elsewhere.
+	// maxShutdownMs is how long a shutdown lets requests run. It ends before
+	// once no request is under way and none has come for quietShutdownMs, by
+	// when clients have learned to go elsewhere.
 	maxShutdownMs   = 10_000
 	quietShutdownMs = 500
+	// finalResponsesMs is how long the final responses of requests that were
+	// cut short may take after that.
+	finalResponsesMs = 500
 	// shutdownPoll is the time between two looks for the end of a shutdown.
 	shutdownPoll = 20 * time.Millisecond
 )
@@ -56,6 +60,9 @@
 	lastRequestNumber atomic.Uint64
 	// lastRequestMs is when the last request came.
 	lastRequestMs atomic.Int64
+	// attempts is cancelled by cancelAttempts, which ends all attempts.
+	attempts       context.Context
+	cancelAttempts func()
 }
 
 // NewServer makes a router that runs once its tasks are started. It accepts
@@ -71,6 +78,7 @@
 	clock := process.NewClock()
 	machine := New(Settings{Site: set.Site, Self: self, Seeds: set.Seeds, Platform: set.Platform}, clock.NowMs())
 	s := &Server{machine: machine, self: self}
+	s.attempts, s.cancelAttempts = context.WithCancel(context.Background())
 	options := process.Options{Site: set.Site, Self: self, Clock: clock, Log: logger, TickMs: tickMs}
 	s.runtime = process.New(options, machine, nil, peers, web, s)
 	return s, nil
@@ -84,22 +92,32 @@
 func (s *Server) Pause() (release func()) { return s.runtime.Pause() }
 
 // Shutdown accepts no new request, waits until those under way have ended and
-// clients have gone elsewhere, and returns then, or after maxShutdownMs.
+// clients have gone elsewhere, and returns then. What is under way after
+// maxShutdownMs is cut short and gets a final response.
 func (s *Server) Shutdown() {
 	s.runtime.Submit(Drain{})
 	s.runtime.DisableKeepAlives()
 	clock := s.runtime.Clock()
-	endMs := clock.NowMs() + maxShutdownMs
-	s.lastRequestMs.Store(clock.NowMs())
-	for clock.NowMs() < endMs {
-		quiet := clock.NowMs()-s.lastRequestMs.Load() >= quietShutdownMs
-		if quiet && s.activeRequests.Load() <= 0 {
-			return
-		}
+	startMs := clock.NowMs()
+	s.lastRequestMs.Store(startMs)
+	for !s.stepShutdown(startMs, clock.NowMs()) {
 		time.Sleep(shutdownPoll)
 	}
 }
 
+// stepShutdown does what is due at a time in a shutdown that began at startMs. It
+// returns true once the process may end.
+func (s *Server) stepShutdown(startMs, nowMs int64) bool {
+	elapsedMs := nowMs - startMs
+	idle := s.activeRequests.Load() <= 0
+	if elapsedMs < maxShutdownMs {
+		return idle && nowMs-s.lastRequestMs.Load() >= quietShutdownMs
+	}
+	alreadyCancelled := s.attempts.Err() != nil
+	s.cancelAttempts()
+	return idle || alreadyCancelled && elapsedMs >= maxShutdownMs+finalResponsesMs
+}
+
 // ServeHTTP serves clients and operators.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	service, isService := strings.CutPrefix(r.URL.Path, "/services/")
