--- a/internal/httpserver/stalltest/listener.go
+++ b/internal/httpserver/stalltest/listener.go
@@ -2,13 +2,21 @@
 // as a busy processor holds it up.
 package stalltest
 
-import "net"
+import (
+	"bytes"
+	"net"
+)
+
+// headEnd ends the head of a request.
+var headEnd = []byte("\r\n\r\n")
 
 // Listener hands out connections whose reads stall.
 type Listener struct {
 	net.Listener
-	// Read gets one value for each read that returned bytes. The reader then
-	// waits for a value of Resume.
+	// Read gets one value for each read that brought the end of a head. The
+	// reader then waits for a value of Resume. The bytes before may come in
+	// several reads: the standard server looks for a next request while it still
+	// finishes the one before.
 	Read, Resume chan struct{}
 }
 
@@ -32,10 +40,10 @@
 	listener *Listener
 }
 
-// Read reads, and then waits until the test lets it go on.
+// Read reads, and after the end of a head waits until the test lets it go on.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 {
+	if bytes.HasSuffix(p[:n], headEnd) {
 		c.listener.Read <- struct{}{}
 		<-c.listener.Resume
 	}
