--- /dev/null
+++ b/cmd/experiment/main.go
@@ -0,0 +1,106 @@
+// Program experiment plays days of the platform's bench on two or more source
+// trees in turn, and prints how the trees differ from the first one: by site and
+// day the median difference of the scores over pairs of the same day and seed,
+// its interval, and what parts and prices make it up. What was played is kept in
+// a file; called again with it, the program plays only what is missing.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"path/filepath"
+
+	"github.com/integrii/flaggy"
+
+	"myrtlewinch/internal/cli"
+	"myrtlewinch/internal/experiment"
+)
+
+// options are the values of the flags.
+type options struct {
+	bench, trees, sites, days, seeds, why, records, picture string
+	jobs                                                    int
+	noCPU                                                   bool
+}
+
+func main() {
+	o := options{seeds: "1,2,3,4,5", records: "experiment.jsonl", jobs: 2}
+	cli.Setup("experiment", "Plays the same days of the platform's bench on several source trees, and compares the scores with those of the first one.")
+	flaggy.String(&o.bench, "", "bench", "path of the bench program")
+	flaggy.String(&o.trees, "", "trees", "NAME=FOLDER of each tree, with commas; the first is the base")
+	flaggy.String(&o.sites, "", "sites", "paths of site files, with commas")
+	flaggy.String(&o.days, "", "days", "names of days, or paths of files with days, with commas")
+	flaggy.String(&o.seeds, "", "seeds", "numbers of the seeds, with commas")
+	flaggy.String(&o.why, "", "why", "reason for the bench's journal")
+	flaggy.String(&o.records, "", "records", "file that keeps what was played")
+	flaggy.String(&o.picture, "", "picture", "SVG file to draw the differences of the scores in")
+	flaggy.Int(&o.jobs, "", "jobs", "days played at the same time")
+	flaggy.Bool(&o.noCPU, "", "noCpu", "leave the daemons' processor time out of account")
+	cli.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	run(ctx, o)
+}
+
+// run plays the experiment and reports it, also where plays failed.
+func run(ctx context.Context, o options) {
+	plan := o.plan()
+	benchPath, err := filepath.Abs(o.bench)
+	if err != nil {
+		cli.UsageError("bench: %v", err)
+	}
+	bench := experiment.Bench{Path: benchPath, Why: o.why, NoCPU: o.noCPU}
+	if err := bench.Check(plan); err != nil {
+		cli.UsageError("%v", err)
+	}
+	records, err := experiment.OpenLog(o.records)
+	if err != nil {
+		cli.UsageError("%v", err)
+	}
+	playErr := experiment.Run(ctx, bench, plan, records, max(1, o.jobs))
+	report(o, plan, records)
+	if err := records.Close(); err != nil {
+		cli.Fatal("%v", err)
+	}
+	if playErr != nil {
+		cli.Fatal("%v", playErr)
+	}
+}
+
+// plan reads what is to be played from the flags.
+func (o options) plan() experiment.Plan {
+	trees, err := experiment.ParseTrees(o.trees)
+	if err != nil {
+		cli.UsageError("trees: %v", err)
+	}
+	seeds, err := experiment.ParseSeeds(o.seeds)
+	if err != nil {
+		cli.UsageError("seeds: %v", err)
+	}
+	plan := experiment.Plan{Trees: trees, Sites: experiment.SplitList(o.sites), Days: experiment.SplitList(o.days), Seeds: seeds}
+	for i, site := range plan.Sites {
+		if plan.Sites[i], err = filepath.Abs(site); err != nil {
+			cli.UsageError("sites: %v", err)
+		}
+	}
+	if len(plan.Sites) == 0 || len(plan.Days) == 0 {
+		cli.UsageError("sites and days must be given")
+	}
+	return plan
+}
+
+// report prints the comparisons, and draws them if that was asked for.
+func report(o options, plan experiment.Plan, records *experiment.Log) {
+	all := records.Records()
+	comparisons := experiment.Compare(all, plan.Trees[0].Name)
+	if err := experiment.WriteReport(os.Stdout, all, comparisons); err != nil {
+		cli.Fatal("%v", err)
+	}
+	if o.picture == "" {
+		return
+	}
+	if err := experiment.WritePicture(o.picture, comparisons); err != nil {
+		cli.Fatal("%v", err)
+	}
+}
--- a/cmd/journalcheck/main.go
+++ b/cmd/journalcheck/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/integrii/flaggy"
 
+	"myrtlewinch/internal/benchjournal"
 	"myrtlewinch/internal/cli"
 )
 
@@ -22,7 +23,7 @@
 	if len(files) == 0 {
 		cli.UsageError("no journal entry named")
 	}
-	entries := make([]Entry, 0, len(files))
+	entries := make([]benchjournal.Entry, 0, len(files))
 	for _, file := range files {
 		entries = append(entries, readFile(file))
 	}
@@ -46,12 +47,12 @@
 }
 
 // readFile reads an entry of the journal from a file.
-func readFile(file string) Entry {
+func readFile(file string) benchjournal.Entry {
 	text, err := os.ReadFile(file)
 	if err != nil {
 		cli.UsageError("%v", err)
 	}
-	entry, err := ReadEntry(text)
+	entry, err := benchjournal.Parse(text)
 	if err != nil {
 		cli.UsageError("%s: %v", file, err)
 	}
--- /dev/null
+++ b/internal/benchjournal/entry.go
@@ -0,0 +1,100 @@
+// Package benchjournal reads the journal that the platform's bench writes: one
+// JSON document for each run, with the bench's verdict on each day played.
+package benchjournal
+
+import (
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Entry is the part of a journal entry that this project evaluates: one run, of
+// one or several days, of one deployment.
+type Entry struct {
+	ID string `json:"id"`
+	// Site names the deployment.
+	Site string `json:"site"`
+	// OK says that the run finished, and Error why it did not.
+	OK    bool    `json:"ok"`
+	Error *string `json:"error"`
+	Days  []Day   `json:"days"`
+	// Digest is the beginning of the bench's report.
+	Digest string `json:"digest"`
+}
+
+// Day is the bench's verdict on one day.
+type Day struct {
+	Name string `json:"name"`
+	Seed uint64 `json:"seed"`
+	// Score is the day's score between 0 and 1; nil where the day has no marks.
+	Score *float64 `json:"score"`
+	// Worth is the worth after prices, from which the score follows.
+	Worth float64 `json:"G"`
+	// Rules counts the violations of each rule.
+	Rules map[string]int `json:"rules"`
+	// Fault is set if the software failed outright.
+	Fault *string `json:"fault"`
+	// Gate says that the day was passed; Short says what it lacked otherwise.
+	Gate  bool     `json:"gate"`
+	Short []string `json:"short"`
+	// Missed counts the missed duties.
+	Missed int `json:"missed"`
+	// Served is the share of the worth owed that was earned.
+	Served float64 `json:"served"`
+	// Parts are the weighted parts of the worth before prices.
+	Parts []Part `json:"parts"`
+	// Prices are what was taken off the worth.
+	Prices []Price `json:"prices"`
+}
+
+// Part is one weighted part of the worth, such as that of the worst class.
+type Part struct {
+	Name          string
+	Weight, Value float64
+}
+
+// UnmarshalJSON reads the bench's form, an array of name, weight and value.
+func (p *Part) UnmarshalJSON(text []byte) error {
+	return unmarshalTuple(text, &p.Name, &p.Weight, &p.Value)
+}
+
+// Price is one kind of cost.
+type Price struct {
+	Name string
+	// Amount is in the unit that the name states, Worth what it takes off.
+	Amount, Worth float64
+}
+
+// UnmarshalJSON reads the bench's form, an array of name, amount and worth.
+func (p *Price) UnmarshalJSON(text []byte) error {
+	return unmarshalTuple(text, &p.Name, &p.Amount, &p.Worth)
+}
+
+// unmarshalTuple reads an array of exactly the given fields.
+func unmarshalTuple(text []byte, fields ...any) error {
+	var items []json.RawMessage
+	if err := json.Unmarshal(text, &items); err != nil {
+		return err
+	}
+	if len(items) != len(fields) {
+		return errors.Newf("an array of %d items, not %d", len(items), len(fields))
+	}
+	for i, item := range items {
+		if err := json.Unmarshal(item, fields[i]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Parse reads one entry of the journal.
+func Parse(text []byte) (Entry, error) {
+	var entry Entry
+	if err := json.Unmarshal(text, &entry); err != nil {
+		return Entry{}, errors.Wrap(err, "journal entry")
+	}
+	if entry.ID == "" || entry.Site == "" {
+		return Entry{}, errors.New("journal entry: no id or no site")
+	}
+	return entry, nil
+}
