Choose runners by the prefill that all routers have under way there

Now the look-up of a hit names the runner, every router reports what it begins and ends, controllers add up and push it. Figures are absolute and repeated, so lost reports do no lasting harm.

Late streams are counted by cause on the counters page.

--- a/internal/compatibility/frames_test.go
+++ b/internal/compatibility/frames_test.go
@@ -22,6 +22,13 @@
 // recordedMessages is how many types of message the release before had.
 const recordedMessages = 31
 
+// fieldsSince lists the fields that messages got since that release, with the
+// values that they must have in a message of it.
+var fieldsSince = map[string][]string{
+	"wire.MapLookUp": {"Envelope.Body.Runner = ", "Envelope.Body.PrefillMs = 0"},
+	"wire.MapIndex":  {"Envelope.Body.Holders[0].PrefillMs = 0", "Envelope.Body.Holders[1].PrefillMs = 0"},
+}
+
 // connection gives the recorded bytes to a codec.
 type connection struct{ bytes.Buffer }
 
@@ -58,7 +65,8 @@
 			c.Assert(err, qt.IsNil)
 			// The order of fields in a Go type is no part of the encoding's meaning.
 			got := slices.Sorted(slices.Values(listFields(nil, "Envelope", reflect.ValueOf(batch[0]))))
-			wanted := slices.Sorted(slices.Values(strings.Split(strings.TrimSpace(string(want)), "\n")))
+			lines := append(strings.Split(strings.TrimSpace(string(want)), "\n"), fieldsSince[name]...)
+			wanted := slices.Sorted(slices.Values(lines))
 			c.Assert(got, qt.DeepEquals, wanted)
 		})
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -46,6 +46,7 @@
 	submissions submissionQueue
 	orders      orderRight
 	index       indexExchange
+	prefill     prefillExchange
 	routers     routerRegistry
 }
 
@@ -59,6 +60,7 @@
 		placement:   placement.New(settings.Bounds, settings.Self.Name, settings.ListAddress, settings.ListPerSec),
 		submissions: submissionQueue{maxHistory: maxHistory},
 		routers:     newRouterRegistry(),
+		prefill:     newPrefillExchange(),
 	}
 }
 
@@ -101,6 +103,8 @@
 		c.handlePoll(h, e.From, body)
 	case protocol.IndexLookUp:
 		c.handleLookUp(h, e.From, body)
+	case protocol.PrefillReport:
+		c.handlePrefillReport(h, e.From, body)
 	case IndexSnapshot:
 		c.handleIndexSnapshot(h, body)
 	case DemandReport:
@@ -165,6 +169,7 @@
 
 // Tick does the periodic work.
 func (c *Controller) Tick(h consensus.Host) {
+	c.tickPrefill(h)
 	if c.isPrimary {
 		c.tickPrimary(h)
 	} else {
--- a/internal/controller/lookups.go
+++ b/internal/controller/lookups.go
@@ -34,7 +34,12 @@
 		h.Count(string(errkind.NoContact))
 		return
 	}
-	h.Send(from, c.placement.LookUp(h.NowMs(), from, lookUp))
+	reply := c.placement.LookUp(h.NowMs(), from, lookUp)
+	for i := range reply.Holders {
+		reply.Holders[i].PrefillMs = c.prefill.totals[reply.Holders[i].ID]
+	}
+	h.Send(from, reply)
+	c.noteLookUp(h, from, lookUp)
 	if lookUp.Waits {
 		c.expediteLookUp(h)
 	}
--- a/internal/protocol/index.go
+++ b/internal/protocol/index.go
@@ -19,6 +19,37 @@
 	// ReadMs is about how many milliseconds an almost idle runner took lately
 	// to read 1,000 tokens of a prompt for the model; 0 means not measured.
 	ReadMs float64
+	// Runner is the runner that the request was sent to together with the
+	// look-up, empty for a request that waits, and PrefillMs about how many
+	// milliseconds the prefill of its prompt takes there.
+	Runner    string
+	PrefillMs int64
+}
+
+// SpreadLookUpsFrom is the number of routers above which the look-ups of hits
+// are spread over all controllers; with fewer all go to the primary, which can
+// then weigh the whole demand at once.
+const SpreadLookUpsFrom = 32
+
+// PrefillMaxAgeMs is for how long the figures of a PrefillReport hold.
+// PrefillRefreshMs is how often a sender repeats those that are not 0, so that
+// two reports in a row may be lost.
+const (
+	PrefillMaxAgeMs  = 3 * PrefillRefreshMs
+	PrefillRefreshMs = 1_500
+)
+
+// PrefillReport says how much prefill is under way at some runners: those of
+// which the sender's figure changed. A router reports its own requests to a
+// controller, a controller those of its routers to the other controllers, and
+// those of the whole site to its routers. The figures are absolute and only hints
+// for balancing, so a lost report does no lasting harm.
+type PrefillReport struct{ Runners []RunnerPrefill }
+
+// RunnerPrefill is the prefill under way at a runner, in milliseconds.
+type RunnerPrefill struct {
+	Runner string
+	Ms     int64
 }
 
 // IndexHolder is a runner that an IndexReply offers.
@@ -33,6 +64,9 @@
 	Active, Queued        int
 	CacheUsed, CacheTotal int64
 	AgeMs                 int64
+	// PrefillMs is the prefill under way there as the controller knows it from
+	// the routers' reports, 0 for none.
+	PrefillMs int64
 }
 
 // IndexReply answers an IndexLookUp. With ID 0 it notifies a router that looked
--- a/internal/protocol/message.go
+++ b/internal/protocol/message.go
@@ -56,6 +56,7 @@
 	"MapWord":   ConfigUpdate{},
 	"MapLookUp": IndexLookUp{},
 	"MapIndex":  IndexReply{},
+	"Prefill":   PrefillReport{},
 }
 
 func init() {
@@ -150,3 +151,6 @@
 
 // PeerMessage marks IndexReply as a Message.
 func (IndexReply) PeerMessage() {}
+
+// PeerMessage marks PrefillReport as a Message.
+func (PrefillReport) PeerMessage() {}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -66,8 +66,7 @@
 	m.dequeue(r)
 	runner := m.runnerState(holder.ID)
 	runner.addInFlight(m.nowMs, 1, r.tokens)
-	runner.prefillTokens += r.Params.PromptTokens
-	r.attemptStartMs, r.prefillPending = m.nowMs, true
+	m.beginPrefill(r, holder.ID)
 	m.reply(r.ID, StartAttempt{
 		Params: AttemptParams{
 			Runner: holder.ID, Urgency: urgency(r.route.Priority),
@@ -215,14 +214,6 @@
 	}
 }
 
-// endPrefill takes the prompt out of the runner's prefillTokens.
-func (m *Machine) endPrefill(r *request) {
-	if r.prefillPending {
-		r.prefillPending = false
-		m.runnerState(r.runnerID).prefillTokens -= r.Params.PromptTokens
-	}
-}
-
 // releaseSlot notes that an attempt ended, whatever its outcome.
 func (m *Machine) releaseSlot(r *request) {
 	r.attemptActive = false
--- a/internal/proxy/balancer.go
+++ b/internal/proxy/balancer.go
@@ -1,6 +1,10 @@
 package proxy
 
-import "hash/fnv"
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+)
 
 const (
 	// sameZoneSlack is how many requests more than the best runner of all a
@@ -10,9 +14,9 @@
 	// while its load is below affinityLoadFactor times the average plus
 	// affinityLoadSlack requests.
 	affinityLoadFactor, affinityLoadSlack = 1.25, 4
-	// prefillStep is the difference in waiting prompt tokens from which on one
-	// runner counts as busier than another.
-	prefillStep = 512
+	// prefillStepMs is the difference in waiting prefill from which on one runner
+	// counts as busier than another.
+	prefillStepMs = 20
 	// noCandidate is the index that choose returns for an empty list.
 	noCandidate = -1
 )
@@ -23,8 +27,8 @@
 	// load is the estimated number of requests that execute or wait there,
 	// slots the number that can execute at the same time.
 	load, slots int
-	// prefillTokens is the number of prompt tokens known to wait there.
-	prefillTokens int64
+	// prefillMs is the estimated time of the prefill that waits there.
+	prefillMs int64
 	// sameZone reports whether it is in the router's own zone.
 	sameZone bool
 	// unhealthy reports whether attempts there failed recently.
@@ -39,13 +43,18 @@
 	// mostlyShared reports whether these are most of the prompt, so that it
 	// is cheaper to wait behind others than to prefill them at another runner.
 	mostlyShared bool
+	// prefillMatters reports whether prompts that meet at a runner hold up
+	// streams for longer than they may be held up.
+	prefillMatters bool
 	// draw is a pseudo-random number that differs between requests, and
 	// between the attempts of one request.
 	draw uint64
 }
 
 // choose returns the index of the runner for a request, or noCandidate.
-// Unhealthy runners are chosen only if there is no other.
+// Unhealthy runners are chosen only if there is no other. Where prompts matter,
+// runners at which more of them wait than at others are chosen only for a prompt
+// that is mostly shared.
 func choose(candidates []candidate, s selection) int {
 	eligible := make([]int, 0, len(candidates))
 	for i := range candidates {
@@ -58,17 +67,32 @@
 			eligible = append(eligible, i)
 		}
 	}
-	switch {
-	case len(eligible) == 0:
+	if len(eligible) == 0 {
 		return noCandidate
-	case s.affinity != 0 && s.mostlyShared:
+	}
+	if s.affinity != 0 && s.mostlyShared {
 		return pickByAffinity(candidates, eligible, s.affinity)
-	case s.affinity != 0:
+	}
+	if s.prefillMatters {
+		eligible = withLeastPrefill(candidates, eligible)
+	}
+	if s.affinity != 0 {
 		return pickByRank(candidates, eligible, s.affinity)
 	}
 	return pickByLoad(candidates, eligible, s.draw)
 }
 
+// withLeastPrefill keeps the runners at which the fewest prompts wait. A prefill
+// holds up every stream of its runner, so prompts must not meet at one while
+// another is idle.
+func withLeastPrefill(candidates []candidate, eligible []int) []int {
+	least := candidates[eligible[0]].prefillSteps()
+	for _, i := range eligible {
+		least = min(least, candidates[i].prefillSteps())
+	}
+	return slices.DeleteFunc(eligible, func(i int) bool { return candidates[i].prefillSteps() > least })
+}
+
 // pickByAffinity returns the runner with the highest rank for the prompt parts
 // (rendezvous hashing) among those that are not too busy, so that all routers
 // choose the same one without communicating. If all are too busy it returns
@@ -156,12 +180,12 @@
 // busier. Waiting prompts count first, since a prefill delays all requests at
 // a runner.
 func (c candidate) compareLoad(other candidate) int {
-	if d := c.prefillTokens/prefillStep - other.prefillTokens/prefillStep; d != 0 {
-		return int(d)
-	}
-	return c.load - other.load
+	return cmp.Or(cmp.Compare(c.prefillSteps(), other.prefillSteps()), cmp.Compare(c.load, other.load))
 }
 
+// prefillSteps is the prefill that waits there, in steps that make a difference.
+func (c candidate) prefillSteps() int64 { return c.prefillMs / prefillStepMs }
+
 // hash is the FNV-1a hash of a text.
 func hash(text string) uint64 {
 	sum := fnv.New64a()
--- a/internal/proxy/balancer_test.go
+++ b/internal/proxy/balancer_test.go
@@ -21,6 +21,11 @@
 		{"the own zone", []candidate{{id: "a", slots: 9}, {id: "b", load: 2, slots: 9, sameZone: true}}, selection{}, []string{"b"}},
 		{"the own zone is too busy", []candidate{{id: "a", slots: 9}, {id: "b", load: 3, slots: 9, sameZone: true}}, selection{}, []string{"a", "b"}},
 		{"parts go past a busy runner", []candidate{{id: "a", load: 20, slots: 64}, {id: "b", load: 1, slots: 64}}, selection{affinity: 7}, []string{"b"}},
+		{"parts go past a runner that reads prompts", []candidate{{id: "a", prefillMs: 20, slots: 64}, {id: "b", load: 9, slots: 64}}, selection{affinity: 7, prefillMatters: true}, []string{"b"}},
+		{"a little more to read makes no difference", []candidate{{id: "a", prefillMs: 19, slots: 64}, {id: "b", load: 9, slots: 64}}, selection{affinity: 7, prefillMatters: true}, []string{"a"}},
+		{"the own zone reads prompts", []candidate{{id: "a", slots: 9}, {id: "b", prefillMs: 50, slots: 9, sameZone: true}}, selection{prefillMatters: true}, []string{"a"}},
+		{"the own zone reads prompts that don't matter", []candidate{{id: "a", slots: 9}, {id: "b", prefillMs: 50, slots: 9, sameZone: true}}, selection{}, []string{"b"}},
+		{"a suspect one is left out though it reads nothing", []candidate{{id: "a", slots: 4, unhealthy: true}, {id: "b", prefillMs: 900, slots: 4}}, selection{affinity: 7, prefillMatters: true}, []string{"b"}},
 		{"parts go to the least busy where all are over", []candidate{{id: "a", load: 6, slots: 6}, {id: "b", load: 7, slots: 6}}, selection{affinity: 7}, []string{"a"}},
 	}
 	for _, test := range cases {
--- a/internal/proxy/candidates.go
+++ b/internal/proxy/candidates.go
@@ -51,8 +51,9 @@
 		}
 		m.candidateHolders = append(m.candidateHolders, *holder)
 		m.candidateList = append(m.candidateList, candidate{
-			id: holder.ID, load: runner.load(m.nowMs), slots: runner.slots, prefillTokens: runner.prefillTokens,
-			sameZone: holder.Zone == m.settings.Self.Zone, unhealthy: runner.unhealthyUntilMs > m.nowMs,
+			id: holder.ID, load: runner.load(m.nowMs), slots: runner.slots,
+			prefillMs: max(runner.waitingPrefillMs(m.nowMs), m.prefillMs(r.key, runner.prefillTokens)),
+			sameZone:  holder.Zone == m.settings.Self.Zone, unhealthy: runner.unhealthyUntilMs > m.nowMs,
 		})
 	}
 }
--- a/internal/proxy/controlplane.go
+++ b/internal/proxy/controlplane.go
@@ -116,6 +116,8 @@
 		m.applyConfigUpdate(e.From, body)
 	case protocol.IndexReply:
 		m.applyIndexReply(body)
+	case protocol.PrefillReport:
+		m.applyPrefillReport(e.From, body)
 	default:
 		m.outbox.CountError(errkind.Malformed)
 	}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -38,6 +38,9 @@
 	path, query string
 	hasQuery    bool
 
+	// arrivedMs is when the request was read completely, attemptMs when the last
+	// attempt began.
+	arrivedMs, attemptMs int64
 	// forwarded says that the client has the head of a response.
 	forwarded bool
 	// keptResponse is the response of the last attempt that ended as
@@ -60,6 +63,7 @@
 	id, outputs := runtime.OpenReplies()
 	defer runtime.CloseReplies(id)
 	e.id = id
+	e.arrivedMs = runtime.Clock().NowMs()
 	submitted := runtime.Submit(Request{ID: id, Host: hostWithoutPort(e.request.Host), Path: e.path, Params: e.params})
 	if !submitted {
 		e.server.codec.WriteRejection(e.writer, errkind.QueueFull, retryOverloadMs)
@@ -127,6 +131,7 @@
 // runAttempt sends the request to a runner once and forwards the response.
 func (e *exchange) runAttempt(order StartAttempt) AttemptEnded {
 	nowMs := e.server.runtime.Clock().NowMs()
+	e.attemptMs = nowMs
 	leftMs := order.DeadlineMs - nowMs
 	ctx, cancel := context.WithCancel(e.request.Context())
 	defer cancel()
@@ -199,7 +204,7 @@
 		discard(response, cancel)
 		return e.attemptEnded(Rejected)
 	case isStream(order.Route, response):
-		outcome := e.forwardStream(response, head, order.Params.Runner, leftMs)
+		outcome := e.forwardStream(order, response, head, leftMs)
 		if outcome != Completed {
 			sent.Reject()
 		}
--- /dev/null
+++ b/internal/proxy/lateness.go
@@ -0,0 +1,50 @@
+package proxy
+
+import "myrtlewinch/internal/config"
+
+// Names of counters on the counters page, by what made a stream later than its
+// route allows; docs/operators.md explains them.
+const (
+	countLateWaited = "streams late: waited for a runner"
+	countLateRunner = "streams late: first event late at the runner"
+	countLatePause  = "streams late: pause between events"
+)
+
+// streamTiming notes when the parts of a stream came from its runner, and tells
+// why the stream is late, if it is.
+type streamTiming struct {
+	// arrivedMs is when the request came, attemptMs when it was sent to the runner.
+	arrivedMs, attemptMs int64
+	// firstMs and lastMs are when the first and the last part came, 0 for never.
+	firstMs, lastMs int64
+	longestGapMs    int64
+}
+
+// received notes that a part of the stream came.
+func (t *streamTiming) received(nowMs int64) {
+	if t.firstMs == 0 {
+		t.firstMs = nowMs
+	} else {
+		t.longestGapMs = max(t.longestGapMs, nowMs-t.lastMs)
+	}
+	t.lastMs = nowMs
+}
+
+// cause returns the counter of what made the stream late by its route's latency
+// target or its longest gap between events; empty if it was in time, or if the
+// route states neither.
+func (t *streamTiming) cause(route *config.Route) string {
+	isFirstLate := route.LatencyTargetMs > 0 && t.firstMs-t.arrivedMs > route.LatencyTargetMs
+	waitedMs, atRunnerMs := t.attemptMs-t.arrivedMs, t.firstMs-t.attemptMs
+	switch {
+	case t.firstMs == 0:
+		return ""
+	case isFirstLate && waitedMs > atRunnerMs:
+		return countLateWaited
+	case isFirstLate:
+		return countLateRunner
+	case route.MaxEventGapMs > 0 && t.longestGapMs > route.MaxEventGapMs:
+		return countLatePause
+	}
+	return ""
+}
--- a/internal/proxy/lookup.go
+++ b/internal/proxy/lookup.go
@@ -12,14 +12,31 @@
 	// lookUpRetryMs is how long after the first look-up of a miss another
 	// controller is asked if there is no answer.
 	lookUpRetryMs = 300
-	// spreadLookUpsFrom is the number of routers above which the look-ups of
-	// hits are spread over all controllers.
-	spreadLookUpsFrom = 32
 )
 
-// sendLookUp sends the look-up of a request to a controller. Nothing is sent
+// sendLookUpWith sends the look-up of a hit together with its first attempt, and
+// names the runner in it. It returns false where the look-up was sent before.
+func (m *Machine) sendLookUpWith(r *request, runner string) bool {
+	if !r.lookUpDue {
+		return false
+	}
+	r.lookUpDue = false
+	m.sendLookUp(r, m.lookUpTarget(false), runner)
+	return true
+}
+
+// sendDueLookUp sends the look-up of a hit that got no attempt at once.
+func (m *Machine) sendDueLookUp(r *request) {
+	if r.lookUpDue {
+		r.lookUpDue = false
+		m.sendLookUp(r, m.lookUpTarget(false), "")
+	}
+}
+
+// sendLookUp sends the look-up of a request to a controller. The runner is the
+// one that the request is sent to at the same time, or empty. Nothing is sent
 // while the controller's address is unknown.
-func (m *Machine) sendLookUp(r *request, controller string) {
+func (m *Machine) sendLookUp(r *request, controller, runner string) {
 	node, known := m.detector.Node(controller)
 	if !known || controller == "" {
 		return
@@ -30,6 +47,7 @@
 		ID: r.lookUpID, Service: r.key.service, Model: r.key.model, Adapter: r.key.adapter,
 		Tokens: r.tokens, Waits: r.cacheMiss, Prompt: r.Params.PromptTokens,
 		ReadMs: m.prefillReports.takeMinimum(r.key.service, r.key.model),
+		Runner: runner, PrefillMs: r.prefillMs,
 	})
 }
 
@@ -39,11 +57,11 @@
 	unanswered := r.cacheMiss && !r.lookUpAnswered
 	switch {
 	case r.lookUpsSent == 0:
-		m.sendLookUp(r, m.lookUpTarget(r.cacheMiss))
+		m.sendLookUp(r, m.lookUpTarget(r.cacheMiss), "")
 	case r.lookUpsSent == 1 && unanswered && m.nowMs-r.lookUpSentMs >= lookUpRetryMs:
 		if next := m.nextController(r.lookUpController); next != "" {
 			m.Counters.LookUpRetries++
-			m.sendLookUp(r, next)
+			m.sendLookUp(r, next, "")
 		}
 	}
 	if r.cacheMiss && !r.missCounted && m.nowMs-r.arrivedMs >= missDelayedMs {
@@ -105,7 +123,7 @@
 // routers a controller of the own zone answers the hits from its replica and
 // reports the demand to the primary.
 func (m *Machine) lookUpTarget(cacheMiss bool) string {
-	spread := m.nearestController != "" && m.routerCount > spreadLookUpsFrom
+	spread := m.nearestController != "" && m.routerCount > protocol.SpreadLookUpsFrom
 	if !cacheMiss && spread && !m.primarySilent() {
 		return m.nearestController
 	}
--- a/internal/proxy/machine.go
+++ b/internal/proxy/machine.go
@@ -109,9 +109,12 @@
 	completionRates map[string]*completionRate
 	retryBudgets    map[string]*retryBudget
 	prefillReports  prefillMinimums
+	prefillExchange prefillExchange
 	// prefillEstimates is the estimated time to prefill 1,000 tokens, in
 	// milliseconds by model.
 	prefillEstimates map[modelKey]float64
+	// meanPrefillMs is the mean of the estimated prefill times by service.
+	meanPrefillMs map[string]float64
 	// routeLatencies is a moving average of the time from arrival to
 	// completion, in milliseconds by route.
 	routeLatencies map[string]float64
@@ -145,7 +148,9 @@
 		completionRates:  map[string]*completionRate{},
 		retryBudgets:     map[string]*retryBudget{},
 		prefillReports:   prefillMinimums{},
+		prefillExchange:  prefillExchange{changed: map[string]bool{}, refreshedMs: nowMs},
 		prefillEstimates: map[modelKey]float64{},
+		meanPrefillMs:    map[string]float64{},
 		routeLatencies:   map[string]float64{},
 		Counters:         Counters{Rejections: map[errkind.Kind]uint64{}},
 	}
@@ -203,6 +208,7 @@
 		m.sweep()
 	}
 	m.dispatchQueue()
+	m.reportPrefill()
 }
 
 // expectedLatencyMs estimates the time from arrival to completion of a request
--- a/internal/proxy/prefill.go
+++ b/internal/proxy/prefill.go
@@ -6,6 +6,15 @@
 	minPrefillTokens = 256
 	// prefillDrift is how far an estimate moves towards a slower measurement.
 	prefillDrift = 0.01
+	// assumedPrefillMs replaces the estimate of a model of which no prefill has
+	// been measured yet.
+	assumedPrefillMs = 50
+	// meanPrefillWeight is the part of a new prompt in a service's mean.
+	meanPrefillWeight = 1.0 / 32
+	// meetingPrompts is how many prompts of the mean length may well meet at a
+	// runner. Where their prefill fits into the longest gap that a route allows,
+	// requests are better chosen by load and prefix cache.
+	meetingPrompts = 4
 )
 
 // modelKey names a model of a service.
@@ -45,6 +54,36 @@
 	return float64(ms) * 1000 / float64(tokens), true
 }
 
+// expectedPrefillMs estimates how long the prefill of a request's prompt takes.
+func (m *Machine) expectedPrefillMs(r *request) int64 {
+	return m.prefillMs(r.key, r.Params.PromptTokens)
+}
+
+// prefillMs estimates how long the prefill of so many tokens takes for a model.
+func (m *Machine) prefillMs(key cacheKey, tokens int64) int64 {
+	msPer1000Tokens := m.prefillEstimates[modelKey{key.service, key.model}]
+	if msPer1000Tokens <= 0 {
+		msPer1000Tokens = assumedPrefillMs
+	}
+	return int64(msPer1000Tokens * float64(tokens) / 1000)
+}
+
+// noteMeanPrefill adds a prompt to the mean of its service.
+func (m *Machine) noteMeanPrefill(service string, prefillMs int64) {
+	mean := m.meanPrefillMs[service]
+	if mean == 0 {
+		mean = float64(prefillMs)
+	}
+	m.meanPrefillMs[service] = mean + meanPrefillWeight*(float64(prefillMs)-mean)
+}
+
+// prefillMatters reports whether prompts that meet at a runner hold up streams for
+// longer than the request's route allows.
+func (m *Machine) prefillMatters(r *request) bool {
+	gapMs := float64(r.route.MaxEventGapMs)
+	return gapMs > 0 && meetingPrompts*m.meanPrefillMs[r.service.Name] >= gapMs
+}
+
 // recordPrefill takes the time from the start of an attempt to the head of its
 // response as a measurement. The router's own estimate follows a faster
 // measurement at once and a slower one slowly.
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -40,6 +40,8 @@
 	lookUpController string
 	lookUpsSent      int
 	lookUpAnswered   bool
+	// lookUpDue says that the look-up of a hit is sent with its first attempt.
+	lookUpDue bool
 	// cacheMiss says that no runner was known on arrival, missCounted that it
 	// has been counted in MissesDelayed.
 	cacheMiss   bool
@@ -53,6 +55,8 @@
 	// its prompt is counted in the runner's prefillTokens.
 	attemptStartMs int64
 	prefillPending bool
+	// prefillMs is the estimated time of its prefill, set when an attempt begins.
+	prefillMs int64
 	// attempts counts the attempts without those of which no byte was
 	// written; failedDials counts those that ended as NotSent.
 	attempts    int
@@ -166,18 +170,20 @@
 
 // startLookUp sends the look-up of a request. There is one for every request,
 // hit or miss, so that the load of the control plane follows the number of
-// requests.
+// requests. That of a hit goes out at the end of the step, with the choice of
+// the runner.
 func (m *Machine) startLookUp(r *request) {
 	m.Counters.LookUps++
 	m.lookUpCount++
 	r.lookUpID = m.lookUpCount
 	if len(m.candidates(r)) > 0 || m.allFull {
 		m.Counters.Hits++
-	} else {
-		r.cacheMiss = true
-		m.Counters.Misses++
+		r.lookUpDue = true
+		return
 	}
-	m.sendLookUp(r, m.lookUpTarget(r.cacheMiss))
+	r.cacheMiss = true
+	m.Counters.Misses++
+	m.sendLookUp(r, m.lookUpTarget(true), "")
 }
 
 // chooseService draws the service of a request by the weights of the route's
@@ -218,8 +224,13 @@
 }
 
 // dispatch starts the next attempt of a queued request, rejects the request,
-// or leaves it queued.
+// or leaves it queued. In any case its look-up has been sent then.
 func (m *Machine) dispatch(r *request) {
+	m.dispatchOrWait(r)
+	m.sendDueLookUp(r)
+}
+
+func (m *Machine) dispatchOrWait(r *request) {
 	if r.attemptActive || m.requests[r.ID] == nil {
 		return
 	}
@@ -260,7 +271,7 @@
 		return
 	}
 	chosen := choose(candidates, selection{
-		affinity: r.affinity, mostlyShared: mostlyShared(r.Params),
+		affinity: r.affinity, mostlyShared: mostlyShared(r.Params), prefillMatters: m.prefillMatters(r),
 		draw: r.draw + uint64(r.attempts+r.failedDials),
 	})
 	m.startAttempt(r, m.candidateHolders[chosen])
--- a/internal/proxy/runnerreports.go
+++ b/internal/proxy/runnerreports.go
@@ -18,6 +18,9 @@
 	if runner.slots == 0 {
 		runner.slots = holder.Slots
 	}
+	if holder.PrefillMs > 0 {
+		runner.reportPrefill(m.nowMs, holder.PrefillMs)
+	}
 	if holder.AgeMs < 0 {
 		// The control plane has no report of this runner yet.
 		return
--- a/internal/proxy/runnerstate.go
+++ b/internal/proxy/runnerstate.go
@@ -1,6 +1,10 @@
 package proxy
 
-import "slices"
+import (
+	"slices"
+
+	"myrtlewinch/internal/protocol"
+)
 
 const (
 	// changeMemoryMs is how long the start and end of the router's own
@@ -46,6 +50,12 @@
 	inFlight       int
 	inFlightTokens int64
 	prefillTokens  int64
+	// ownPrefillMs is the prefill of this router's requests under way there, and
+	// sitePrefillMs that of all routers' as a controller reported it at
+	// sitePrefillAtMs, with this router's changes since.
+	ownPrefillMs    int64
+	sitePrefillMs   int64
+	sitePrefillAtMs int64
 	// recentChanges are the attempts that began or ended in the last
 	// changeMemoryMs.
 	recentChanges []inFlightChange
@@ -98,6 +108,26 @@
 	r.recentChanges = append(slices.Delete(r.recentChanges, 0, firstKept), inFlightChange{nowMs, count, tokens})
 }
 
+// changePrefill notes prefill that this router begins or ends there.
+func (r *runnerState) changePrefill(ms int64) {
+	r.ownPrefillMs += ms
+	r.sitePrefillMs = max(0, r.sitePrefillMs+ms)
+}
+
+// reportPrefill takes a controller's figure for the prefill of all routers.
+func (r *runnerState) reportPrefill(nowMs, ms int64) {
+	r.sitePrefillMs, r.sitePrefillAtMs = ms, nowMs
+}
+
+// waitingPrefillMs estimates the prefill under way there: that of all routers as
+// far as it is known, and no less than this router's own.
+func (r *runnerState) waitingPrefillMs(nowMs int64) int64 {
+	if nowMs-r.sitePrefillAtMs > protocol.PrefillMaxAgeMs {
+		return r.ownPrefillMs
+	}
+	return max(r.sitePrefillMs, r.ownPrefillMs)
+}
+
 // load estimates how many requests are at the runner now, by the last report
 // and this router's changes since. It is never less than this router's own.
 func (r *runnerState) load(nowMs int64) int {
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -30,7 +30,7 @@
 
 // forwardStream forwards the stream of an attempt. It panics with
 // http.ErrAbortHandler if the client is gone or does not read.
-func (e *exchange) forwardStream(response *http.Response, head ResponseHead, runner string, leftMs int64) Outcome {
+func (e *exchange) forwardStream(order StartAttempt, response *http.Response, head ResponseHead, leftMs int64) Outcome {
 	defer e.limitWriteTime(leftMs + writeSlackMs)()
 	buffer := streamBuffers.Get().(*[streamBufferBytes]byte)
 	defer streamBuffers.Put(buffer)
@@ -40,10 +40,14 @@
 	forwarder := streamForwarder{
 		exchange: e, response: response, controller: http.NewResponseController(e.writer), resumed: e.forwarded,
 	}
+	timing := streamTiming{arrivedMs: e.arrivedMs, attemptMs: e.attemptMs}
+	defer func() { e.countLateness(timing.cause(order.Route)) }()
 	for {
 		n, err := response.Body.Read(buffer[:])
 		if n > 0 {
-			e.server.tracker.received(e.server.runtime.Clock().NowMs(), runner)
+			nowMs := e.server.runtime.Clock().NowMs()
+			timing.received(nowMs)
+			e.server.tracker.received(nowMs, order.Params.Runner)
 			if !forwarder.forward(buffer[:n]) {
 				return e.unlessForwarded(InvalidResponse)
 			}
@@ -54,6 +58,13 @@
 	}
 }
 
+// countLateness counts a stream that was late, by its cause.
+func (e *exchange) countLateness(cause string) {
+	if cause != "" {
+		e.server.runtime.Count(cause)
+	}
+}
+
 // forward forwards the events that are complete with what was read. It returns
 // false if the stream is not valid.
 func (f *streamForwarder) forward(read []byte) bool {
