Value copies by how busy they are, place several a plan, keep what a request waits for

Needs were measured under load (100 to 230 ms for 1,000 tokens, alone 56 and 81 fixed), so all models seemed short; a copy's value did not grow where copies were overrun; a plan gave a model one copy.

--- a/internal/placement/planner/eviction.go
+++ b/internal/placement/planner/eviction.go
@@ -13,6 +13,10 @@
 	// requested it for minStayUnrequestedMs.
 	minStayMs            = 4_000
 	minStayUnrequestedMs = 2_000
+	// answerMs is how long a model stays at least that was loaded for a request
+	// made within loadWaitMs before: the request must still reach the runner.
+	answerMs   = 1_500
+	loadWaitMs = 10_000
 	// urgentModelValue is the value above which waiting requests override that.
 	urgentModelValue = 8
 	// runningMs is how long after its last request a model may still have requests
@@ -84,7 +88,12 @@
 // mustStay says whether a model was loaded too recently to go: one that is in
 // use and no surplus stays, unless many requests wait for the other.
 func (p *Planner) mustStay(h *runnerstate.HeldModel, shortage modelShortage) bool {
-	loadedLately := p.nowMs-h.SinceMs < minStayMs
+	heldMs := p.nowMs - h.SinceMs
+	loadedForRequest := h.Model.Demand.SinceRequestMs(p.nowMs) < heldMs+loadWaitMs
+	if heldMs < answerMs && loadedForRequest && h.Model.Plan.Copies <= 1 {
+		return true
+	}
+	loadedLately := heldMs < minStayMs
 	inUse := h.Model.Demand.SinceRequestMs(p.nowMs) < minStayUnrequestedMs
 	surplus := h.Model.Plan.Copies > h.Model.Plan.Wanted
 	urgent := shortage.waiting && shortage.value > urgentModelValue
--- a/internal/placement/planner/models.go
+++ b/internal/placement/planner/models.go
@@ -32,6 +32,9 @@
 	// again.
 	evictionFactor = 1.5
 	evictionMargin = 0.1
+	// maxCopiesPerPlan is how many further copies of a model one plan places, so
+	// that the others get their turns.
+	maxCopiesPerPlan = 3
 )
 
 // modelShortage is a model that should be held more often than it is.
@@ -55,13 +58,25 @@
 		if i >= maxCandidates || shortage.prefetch && prefetched {
 			break
 		}
-		if p.placeModel(shortage) && shortage.prefetch {
-			prefetched = true
+		placed := p.placeModel(shortage)
+		prefetched = prefetched || placed && shortage.prefetch
+		for more := 0; placed && more < maxCopiesPerPlan; more++ {
+			placed = p.placeFurtherCopy(shortage.model)
 		}
 	}
 	p.estimateQueues()
 }
 
+// placeFurtherCopy places one more copy of a model that got one in this plan, if
+// it wants more. A rise of demand is not waited out one plan after the other.
+func (p *Planner) placeFurtherCopy(m *runnerstate.Model) bool {
+	copies := m.Plan.Copies + m.Plan.Coming
+	if copies >= m.Plan.Wanted {
+		return false
+	}
+	return p.placeModel(modelShortage{model: m, value: p.modelValue(m, copies+1)})
+}
+
 // findShortages lists the models with fewer copies than their target, most
 // valuable first. A waiting request makes a model more valuable, yet a crowd on
 // one copy of a busy model still goes before the first copy of a rare one.
--- a/internal/placement/planner/planner_test.go
+++ b/internal/placement/planner/planner_test.go
@@ -192,3 +192,77 @@
 		})
 	}
 }
+
+// A further copy is worth the more the busier the copies are, also beyond all of
+// their time, and less with each copy.
+func TestCrowdingIsConvex(t *testing.T) {
+	c := qt.New(t)
+	m := &runnerstate.Model{}
+	m.Plan.Need, m.Plan.Rate = 50, 40
+	reliefs := make([]float64, 0, 80)
+	for n := 2; n <= 80; n++ {
+		reliefs = append(reliefs, crowdRelief(m, n))
+	}
+	for i := 1; i < len(reliefs); i++ {
+		c.Assert(reliefs[i] > 0 && reliefs[i] < reliefs[i-1], qt.IsTrue, qt.Commentf("copy %d: %v", i+2, reliefs[i-1:i+1]))
+	}
+	idle := &runnerstate.Model{}
+	c.Assert(crowdRelief(idle, 2), qt.Equals, 0.0)
+	// Of two models with the same requests the one with fewer copies gains more.
+	c.Assert(crowdRelief(m, 3) > crowdRelief(m, 30), qt.IsTrue)
+}
+
+// One plan gives a model that is short of many copies several, yet not all runners.
+func TestOnePlanPlacesSeveralCopies(t *testing.T) {
+	c := qt.New(t)
+	var p Planner
+	moves, _ := p.Plan(Input{
+		NowMs: planNowMs, Service: newServiceWithDemand(60), Budget: Budget{StoreLoads: 10, Concurrent: 8},
+		AcceptsLoads: func(r *runnerstate.Runner) bool { return !r.Unavailable() },
+	})
+	c.Assert(len(moves), qt.Equals, 1+maxCopiesPerPlan)
+	// The store's rate bounds them.
+	moves, left := p.Plan(Input{
+		NowMs: planNowMs, Service: newServiceWithDemand(60), Budget: Budget{StoreLoads: 2, Concurrent: 8},
+		AcceptsLoads: func(r *runnerstate.Runner) bool { return !r.Unavailable() },
+	})
+	c.Assert(len(moves), qt.Equals, 2)
+	c.Assert(left, qt.Equals, 0)
+}
+
+// newServiceWithDemand makes a service of which one model with one copy is
+// requested so often.
+func newServiceWithDemand(perSec int) *runnerstate.Service {
+	s := newService(8, []string{"m001"}, nil, nil, nil, nil, nil, nil)
+	requestSteadily(s, planNowMs, "m001", perSec)
+	return s
+}
+
+// An only copy that was loaded for a request stays until the request can reach it,
+// however long ago that was made.
+func TestModelLoadedForARequestStaysForIt(t *testing.T) {
+	cases := []struct {
+		name                 string
+		heldMs, requestAgoMs int64
+		copies               int
+		want                 bool
+	}{
+		{"just loaded, its request waited long", 100, 5000, 1, true},
+		{"its request has had its time", answerMs, 5000, 1, false},
+		{"nobody asked for it", 100, 60_000, 1, false},
+		{"one of two copies", 100, 5000, 2, false},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			s := newService(8, []string{"m001"})
+			m := s.Models["m001"]
+			m.Demand.Add(planNowMs-test.requestAgoMs, 1, 1, 0)
+			m.Plan.Copies, m.Plan.Wanted = test.copies, 1
+			held := s.Runners[0].Held["m001"]
+			held.SinceMs = planNowMs - test.heldMs
+			p := Planner{nowMs: planNowMs, service: s}
+			urgent := modelShortage{model: s.Models["m004"], value: 2 * urgentModelValue, waiting: true}
+			qt.Check(t, p.mustStay(held, urgent), qt.Equals, test.want)
+		})
+	}
+}
--- a/internal/placement/planner/value.go
+++ b/internal/placement/planner/value.go
@@ -12,10 +12,7 @@
 const (
 	// crowdedRequestValue is what a request on a crowded copy counts against one
 	// that waits for a load, since it is only slowed.
-	crowdedRequestValue = 0.5
-	// needMargin lets a copy keep its value until the need is clearly below it, so
-	// that chance in the rate doesn't send it away and back.
-	needMargin = 0.5
+	crowdedRequestValue = 0.7
 	// adapterCopiesValue is the value per request of the copies that the adapters
 	// in use need.
 	adapterCopiesValue = 0.1
@@ -79,12 +76,20 @@
 // crowdRelief is what the n-th copy of a model does for the requests on the
 // others: the fewer copies there are, the more each relieves.
 func crowdRelief(m *runnerstate.Model, n int) float64 {
-	plan := &m.Plan
-	if plan.Need <= 0 {
-		return 0
+	return crowdedRequestValue * m.Plan.Rate * (crowding(m, n-1) - crowding(m, n))
+}
+
+// crowding estimates how much requests delay each other where n copies share
+// them. Prompts that are read at the same time do; that two or more meet grows
+// with the square of the time for which a copy reads. Beyond all of its time it
+// grows on evenly, as the queue does. It is convex, so that of two models the one
+// whose copies are busier gains more by a further one.
+func crowding(m *runnerstate.Model, n int) float64 {
+	busyPart := m.Plan.Need * prefillShare / float64(max(1, n))
+	if busyPart > 1 {
+		return 2*busyPart - 1
 	}
-	part := min(1, max(0, plan.Need-float64(n-1)+needMargin))
-	return crowdedRequestValue * part * plan.Rate / max(1, min(float64(n), plan.Need))
+	return busyPart * busyPart
 }
 
 // firstModelCopyValue is the value of the first copy of a model, no lower than
--- a/internal/proxy/machine_test.go
+++ b/internal/proxy/machine_test.go
@@ -447,6 +447,7 @@
 		{"its turn comes, and it does not", "/stream/", protocol.IndexReply{TurnMs: 500}, 2000, errkind.PlacementTimeout, 950, 1100},
 		{"its turn comes late, and it does not", "/stream/", protocol.IndexReply{TurnMs: 1200}, 2000, errkind.PlacementTimeout, 1450, 1550},
 		{"it is being loaded", "/stream/", protocol.IndexReply{Loading: true}, 2000, errkind.PlacementTimeout, 800, 1000},
+		{"its load is late, but under way", "/stream/", protocol.IndexReply{TurnMs: 100, Loading: true}, 2000, errkind.PlacementTimeout, 1450, 1550},
 		{"nobody knows", "/stream/", protocol.IndexReply{}, 2000, errkind.NoRunner, 800, 1000},
 		// A client abandons a stream after two seconds of silence, whatever time-out it states.
 		{"nobody knows, with much time", "/stream/", protocol.IndexReply{}, 8000, errkind.NoRunner, 800, 1000},
--- a/internal/proxy/prefillexchange.go
+++ b/internal/proxy/prefillexchange.go
@@ -33,6 +33,7 @@
 func (m *Machine) beginPrefill(r *request, runnerID string) {
 	runner := m.runnerState(runnerID)
 	r.prefillMs = m.expectedPrefillMs(r)
+	r.prefillAlone = runner.waitingPrefillMs(m.nowMs) == 0
 	m.noteMeanPrefill(r.service.Name, r.prefillMs)
 	if !m.prefillMatters(r) {
 		r.prefillMs = 0
--- a/internal/proxy/rejection.go
+++ b/internal/proxy/rejection.go
@@ -124,7 +124,8 @@
 	executionMs := min(m.expectedLatencyMs(r.route.Name), answerTimeMs/4)
 	loadTooLate := entry.loadExpectedMs > r.arrivedMs+answerTimeMs-executionMs
 	timeNearlyOver := usedMs >= answerTimeMs*3/4
-	loadOverdue := usedMs >= answerTimeMs*hopelessPercent/100 && m.nowMs > entry.loadExpectedMs+loadDelayMs
+	mayBeLost := !entry.loading && m.nowMs > entry.loadExpectedMs+loadDelayMs
+	loadOverdue := mayBeLost && usedMs >= answerTimeMs*hopelessPercent/100
 	if loadTooLate || timeNearlyOver || loadOverdue {
 		expectedMs := max(entry.loadExpectedMs, m.nowMs)
 		m.reject(r, errkind.PlacementTimeout, expectedMs-m.nowMs+retryAfterLoadMs)
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -57,6 +57,9 @@
 	prefillPending bool
 	// prefillMs is the estimated time of its prefill, set when an attempt begins.
 	prefillMs int64
+	// prefillAlone says that no other prompt was known to be read at the runner
+	// when the attempt began.
+	prefillAlone bool
 	// attempts counts the attempts without those of which no byte was
 	// written; failedDials counts those that ended as NotSent.
 	attempts    int
--- a/internal/proxy/runnerreports.go
+++ b/internal/proxy/runnerreports.go
@@ -35,7 +35,7 @@
 func (m *Machine) responseStarted(in ResponseStarted) {
 	if r := m.requests[in.ID]; r != nil && r.prefillPending && r.runnerID == in.Runner {
 		m.endPrefill(r)
-		if r.service.Engine != nil && !in.Head.NotRun {
+		if r.service.Engine != nil && !in.Head.NotRun && r.prefillAlone {
 			m.recordPrefill(modelKey{r.key.service, r.key.model}, r.Params.PromptTokens, m.nowMs-r.attemptStartMs)
 		}
 	}
