Keep connections to runners for 30 s, and prefer a runner with an idle one

Idle connections are bounded so that they and the requests under way keep to the router's share of the runner's connections. What may not be repeated still gets a new connection. Among runners that are equal by prefill, one with an idle connection is preferred while it is hardly busier than the least busy.

--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"maps"
+
 	"myrtlewinch/internal/consensus"
 	"myrtlewinch/internal/placement"
 )
@@ -19,6 +21,9 @@
 	Routers int `json:"routers"`
 	// Controllers are the other controllers that are alive.
 	Controllers []string `json:"controllers"`
+	// Prefill is the prefill under way at each runner in ms, as the routers report
+	// it.
+	Prefill map[string]int64 `json:"prefill"`
 	// Placement is the status of the runners and of the planner.
 	Placement placement.Status `json:"ledger"`
 }
@@ -27,6 +32,7 @@
 	status := Status{
 		Name: c.settings.Self.Name, Epoch: h.Epoch(), Primary: h.Primary().Name, Active: c.mayAnswerOperators(h),
 		Version: c.config.active.version, Routers: len(c.routers.lastSeenMs), Placement: c.placement.Status(),
+		Prefill: maps.Clone(c.prefill.totals),
 	}
 	for _, controller := range h.Controllers() {
 		status.Controllers = append(status.Controllers, controller.Name)
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -31,10 +31,12 @@
 const (
 	callDialTimeout = time.Second
 	callIdleTimeout = 2 * time.Second
-	// Requests of clients have less time: another runner is soon reached, and a
-	// connection that was just used is the least likely to have been closed.
+	// Requests of clients have less time: another runner is soon reached.
 	clientDialTimeout = 300 * time.Millisecond
-	clientIdleTimeout = time.Second
+	// clientIdleTimeout bounds how long a connection for them is kept idle where
+	// the runner states no shorter time. One router sends a runner of a large
+	// site a request every some ten seconds.
+	clientIdleTimeout = 30 * time.Second
 	// userTimeoutMs is how long the other side may leave sent bytes
 	// unacknowledged before the connection counts as broken. A machine that lost
 	// power sends no reset.
--- a/internal/httpclient/exchange.go
+++ b/internal/httpclient/exchange.go
@@ -55,8 +55,15 @@
 	// exchange forbids a reuse of the connection.
 	bodyComplete, accepted, unusable bool
 	finishOnce                       sync.Once
+	// keptIdle is for how long the connection was kept for reuse, 0 if it was
+	// closed. It is set once the exchange has ended.
+	keptIdle time.Duration
 }
 
+// KeptIdle returns for how long the connection is kept for reuse, 0 if it is not.
+// It may be called once the body of the response is closed.
+func (x *Exchange) KeptIdle() time.Duration { return x.keptIdle }
+
 // Accept says that the response belongs to this request, so that the connection
 // may be reused once the body was read to its end.
 func (x *Exchange) Accept() { x.accepted = true }
@@ -196,7 +203,9 @@
 			_ = x.conn.Close()
 			return
 		}
-		x.returnTo.putIdle(x.conn, timeout)
+		if x.returnTo.putIdle(x.conn, timeout) {
+			x.keptIdle = timeout
+		}
 	})
 }
 
--- a/internal/httpclient/exchange_test.go
+++ b/internal/httpclient/exchange_test.go
@@ -375,6 +375,26 @@
 	})
 }
 
+// Those that have been idle longest are closed first.
+func TestTrimIdleConnections(t *testing.T) {
+	c := qt.New(t)
+	p := newPool(time.Second, time.Minute, callHeadBytes)
+	defer p.closeIdle()
+	var kept []*conn
+	for range 4 {
+		client, _ := net.Pipe()
+		kept = append(kept, p.newConn("a", client))
+		c.Assert(p.putIdle(kept[len(kept)-1], time.Minute), qt.IsTrue)
+	}
+	p.trimIdle("a", 4)
+	c.Assert(p.idle["a"], qt.HasLen, 4)
+	p.trimIdle("a", 1)
+	c.Assert(p.idle["a"], qt.HasLen, 1)
+	c.Assert(p.idle["a"][0] == kept[3], qt.IsTrue)
+	p.trimIdle("a", 0)
+	c.Assert(p.idle["a"], qt.HasLen, 0)
+}
+
 func TestKeepAliveTimeout(t *testing.T) {
 	cases := []struct {
 		value string
--- a/internal/httpclient/forward.go
+++ b/internal/httpclient/forward.go
@@ -23,6 +23,9 @@
 	// Fresh sends it over a new connection. The other side may close a reused one
 	// at the same time, and then it is unknown whether the request ran.
 	Fresh bool
+	// MaxIdle is how many connections to the address may stay idle beside this
+	// exchange; further ones are closed.
+	MaxIdle int
 }
 
 // Forward makes one exchange and never repeats it. The exchange is never nil, also
@@ -39,6 +42,7 @@
 	if _, ok := r.Header["User-Agent"]; !ok {
 		r.Header["User-Agent"] = []string{""}
 	}
+	c.clients.trimIdle(r.Address, r.MaxIdle+1)
 	return c.clients.send(ctx, request, r.Body, mayWrite, r.Fresh)
 }
 
--- a/internal/httpclient/pool.go
+++ b/internal/httpclient/pool.go
@@ -88,12 +88,13 @@
 }
 
 // putIdle keeps a connection for reuse until it has been idle for the time-out.
-func (p *pool) putIdle(c *conn, idleTimeout time.Duration) {
+// It returns false where there are enough, and closes it.
+func (p *pool) putIdle(c *conn, idleTimeout time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle[c.address]) >= maxIdlePerAddress {
 		_ = c.Close()
-		return
+		return false
 	}
 	p.idle[c.address] = append(p.idle[c.address], c)
 	if c.expiry == nil {
@@ -101,6 +102,20 @@
 	} else {
 		c.expiry.Reset(idleTimeout)
 	}
+	return true
+}
+
+// trimIdle closes the connections to an address that have been idle longest, until
+// no more than the given number is left.
+func (p *pool) trimIdle(address string, most int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.idle[address]) > most {
+		oldest := p.idle[address][0]
+		p.removeIdle(oldest)
+		oldest.expiry.Stop()
+		_ = oldest.Close()
+	}
 }
 
 // expire closes a connection if it is still idle.
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -66,6 +66,9 @@
 	m.dequeue(r)
 	runner := m.runnerState(holder.ID)
 	runner.addInFlight(m.nowMs, 1, r.tokens)
+	if r.route.Retryable() {
+		runner.useConnection(m.nowMs)
+	}
 	m.beginPrefill(r, holder.ID)
 	m.reply(r.ID, StartAttempt{
 		Params: AttemptParams{
@@ -73,6 +76,7 @@
 			LastEventID: r.lastEventID, WeightsVersion: r.weightsVersion,
 		},
 		Address: holder.Address, Route: r.route, NewConnection: !r.route.Retryable(),
+		MaxIdle:   max(0, m.inFlightLimit(r.service)-runner.inFlight),
 		WriteByMs: min(m.nowMs+writeWindowMs, r.deadlineMs), DeadlineMs: r.deadlineMs,
 	})
 }
@@ -106,6 +110,7 @@
 		return
 	}
 	m.releaseSlot(r)
+	m.runnerState(r.runnerID).connectionKept(m.nowMs, in.ConnectionIdleMs)
 	r.recordProgress(in)
 	r.waitingSinceMs = m.nowMs
 	switch in.Outcome {
--- a/internal/proxy/balancer.go
+++ b/internal/proxy/balancer.go
@@ -14,6 +14,10 @@
 	// while its load is below affinityLoadFactor times the average plus
 	// affinityLoadSlack requests.
 	affinityLoadFactor, affinityLoadSlack = 1.25, 4
+	// connectedLoadDivisor: a runner to which a connection can be reused is
+	// preferred if it has at most one part in so many of its slots more requests
+	// than the least busy one.
+	connectedLoadDivisor = 16
 	// prefillStepMs is the difference in waiting prefill from which on one runner
 	// counts as busier than another.
 	prefillStepMs = 20
@@ -33,6 +37,8 @@
 	sameZone bool
 	// unhealthy reports whether attempts there failed recently.
 	unhealthy bool
+	// connected reports whether a connection can be reused for the request.
+	connected bool
 }
 
 // selection is what the choice depends on beside the candidates.
@@ -76,6 +82,7 @@
 	if s.prefillMatters {
 		eligible = withLeastPrefill(candidates, eligible)
 	}
+	eligible = preferConnected(candidates, eligible)
 	if s.affinity != 0 {
 		return pickByRank(candidates, eligible, s.affinity)
 	}
@@ -93,6 +100,26 @@
 	return slices.DeleteFunc(eligible, func(i int) bool { return candidates[i].prefillSteps() > least })
 }
 
+// preferConnected keeps the runners to which a connection can be reused, if there
+// are any that are hardly busier than the least busy one.
+func preferConnected(candidates []candidate, eligible []int) []int {
+	leastLoad := candidates[eligible[0]].load
+	for _, i := range eligible {
+		leastLoad = min(leastLoad, candidates[i].load)
+	}
+	var connected []int
+	for _, i := range eligible {
+		c := &candidates[i]
+		if c.connected && c.load <= leastLoad+max(sameZoneSlack, c.slots/connectedLoadDivisor) {
+			connected = append(connected, i)
+		}
+	}
+	if len(connected) == 0 {
+		return eligible
+	}
+	return connected
+}
+
 // pickByAffinity returns the runner with the highest rank for the prompt parts
 // (rendezvous hashing) among those that are not too busy, so that all routers
 // choose the same one without communicating. If all are too busy it returns
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -147,7 +147,10 @@
 	}
 	e.server.tracker.received(e.server.runtime.Clock().NowMs(), order.Params.Runner)
 	defer func() { _ = sent.Response.Body.Close() }()
-	return e.handleResponse(order, sent, leftMs, cancel)
+	ended := e.handleResponse(order, sent, leftMs, cancel)
+	_ = sent.Response.Body.Close()
+	ended.ConnectionIdleMs = sent.KeptIdle().Milliseconds()
+	return ended
 }
 
 // forwardRequest writes the request to the runner and reads the head of the
@@ -159,6 +162,7 @@
 	return e.server.runtime.HTTPClient().Forward(ctx, httpclient.Request{
 		Method: e.request.Method, Address: order.Address, Path: e.path, Query: e.query, HasQuery: e.hasQuery,
 		Host: e.request.Host, Header: header, Body: e.body, Fresh: order.NewConnection,
+		MaxIdle: order.MaxIdle,
 	}, inTime)
 }
 
--- a/internal/proxy/messages.go
+++ b/internal/proxy/messages.go
@@ -63,6 +63,9 @@
 	// WeightsVersion is the version of the model weights that produced what
 	// was forwarded so far, or 0 if it is not known.
 	WeightsVersion int64
+	// ConnectionIdleMs is for how long the connection to the runner is kept for
+	// reuse, or 0 if it was closed.
+	ConnectionIdleMs int64
 }
 
 // ClientDisconnected reports that the client of a request disconnected.
@@ -123,6 +126,9 @@
 	// NewConnection requires a new connection, for a request that must not be
 	// repeated: the runner may have closed a pooled one.
 	NewConnection bool
+	// MaxIdle is how many connections to the runner may stay idle meanwhile, so
+	// that this router keeps to its share of the runner's connections.
+	MaxIdle int
 	// WriteByMs is the time before which the first byte must be written, by
 	// the router's clock.
 	WriteByMs int64
--- a/internal/proxy/runnerstate.go
+++ b/internal/proxy/runnerstate.go
@@ -25,7 +25,9 @@
 	// A runner may be given more requests than it has slots, so that the next
 	// one is there when a slot gets free: minWaiting or one for each
 	// slotsPerWaiting slots, whichever is more.
-	minWaiting      = 2
+	minWaiting = 2
+	// maxIdleTracked bounds the idle connections that are known of a runner.
+	maxIdleTracked  = 16
 	slotsPerWaiting = 16
 )
 
@@ -50,6 +52,9 @@
 	inFlight       int
 	inFlightTokens int64
 	prefillTokens  int64
+	// idleUntilMs are the times until which idle connections there are kept, in
+	// the order in which they were kept.
+	idleUntilMs []int64
 	// ownPrefillMs is the prefill of this router's requests under way there, and
 	// sitePrefillMs that of all routers' as a controller reported it at
 	// sitePrefillAtMs, with this router's changes since.
@@ -108,6 +113,27 @@
 	r.recentChanges = append(slices.Delete(r.recentChanges, 0, firstKept), inFlightChange{nowMs, count, tokens})
 }
 
+// connectionKept notes that a connection is kept for reuse; idleMs is 0 if it was
+// closed.
+func (r *runnerState) connectionKept(nowMs, idleMs int64) {
+	if idleMs > 0 && len(r.idleUntilMs) < maxIdleTracked {
+		r.idleUntilMs = append(r.idleUntilMs, nowMs+idleMs)
+	}
+}
+
+// hasConnection reports whether a connection should be there for reuse.
+func (r *runnerState) hasConnection(nowMs int64) bool {
+	r.idleUntilMs = slices.DeleteFunc(r.idleUntilMs, func(untilMs int64) bool { return untilMs <= nowMs })
+	return len(r.idleUntilMs) > 0
+}
+
+// useConnection takes the connection that was kept last, as the pool does.
+func (r *runnerState) useConnection(nowMs int64) {
+	if r.hasConnection(nowMs) {
+		r.idleUntilMs = r.idleUntilMs[:len(r.idleUntilMs)-1]
+	}
+}
+
 // changePrefill notes prefill that this router begins or ends there.
 func (r *runnerState) changePrefill(ms int64) {
 	r.ownPrefillMs += ms
--- a/internal/proxy/runnerstate_test.go
+++ b/internal/proxy/runnerstate_test.go
@@ -74,3 +74,23 @@
 	r.recordFailure(nowMs)
 	c.Assert(r.unhealthyUntilMs-nowMs, qt.Equals, int64(1000))
 }
+
+// What is known of idle connections follows their use and their time-outs.
+func TestIdleConnectionsOfARunner(t *testing.T) {
+	c := qt.New(t)
+	var r runnerState
+	c.Assert(r.hasConnection(1000), qt.IsFalse)
+	r.connectionKept(1000, 0)
+	c.Assert(r.hasConnection(1000), qt.IsFalse)
+	r.connectionKept(1000, 500)
+	r.connectionKept(1200, 900)
+	c.Assert(r.hasConnection(1499), qt.IsTrue)
+	r.useConnection(1499)
+	c.Assert(r.hasConnection(1499), qt.IsTrue)
+	c.Assert(r.hasConnection(1500), qt.IsFalse)
+	r.useConnection(1500)
+	for range 2 * maxIdleTracked {
+		r.connectionKept(2000, 500)
+	}
+	c.Assert(r.idleUntilMs, qt.HasLen, maxIdleTracked)
+}
