Take the mean prefill over the first prompts, prefer connections below half of the slots

The mean now covers all of the first 64 prompts, and a connection is preferred only while less than half of a runner's slots are taken.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -66,7 +66,8 @@
 	m.dequeue(r)
 	runner := m.runnerState(holder.ID)
 	runner.addInFlight(m.nowMs, 1, r.tokens)
-	if r.route.Retryable() {
+	newConnection := r.needsNewConnection(r.attempts)
+	if !newConnection {
 		runner.useConnection(m.nowMs)
 	}
 	m.beginPrefill(r, holder.ID)
@@ -75,7 +76,7 @@
 			Runner: holder.ID, Urgency: urgency(r.route.Priority),
 			LastEventID: r.lastEventID, WeightsVersion: r.weightsVersion,
 		},
-		Address: holder.Address, Route: r.route, NewConnection: !r.route.Retryable(),
+		Address: holder.Address, Route: r.route, NewConnection: newConnection,
 		MaxIdle:   max(0, m.inFlightLimit(r.service)-runner.inFlight),
 		WriteByMs: min(m.nowMs+writeWindowMs, r.deadlineMs), DeadlineMs: r.deadlineMs,
 	})
@@ -98,6 +99,13 @@
 	return min(maxUrgency, urgencyStep*max(0, priority)-max(0, priority-2))
 }
 
+// needsNewConnection reports whether the attempt with this number, from 1 on, must
+// not go over an idle connection: its runner may be closing it, and no attempt
+// could follow.
+func (r *request) needsNewConnection(attempt int) bool {
+	return !r.route.Retryable() || attempt >= max(1, r.route.MaxAttempts)
+}
+
 // attemptsExhausted reports whether the request has had all attempts that its
 // route allows.
 func (r *request) attemptsExhausted() bool { return r.attempts >= max(1, r.route.MaxAttempts) }
--- a/internal/proxy/balancer.go
+++ b/internal/proxy/balancer.go
@@ -101,7 +101,8 @@
 }
 
 // preferConnected keeps the runners to which a connection can be reused, if there
-// are any that are hardly busier than the least busy one.
+// are any that are hardly busier than the least busy one. Where half of the slots
+// are taken, a prefix cache is worth more than a connection.
 func preferConnected(candidates []candidate, eligible []int) []int {
 	leastLoad := candidates[eligible[0]].load
 	for _, i := range eligible {
@@ -110,7 +111,7 @@
 	var connected []int
 	for _, i := range eligible {
 		c := &candidates[i]
-		if c.connected && c.load <= leastLoad+max(sameZoneSlack, c.slots/connectedLoadDivisor) {
+		if c.connected && 2*c.load <= c.slots && c.load <= leastLoad+max(sameZoneSlack, c.slots/connectedLoadDivisor) {
 			connected = append(connected, i)
 		}
 	}
--- a/internal/proxy/balancer_test.go
+++ b/internal/proxy/balancer_test.go
@@ -28,6 +28,7 @@
 		{"a suspect one is left out though it reads nothing", []candidate{{id: "a", slots: 4, unhealthy: true}, {id: "b", prefillMs: 900, slots: 4}}, selection{affinity: 7, prefillMatters: true}, []string{"b"}},
 		{"a connection is reused", []candidate{{id: "a", slots: 64}, {id: "b", load: 4, slots: 64, connected: true}}, selection{affinity: 7}, []string{"b"}},
 		{"not at a runner that is busier", []candidate{{id: "a", slots: 64}, {id: "b", load: 5, slots: 64, connected: true}}, selection{affinity: 7}, []string{"a"}},
+		{"not where half of the slots are taken", []candidate{{id: "a", load: 33, slots: 64}, {id: "b", load: 33, slots: 64, connected: true}}, selection{affinity: 7}, []string{"a"}},
 		{"not at a suspect one", []candidate{{id: "a", slots: 64}, {id: "b", slots: 64, connected: true, unhealthy: true}}, selection{affinity: 7}, []string{"a"}},
 		{"not where prompts are read", []candidate{{id: "a", slots: 64}, {id: "b", prefillMs: 50, slots: 64, connected: true}}, selection{affinity: 7, prefillMatters: true}, []string{"a"}},
 		{"parts go to the least busy where all are over", []candidate{{id: "a", load: 6, slots: 6}, {id: "b", load: 7, slots: 6}}, selection{affinity: 7}, []string{"a"}},
--- a/internal/proxy/candidates.go
+++ b/internal/proxy/candidates.go
@@ -53,7 +53,7 @@
 		m.candidateList = append(m.candidateList, candidate{
 			id: holder.ID, load: runner.load(m.nowMs), slots: runner.slots,
 			prefillMs: max(runner.waitingPrefillMs(m.nowMs), m.prefillMs(r.key, runner.prefillTokens)),
-			connected: r.route.Retryable() && runner.hasConnection(m.nowMs),
+			connected: !r.needsNewConnection(r.attempts+1) && runner.hasConnection(m.nowMs),
 			sameZone:  holder.Zone == m.settings.Self.Zone, unhealthy: runner.unhealthyUntilMs > m.nowMs,
 		})
 	}
--- a/internal/proxy/machine.go
+++ b/internal/proxy/machine.go
@@ -113,8 +113,8 @@
 	// prefillEstimates is the estimated time to prefill 1,000 tokens, in
 	// milliseconds by model.
 	prefillEstimates map[modelKey]float64
-	// meanPrefillMs is the mean of the estimated prefill times by service.
-	meanPrefillMs map[string]float64
+	// meanPrefills are the means of the estimated prefill times by service.
+	meanPrefills map[string]*meanPrefill
 	// routeLatencies is a moving average of the time from arrival to
 	// completion, in milliseconds by route.
 	routeLatencies map[string]float64
@@ -150,7 +150,7 @@
 		prefillReports:   prefillMinimums{},
 		prefillExchange:  prefillExchange{changed: map[string]bool{}, refreshedMs: nowMs},
 		prefillEstimates: map[modelKey]float64{},
-		meanPrefillMs:    map[string]float64{},
+		meanPrefills:     map[string]*meanPrefill{},
 		routeLatencies:   map[string]float64{},
 		Counters:         Counters{Rejections: map[errkind.Kind]uint64{}},
 	}
--- a/internal/proxy/machine_test.go
+++ b/internal/proxy/machine_test.go
@@ -477,6 +477,34 @@
 	}
 }
 
+// A request goes over an idle connection only if another attempt may follow.
+func TestLastAttemptGetsANewConnection(t *testing.T) {
+	c := qt.New(t)
+	cases := []struct {
+		path    string
+		attempt int
+		want    bool
+	}{{"/safe/", 1, false}, {"/safe/", 2, false}, {"/safe/", 3, true}, {"/unsafe/", 1, true}, {"/stream/", 1, false}, {"/once/", 1, true}}
+	configuration := exampleConfig(1)
+	configuration.BuildIndex()
+	for _, test := range cases {
+		route, found := configuration.FindRoute("h", test.path)
+		c.Assert(found, qt.IsTrue)
+		r := &request{route: route}
+		c.Check(r.needsNewConnection(test.attempt), qt.Equals, test.want, qt.Commentf("%s %d", test.path, test.attempt))
+	}
+	b := newReadyBench(c)
+	b.setRetryTokens("pages", 10)
+	send := onlyOutput[StartAttempt](c, b.request("/safe/"))
+	for _, want := range []bool{false, false, true} {
+		c.Check(send.NewConnection, qt.Equals, want)
+		out := b.step(AttemptEnded{ID: b.id, Outcome: ResponseLost})
+		if !want {
+			send = onlyOutput[StartAttempt](c, out)
+		}
+	}
+}
+
 func TestServiceWithoutRunnersRejectsWithinAQuarterOfTheTarget(t *testing.T) {
 	c := qt.New(t)
 	b := newMachineBench(c)
--- a/internal/proxy/messages.go
+++ b/internal/proxy/messages.go
@@ -124,7 +124,7 @@
 	// Route is the route of the request; it must not be changed.
 	Route *config.Route
 	// NewConnection requires a new connection, for a request that must not be
-	// repeated: the runner may have closed a pooled one.
+	// repeated and for the last attempt: the runner may have closed a pooled one.
 	NewConnection bool
 	// MaxIdle is how many connections to the runner may stay idle meanwhile, so
 	// that this router keeps to its share of the runner's connections.
--- a/internal/proxy/prefill.go
+++ b/internal/proxy/prefill.go
@@ -8,9 +8,10 @@
 	prefillDrift = 0.01
 	// assumedPrefillMs replaces the estimate of a model of which no prefill has
 	// been measured yet.
-	assumedPrefillMs = 50
-	// meanPrefillWeight is the part of a new prompt in a service's mean.
-	meanPrefillWeight = 1.0 / 32
+	assumedPrefillMs = 100
+	// meanPrefillPrompts is the number of prompts over which a service's mean is
+	// taken; until there are so many, over all.
+	meanPrefillPrompts = 64
 	// meetingPrompts is how many prompts of the mean length may well meet at a
 	// runner. Where their prefill fits into the longest gap that a route allows,
 	// requests are better chosen by load and prefix cache.
@@ -68,20 +69,33 @@
 	return int64(msPer1000Tokens * float64(tokens) / 1000)
 }
 
+// meanPrefill is a running mean of estimated prefill times.
+type meanPrefill struct {
+	ms      float64
+	prompts int
+}
+
+// add adds a prompt to the mean.
+func (p *meanPrefill) add(ms int64) {
+	p.prompts = min(p.prompts+1, meanPrefillPrompts)
+	p.ms += (float64(ms) - p.ms) / float64(p.prompts)
+}
+
 // noteMeanPrefill adds a prompt to the mean of its service.
 func (m *Machine) noteMeanPrefill(service string, prefillMs int64) {
-	mean := m.meanPrefillMs[service]
-	if mean == 0 {
-		mean = float64(prefillMs)
+	mean := m.meanPrefills[service]
+	if mean == nil {
+		mean = &meanPrefill{}
+		m.meanPrefills[service] = mean
 	}
-	m.meanPrefillMs[service] = mean + meanPrefillWeight*(float64(prefillMs)-mean)
+	mean.add(prefillMs)
 }
 
 // prefillMatters reports whether prompts that meet at a runner hold up streams for
 // longer than the request's route allows.
 func (m *Machine) prefillMatters(r *request) bool {
-	gapMs := float64(r.route.MaxEventGapMs)
-	return gapMs > 0 && meetingPrompts*m.meanPrefillMs[r.service.Name] >= gapMs
+	mean, gapMs := m.meanPrefills[r.service.Name], float64(r.route.MaxEventGapMs)
+	return gapMs > 0 && mean != nil && meetingPrompts*mean.ms >= gapMs
 }
 
 // recordPrefill takes the time from the start of an attempt to the head of its
--- a/internal/proxy/prefill_test.go
+++ b/internal/proxy/prefill_test.go
@@ -20,3 +20,17 @@
 	c.Assert(p.takeMinimum("s", "m"), qt.Equals, 0.0)
 	c.Assert(p.takeMinimum("s", "other"), qt.Equals, 7.0)
 }
+
+// The mean is that of all prompts at first, and follows the last ones later.
+func TestMeanPrefill(t *testing.T) {
+	c := qt.New(t)
+	var mean meanPrefill
+	for _, ms := range []int64{30, 300, 30} {
+		mean.add(ms)
+	}
+	c.Assert(mean.ms, qt.Equals, 120.0)
+	for range 10 * meanPrefillPrompts {
+		mean.add(200)
+	}
+	c.Assert(mean.ms > 199, qt.IsTrue)
+}
