--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -96,6 +96,17 @@
 	}
 }
 
+// Few pairs give no interval, are never more than noise, and can be drawn.
+func TestFewPairsAreDrawn(t *testing.T) {
+	f := newFixture(t)
+	f.plan.Seeds = []uint64{1, 2}
+	records, err := f.run(t)
+	qt.Assert(t, err, qt.IsNil)
+	comparisons := Compare(records, "base")
+	qt.Check(t, comparisons[0].ExceedsNoise(), qt.IsFalse)
+	qt.Check(t, WritePicture(filepath.Join(t.TempDir(), "scores.svg"), comparisons), qt.IsNil)
+}
+
 // A broken rule is reported with the play that broke it.
 func TestReportNamesBrokenRules(t *testing.T) {
 	f := newFixture(t)
--- a/internal/experiment/picture.go
+++ b/internal/experiment/picture.go
@@ -2,6 +2,7 @@
 
 import (
 	"image/color"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 	"gonum.org/v1/plot"
@@ -57,7 +58,11 @@
 
 func (i *intervals) add(c Comparison, row float64) {
 	i.XYs = append(i.XYs, plotter.XY{X: c.Median, Y: row})
-	i.XErrors = append(i.XErrors, struct{ Low, High float64 }{c.Median - c.Low, c.High - c.Median})
+	// With too few pairs for the confidence the interval has no bounds, and the
+	// range of the differences is drawn.
+	low := max(c.Low, slices.Min(c.Differences))
+	high := min(c.High, slices.Max(c.Differences))
+	i.XErrors = append(i.XErrors, struct{ Low, High float64 }{c.Median - low, high - c.Median})
 }
 
 func addPoints(picture *plot.Plot, pairs plotter.XYs, medians intervals) error {
