Say in the comment of the report interval what the replay showed

It claimed half as many meetings at 50 ms as at 100 ms and hardly fewer below: the replay has 7.7%, 5.3% and, with perfect figures, 2.5%. A comment only; the program is the same to the bit.

--- a/internal/controller/prefillexchange.go
+++ b/internal/controller/prefillexchange.go
@@ -11,8 +11,8 @@
 
 const (
 	// minPrefillIntervalMs is the least time between two rounds of reports. In a
-	// replay of a day's bursts prompts met at one runner half as often with figures
-	// 50 ms old as with figures 100 ms old, and hardly less often with newer ones.
+	// replay of a day's bursts 7.7% of streams met four prompts with figures 100 ms
+	// old, 5.3% with figures 50 ms old, and 2.5% with perfect ones.
 	minPrefillIntervalMs = 20
 	// prefillIntervalPerRouterMs lengthens it, so that a controller sends its
 	// routers at most 500 reports a second, however many there are.
