review: case 4, a site killed at its first start never starts

Cause: a disk is marked for the first start only 50 ms after it, and only marked disks may vote for the first record. Change: a script that kills all controllers 30 ms after their first start; it takes the place of the case of late answers, and slow bodies become case 5.

--- a/review/stand/growth.go
+++ b/review/stand/growth.go
@@ -48,7 +48,7 @@
 	version := uint64(5)
 	for change := 1; change <= growthChanges; change++ {
 		next := version + 2
-		if _, err := s.operator.change(version, next, addedRoutes(change, count), changeLimit); err != nil {
+		if err := s.operator.change(version, next, addedRoutes(change, count), changeLimit); err != nil {
 			s.record.addf("change %d (version %d) was not acknowledged: %v", change, next, err)
 			break
 		}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -37,7 +37,7 @@
 	"chunks": {siteOptions{routers: 2}, runChunks},
 	"plain":  {siteOptions{routers: 2}, runPlain},
 	"slow":   {siteOptions{routers: 2}, runSlow},
-	"dark":   {siteOptions{routers: 2, runners: 5}, runDark},
+	"birth":  {siteOptions{routers: 2, unstarted: true}, runBirth},
 }
 
 func main() {
--- a/review/stand/operator.go
+++ b/review/stand/operator.go
@@ -92,14 +92,14 @@
 }
 
 // replace brings a whole configuration with these routes.
-func (o *operator) replace(base, version uint64, routes []route, limit time.Duration) (int, error) {
+func (o *operator) replace(base, version uint64, routes []route, limit time.Duration) error {
 	body, err := json.Marshal(map[string]any{
 		"version": version, "routes": routes,
 		"services": []map[string]any{service(serviceName), service(otherService)},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_wait_ms": 3000, "idle_ms": 15000},
 	})
 	if err != nil {
-		return 0, err
+		return err
 	}
 	return o.submit("/v1/settings/replace", base, body, limit)
 }
@@ -110,16 +110,16 @@
 }
 
 // change adds routes.
-func (o *operator) change(base, version uint64, routes []route, limit time.Duration) (int, error) {
+func (o *operator) change(base, version uint64, routes []route, limit time.Duration) error {
 	body, err := json.Marshal(map[string]any{"version": version, "put_items": map[string]any{"routes": routes}})
 	if err != nil {
-		return 0, err
+		return err
 	}
 	return o.submit("/v1/settings/change", base, body, limit)
 }
 
 // submit sends an order, again and again until it has a clear answer.
-func (o *operator) submit(path string, base uint64, body []byte, limit time.Duration) (int, error) {
+func (o *operator) submit(path string, base uint64, body []byte, limit time.Duration) error {
 	pause := 50 * time.Millisecond
 	last := errors.New("no answer")
 	for end := time.Now().Add(limit); time.Now().Before(end); {
@@ -128,16 +128,16 @@
 		case err != nil:
 			last = err
 		case status == http.StatusOK:
-			return status, nil
+			return nil
 		case status < 500 && status != 408 && status != 429 && status/100 != 3:
-			return status, errors.Newf("status %d: %s", status, text)
+			return errors.Newf("status %d: %s", status, text)
 		default:
 			last = errors.Newf("status %d: %s", status, text)
 		}
 		time.Sleep(pause)
 		pause = min(2*pause, time.Second)
 	}
-	return 0, last
+	return last
 }
 
 // call makes one call at the next controller.
--- a/review/stand/process.go
+++ b/review/stand/process.go
@@ -93,12 +93,19 @@
 	}
 }
 
+// expectEnd says that the process is not to be started again when it ends.
+func (d *daemon) expectEnd() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.wanted = false
+}
+
 // stop ends the process for good with a signal, or until start.
 func (d *daemon) stop(which syscall.Signal) {
 	d.mu.Lock()
 	command, ended := d.command, d.ended
-	d.wanted = false
 	d.mu.Unlock()
+	d.expectEnd()
 	if command == nil {
 		return
 	}
--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -23,10 +23,9 @@
 	server               *http.Server
 
 	// workMs is how long a request takes; withoutLength makes the answers to unsafe
-	// requests end with their connection; dark makes the runner say nothing at all.
+	// requests end with their connection.
 	workMs        atomic.Int64
 	withoutLength atomic.Bool
-	dark          atomic.Bool
 
 	mu sync.Mutex
 	// runs counts the runs of each request.
@@ -58,13 +57,6 @@
 	return r.runs[id]
 }
 
-// waitWhileDark holds everything back while the runner is dark.
-func (r *runner) waitWhileDark() {
-	for r.dark.Load() {
-		time.Sleep(10 * time.Millisecond)
-	}
-}
-
 // serve works on one request.
 func (r *runner) serve(w http.ResponseWriter, request *http.Request) {
 	w.Header().Set("X-Runner-Id", r.id)
@@ -85,9 +77,7 @@
 	r.mu.Lock()
 	r.runs[id]++
 	r.mu.Unlock()
-	r.waitWhileDark()
 	time.Sleep(time.Duration(r.workMs.Load()) * time.Millisecond)
-	r.waitWhileDark()
 	sum := sha256.Sum256(body)
 	answer := fmt.Sprintf("%s %s %s %d bytes %s\n", r.id, request.Method, request.RequestURI, len(body), hex.EncodeToString(sum[:8]))
 	if r.withoutLength.Load() && strings.HasPrefix(request.URL.Path, oncePath) {
--- a/review/stand/site.go
+++ b/review/stand/site.go
@@ -23,7 +23,11 @@
 )
 
 // siteOptions says how large a site is.
-type siteOptions struct{ routers, runners int }
+type siteOptions struct {
+	routers, runners int
+	// unstarted leaves the start of the project's own processes to the case.
+	unstarted bool
+}
 
 // site is a small deployment: three controllers, some routers, and stand-ins for
 // the platform and its runners.
@@ -115,12 +119,13 @@
 	if err := s.startRunners(); err != nil {
 		return err
 	}
-	for _, d := range append(append([]*daemon{}, s.controllers...), s.routers...) {
-		if err := d.start(); err != nil {
-			return err
-		}
+	if s.options.unstarted {
+		return nil
 	}
-	if _, err := s.operator.replace(0, 5, firstRoutes(), 20*time.Second); err != nil {
+	if err := s.startDaemons(); err != nil {
+		return err
+	}
+	if err := s.operator.replace(0, 5, firstRoutes(), 20*time.Second); err != nil {
 		return errors.Wrap(err, "the first configuration")
 	}
 	for _, router := range s.routers {
@@ -133,6 +138,21 @@
 	return nil
 }
 
+// startDaemons starts all of the project's own processes at once.
+func (s *site) startDaemons() error {
+	for _, d := range s.daemons() {
+		if err := d.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// daemons are all of the project's own processes.
+func (s *site) daemons() []*daemon {
+	return append(append([]*daemon{}, s.controllers...), s.routers...)
+}
+
 // startRunners starts the runners; one more belongs to the other service.
 func (s *site) startRunners() error {
 	for i := range s.options.runners + 1 {
@@ -171,7 +191,7 @@
 		return
 	}
 	s.stopped = true
-	for _, d := range append(append([]*daemon{}, s.routers...), s.controllers...) {
+	for _, d := range s.daemons() {
 		d.signal(syscall.SIGCONT)
 		d.stop(syscall.SIGKILL)
 	}
