memory, listener: an account for all that others make a process hold

Change: memory.Account gives out what lies between the process's own needs and the Go runtime's limit, with a share for each use and a reserve that only ordinary requests, their responses and messages of daemons may use. A Reservation grows as bytes arrive; one that is two seconds old makes room for others. Listening sockets get a receive buffer of 32 KiB, which their connections inherit. Nothing takes from the account yet.

--- a/cmd/myrtlewinch/main.go
+++ b/cmd/myrtlewinch/main.go
@@ -13,20 +13,15 @@
 	"github.com/integrii/flaggy"
 
 	"myrtlewinch/internal/cli"
+	"myrtlewinch/internal/memory"
 	"myrtlewinch/internal/protocol"
 	"myrtlewinch/internal/threads"
 	"myrtlewinch/platform"
 )
 
-const (
-	// memoryLimitShare is the share of the process's memory that is set as the Go
-	// runtime's limit. Near the limit the garbage collector runs more often, even if
-	// that takes much CPU time.
-	memoryLimitShare = 0.7
-	// gcPercent makes the garbage collector run often: memory is scarce, and most
-	// objects are short-lived.
-	gcPercent = 50
-)
+// gcPercent makes the garbage collector run often: memory is scarce, and most objects are
+// short-lived.
+const gcPercent = 50
 
 func main() {
 	cli.Setup("myrtlewinch", "Runs one daemon of a site: a router or a controller.")
@@ -92,7 +87,7 @@
 func limitResources(memoryMb int) {
 	runtime.GOMAXPROCS(1)
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(float64(memoryMb) * memoryLimitShare * (1 << 20)))
+	debug.SetMemoryLimit(int64(float64(memoryMb) * memory.RuntimeShare * (1 << 20)))
 }
 
 func notifySignal(which os.Signal) <-chan os.Signal {
--- a/cmd/myrtlewinch/process.go
+++ b/cmd/myrtlewinch/process.go
@@ -11,6 +11,7 @@
 
 	"myrtlewinch/internal/cli"
 	"myrtlewinch/internal/controller"
+	"myrtlewinch/internal/listener"
 	"myrtlewinch/internal/process"
 	"myrtlewinch/internal/protocol"
 	"myrtlewinch/internal/proxy"
@@ -107,9 +108,9 @@
 
 // listen opens a listener. The purpose becomes part of an error.
 func listen(purpose, address string) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address)
+	opened, err := listener.Listen(address)
 	if err != nil {
 		return nil, errors.Wrap(err, purpose)
 	}
-	return listener, nil
+	return opened, nil
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -13,6 +13,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/integrii/flaggy"
 
+	"myrtlewinch/internal/listener"
 	"myrtlewinch/internal/settings"
 	"myrtlewinch/internal/threads"
 )
@@ -112,11 +113,11 @@
 }
 
 func listenAt(flag, address string) net.Listener {
-	listener, err := net.Listen("tcp", address)
+	opened, err := listener.Listen(address)
 	if err != nil {
 		Fatal("%s: %v", flag, err)
 	}
-	return listener
+	return opened
 }
 
 // Serve serves a handler until a signal stops the program.
