transport: one call at a time on each connection of a peer

Callers saw: a site without a primary while peers sent calls and read no acknowledgement. Cause: net/rpc starts a goroutine for each call it has read, and its write of the acknowledgement has no deadline, so calls piled up behind a peer that does not read. Change: calls of a connection are served one after another, and the write of an acknowledgement has twice the time after which its sender gives up; then the connection is closed. A peer that does not read is held up by its own connection only.

--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -79,11 +79,14 @@
 	}
 }
 
-// serveConnection handles the calls of one connection until it ends.
+// serveConnection handles the calls of one connection, one after another, until it ends. A
+// peer that does not read the acknowledgements of its calls so holds up only itself.
 func (s *Server) serveConnection(handler *rpc.Server, conn net.Conn) {
 	defer s.remove(conn)
-	codec := NewServerCodec(conn)
-	handler.ServeCodec(codec)
+	codec := NewServerCodec(limitedConn{conn})
+	for handler.ServeRequest(codec) == nil {
+		continue
+	}
 	if codec.ReadErr != nil {
 		s.options.Count(string(errkind.Malformed))
 	}
