transport: read a frame within the memory of the process and a time limit

Callers saw: a router or controller that ran out of memory. Cause: a frame of up to 8 MiB was read however long it took, on any number of connections, and gob allocates up to 10 MiB by a message's declared length before a byte of it is read. Change: a frame is read whole before it is decoded. Its memory is taken from the account as its bytes arrive, its messages' lengths must lie within it, and it must arrive at half of the rate that its sender assumes. Each process has one account, made from memory_mb.

--- a/internal/controller/daemon.go
+++ b/internal/controller/daemon.go
@@ -11,6 +11,7 @@
 
 	"myrtlewinch/internal/bounds"
 	"myrtlewinch/internal/consensus"
+	"myrtlewinch/internal/memory"
 	"myrtlewinch/internal/process"
 	"myrtlewinch/internal/protocol"
 	"myrtlewinch/internal/storage"
@@ -53,6 +54,8 @@
 	// bootstrap it.
 	FirstStart bool
 	DataFolder string
+	// MemoryMb is the limit of the process's memory; 0 means the default.
+	MemoryMb int
 }
 
 // Daemon runs the state machine of a controller in a process.Runtime.
@@ -86,6 +89,7 @@
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { d.operatorAPI.ServeHTTP(w, r) })
 	d.runtime = process.New(process.Options{
 		Site: settings.Site, Self: settings.Self, Clock: clock, Log: logger, TickMs: tickMs, Caller: caller,
+		Account: memory.NewAccount(memory.LimitFor(settings.MemoryMb)),
 		Reopen: func() (process.Machine, *storage.Store, error) {
 			return d.restartSettings(settings).openMachine(storage.Reopen, format, clock)
 		},
--- a/internal/process/runtime.go
+++ b/internal/process/runtime.go
@@ -12,6 +12,7 @@
 
 	"myrtlewinch/internal/httpclient"
 	"myrtlewinch/internal/httpserver"
+	"myrtlewinch/internal/memory"
 	"myrtlewinch/internal/protocol"
 	"myrtlewinch/internal/ringbuffer"
 	"myrtlewinch/internal/storage"
@@ -55,6 +56,9 @@
 	// Caller makes the outbound calls that do not use the format of the native interface. It
 	// is nil if there are no such calls.
 	Caller OutboundCaller
+	// Account limits the memory that other processes make this one use. If it is nil, the
+	// process has one for the default memory.
+	Account *memory.Account
 	// Reopen creates a new machine from the data folder once the disk accepts writes again
 	// after a failure. If it is nil, the process must be restarted.
 	Reopen func() (Machine, *storage.Store, error)
@@ -90,6 +94,9 @@
 // the handler serves HTTP requests on the listener web. The store is nil if the machine
 // writes nothing to disk.
 func New(options Options, machine Machine, store *storage.Store, peers, web net.Listener, handler http.Handler) *Runtime {
+	if options.Account == nil {
+		options.Account = memory.NewAccount(memory.LimitFor(0))
+	}
 	r := &Runtime{
 		options: options, machine: machine, store: store,
 		inputs: ringbuffer.New[protocol.Input](maxInputs), writes: ringbuffer.New[diskWrite](maxInputs),
@@ -97,7 +104,7 @@
 	}
 	r.sender = transport.NewSender(r.Count)
 	r.server = transport.NewServer(transport.ServerOptions{
-		Site: options.Site, Listener: peers, Count: r.Count,
+		Site: options.Site, Listener: peers, Count: r.Count, Account: options.Account,
 		Deliver: func(envelope protocol.Envelope) { r.Submit(envelope) },
 	})
 	r.caller = outboundClient{
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -15,6 +15,7 @@
 	"myrtlewinch/internal/dataplane"
 	"myrtlewinch/internal/errkind"
 	"myrtlewinch/internal/httpserver"
+	"myrtlewinch/internal/memory"
 	"myrtlewinch/internal/process"
 	"myrtlewinch/internal/protocol"
 	"myrtlewinch/internal/threads"
@@ -97,6 +98,8 @@
 	// progress, at most maxLargeBodyBytes.
 	largeBodyBytes    atomic.Int64
 	maxLargeBodyBytes int64
+	// account limits the memory that other processes make this one use.
+	account *memory.Account
 }
 
 var _ http.Handler = (*Server)(nil)
@@ -109,10 +112,12 @@
 	s := &Server{
 		machine: New(settings, format, clock.NowMs()), settings: settings, codec: codec, clientListener: clients,
 		logger: logger, maxRequests: maxRequestsOf(settings), maxLargeBodyBytes: maxLargeBodyBytesOf(settings),
+		account: memory.NewAccount(memory.LimitFor(settings.MemoryMb)),
 	}
 	s.attemptsContext, s.cancelAttempts = context.WithCancel(context.Background())
 	s.runtime = process.New(process.Options{
 		Site: settings.Site, Self: settings.Self, Clock: clock, Log: logger, TickMs: tickMs, Caller: caller,
+		Account: s.account,
 	}, s.machine, nil, peers, ready, http.HandlerFunc(s.servePlatform))
 	s.clientServer = &http.Server{
 		// clientConns sets the deadlines for idle connections and for reading heads.
--- a/internal/transport/codec.go
+++ b/internal/transport/codec.go
@@ -49,8 +49,8 @@
 	ReadErr error
 }
 
-func newFrameStream(conn io.ReadWriteCloser) frameStream {
-	return frameStream{conn: conn, frames: frameReader{reader: bufio.NewReaderSize(conn, readBufferBytes)}}
+func newFrameStream(conn io.ReadWriteCloser, limits frameLimits) frameStream {
+	return frameStream{conn: conn, frames: frameReader{reader: bufio.NewReaderSize(conn, readBufferBytes), limits: limits}}
 }
 
 // write writes a header and a body in one frame.
@@ -86,7 +86,7 @@
 		s.decoder = gob.NewDecoder(&s.frames)
 	}
 	if err := s.frames.next(); err != nil {
-		if errors.Is(err, ErrFrameTooLarge) {
+		if errors.Is(err, ErrFrameTooLarge) || errors.Is(err, errMalformedFrame) {
 			s.ReadErr = err
 		}
 		return err
@@ -110,60 +110,17 @@
 // Close closes the connection.
 func (s *frameStream) Close() error { return s.conn.Close() }
 
-// frameReader reads the current frame and never beyond it.
-type frameReader struct {
-	reader *bufio.Reader
-	// remaining is the number of bytes of the current frame that have not been read.
-	remaining uint32
-}
-
-// next skips the rest of the current frame and starts the one that follows.
-func (r *frameReader) next() error {
-	if _, err := io.CopyN(io.Discard, r.reader, int64(r.remaining)); err != nil {
-		return err
-	}
-	var length [lengthBytes]byte
-	if _, err := io.ReadFull(r.reader, length[:]); err != nil {
-		return err
-	}
-	r.remaining = binary.BigEndian.Uint32(length[:])
-	if r.remaining > MaxFrameBytes {
-		r.remaining = 0
-		return ErrFrameTooLarge
-	}
-	return nil
-}
-
-// Read reads from the current frame. At its end it returns io.ErrUnexpectedEOF, because a
-// message never spans two frames.
-func (r *frameReader) Read(p []byte) (int, error) {
-	if r.remaining == 0 {
-		return 0, io.ErrUnexpectedEOF
-	}
-	n, err := r.reader.Read(p[:min(len(p), int(r.remaining))])
-	r.remaining -= uint32(n)
-	return n, err
-}
-
-// ReadByte implements io.ByteReader. Without this method gob would add its own buffer and
-// read ahead.
-func (r *frameReader) ReadByte() (byte, error) {
-	if r.remaining == 0 {
-		return 0, io.ErrUnexpectedEOF
-	}
-	b, err := r.reader.ReadByte()
-	if err == nil {
-		r.remaining--
-	}
-	return b, err
-}
-
 // ServerCodec is the rpc.ServerCodec of a connection that a peer opened.
 type ServerCodec struct{ frameStream }
 
 // NewServerCodec returns the codec of a connection.
 func NewServerCodec(conn io.ReadWriteCloser) *ServerCodec {
-	return &ServerCodec{newFrameStream(conn)}
+	return &ServerCodec{newFrameStream(conn, noLimits{})}
+}
+
+// newLimitedServerCodec returns the codec of a connection whose frames have limits.
+func newLimitedServerCodec(conn *limitedConn) *ServerCodec {
+	return &ServerCodec{newFrameStream(conn, conn)}
 }
 
 // ReadRequestHeader reads the header of the next frame.
@@ -180,7 +137,7 @@
 
 // NewClientCodec returns the codec of a connection.
 func NewClientCodec(conn io.ReadWriteCloser) *ClientCodec {
-	return &ClientCodec{newFrameStream(conn)}
+	return &ClientCodec{newFrameStream(conn, noLimits{})}
 }
 
 // WriteRequest writes a request in one frame.
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"myrtlewinch/internal/errkind"
+	"myrtlewinch/internal/memory"
 	"myrtlewinch/internal/protocol"
 	"myrtlewinch/internal/threads"
 )
@@ -39,6 +40,8 @@
 	// block. Count adds one to a named counter.
 	Deliver func(protocol.Envelope)
 	Count   func(name string)
+	// Account is the process's account of memory.
+	Account *memory.Account
 }
 
 // Server receives messages from peers.
@@ -83,7 +86,9 @@
 // peer that does not read the acknowledgements of its calls so holds up only itself.
 func (s *Server) serveConnection(handler *rpc.Server, conn net.Conn) {
 	defer s.remove(conn)
-	codec := NewServerCodec(limitedConn{conn})
+	limited := newLimitedConn(conn, s.options.Account)
+	defer limited.reservation.Close()
+	codec := newLimitedServerCodec(limited)
 	for handler.ServeRequest(codec) == nil {
 		continue
 	}
--- a/internal/transport/server_test.go
+++ b/internal/transport/server_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"myrtlewinch/internal/memory"
 	"myrtlewinch/internal/protocol"
 	"myrtlewinch/internal/threads"
 )
@@ -19,7 +20,7 @@
 	c.Assert(err, qt.IsNil)
 	delivered, counted = make(chan protocol.Envelope, 16), make(chan string, 16)
 	server := NewServer(ServerOptions{
-		Site: "s", Listener: listener,
+		Site: "s", Listener: listener, Account: memory.NewAccount(memory.LimitFor(0)),
 		Deliver: func(envelope protocol.Envelope) { delivered <- envelope },
 		Count:   func(name string) { counted <- name },
 	})
