transport: room for new peers among silent connections, and failed accepts that pass

Callers saw: a daemon beyond its open files, or one that ended. Cause: up to 1024 connections were accepted whatever the open files, the first ones kept their places though they sent nothing, and any error of Accept, such as too many open files or a connection that its client had reset, ended the process.

--- a/cmd/myrtlewinch/process.go
+++ b/cmd/myrtlewinch/process.go
@@ -86,7 +86,7 @@
 		},
 		Site: siteName, Seeds: settings.PeerSeeds(), MaxLosses: settings.MaxLosses,
 		FirstStart: settings.FirstStart, DataFolder: settings.DataFolder,
-		MemoryMb: settings.MemoryMb,
+		MemoryMb: settings.MemoryMb, OpenFiles: settings.OpenFiles,
 	}, platform.ConfigFormat{}, platform.Client{}, newOperatorAPI, peers, operators, logger)
 }
 
--- a/internal/controller/daemon.go
+++ b/internal/controller/daemon.go
@@ -54,8 +54,8 @@
 	// bootstrap it.
 	FirstStart bool
 	DataFolder string
-	// MemoryMb is the limit of the process's memory; 0 means the default.
-	MemoryMb int
+	// MemoryMb and OpenFiles are the limits of the process; 0 means the default.
+	MemoryMb, OpenFiles int
 }
 
 // Daemon runs the state machine of a controller in a process.Runtime.
@@ -89,7 +89,7 @@
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { d.operatorAPI.ServeHTTP(w, r) })
 	d.runtime = process.New(process.Options{
 		Site: settings.Site, Self: settings.Self, Clock: clock, Log: logger, TickMs: tickMs, Caller: caller,
-		Account: memory.NewAccount(memory.LimitFor(settings.MemoryMb)),
+		Account: memory.NewAccount(memory.LimitFor(settings.MemoryMb)), OpenFiles: settings.OpenFiles,
 		Reopen: func() (process.Machine, *storage.Store, error) {
 			return d.restartSettings(settings).openMachine(storage.Reopen, format, clock)
 		},
--- a/internal/process/runtime.go
+++ b/internal/process/runtime.go
@@ -59,6 +59,8 @@
 	// Account limits the memory that other processes make this one use. If it is nil, the
 	// process has one for the default memory.
 	Account *memory.Account
+	// OpenFiles is the limit of open files of the process, 0 if there is none.
+	OpenFiles int
 	// Reopen creates a new machine from the data folder once the disk accepts writes again
 	// after a failure. If it is nil, the process must be restarted.
 	Reopen func() (Machine, *storage.Store, error)
@@ -104,7 +106,8 @@
 	}
 	r.sender = transport.NewSender(r.Count)
 	r.server = transport.NewServer(transport.ServerOptions{
-		Site: options.Site, Listener: peers, Count: r.Count, Account: options.Account,
+		Site: options.Site, Listener: peers, Count: r.Count,
+		Account: options.Account, MaxConnections: maxPeerConnections(options.OpenFiles),
 		Deliver: func(envelope protocol.Envelope) { r.Submit(envelope) },
 	})
 	r.caller = outboundClient{
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -117,7 +117,7 @@
 	s.attemptsContext, s.cancelAttempts = context.WithCancel(context.Background())
 	s.runtime = process.New(process.Options{
 		Site: settings.Site, Self: settings.Self, Clock: clock, Log: logger, TickMs: tickMs, Caller: caller,
-		Account: s.account,
+		Account: s.account, OpenFiles: settings.OpenFiles,
 	}, s.machine, nil, peers, ready, http.HandlerFunc(s.servePlatform))
 	s.clientServer = &http.Server{
 		// clientConns sets the deadlines for idle connections and for reading heads.
--- a/internal/transport/limits_test.go
+++ b/internal/transport/limits_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/rpc"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -45,12 +46,12 @@
 	clients   []net.Conn
 }
 
-func runPipeServer(t *testing.T, run func(c *qt.C, s *pipeServer)) {
+func runPipeServer(t *testing.T, maxConnections int, run func(c *qt.C, s *pipeServer)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		s := &pipeServer{account: memory.NewAccount(memory.LimitFor(0)), queue: make(chan any), counts: map[string]int{}}
 		server := NewServer(ServerOptions{
-			Site: "s", Listener: queueListener{s.queue}, Account: s.account,
+			Site: "s", Listener: queueListener{s.queue}, Account: s.account, MaxConnections: maxConnections,
 			Deliver: func(protocol.Envelope) { s.delivered.Add(1) }, Count: func(name string) { s.counts[name]++ },
 		})
 		ended := make(chan error, 1)
@@ -87,6 +88,34 @@
 	return codec.WriteRequest(&rpc.Request{ServiceMethod: batchMethod, Seq: sequence}, []protocol.Envelope{{Site: "s", Body: protocol.Heartbeat{Epoch: 1}}})
 }
 
+// Errors of Accept that pass do not end the server.
+func TestAcceptErrorsThatPass(t *testing.T) {
+	runPipeServer(t, 10, func(c *qt.C, s *pipeServer) {
+		for _, err := range []error{syscall.EMFILE, syscall.ECONNABORTED, syscall.ENFILE} {
+			s.queue <- &net.OpError{Op: "accept", Err: err}
+		}
+		c.Assert(isClosed(s.dial()), qt.IsFalse)
+		c.Assert(s.counts[countAcceptFailed], qt.Equals, 3)
+	})
+}
+
+// If there are too many connections, the one whose last message is oldest makes room.
+func TestSilentConnectionsMakeRoom(t *testing.T) {
+	runPipeServer(t, 2, func(c *qt.C, s *pipeServer) {
+		peer, silent := s.dial(), s.dial()
+		codec := NewClientCodec(peer)
+		c.Assert(sendBatch(peer, 0, codec), qt.IsNil)
+		c.Assert(codec.ReadResponseHeader(&rpc.Response{}), qt.IsNil)
+		c.Assert(codec.ReadResponseBody(&Ack{}), qt.IsNil)
+		synctest.Wait()
+		third := s.dial()
+		c.Assert(isClosed(silent), qt.IsTrue)
+		c.Assert(isClosed(peer), qt.IsFalse)
+		c.Assert(isClosed(third), qt.IsFalse)
+		c.Assert(s.counts[countTooManyConnections], qt.Equals, 1)
+	})
+}
+
 // A frame that stops short ends its connection soon; one that keeps arriving does not.
 func TestFramesHaveADeadline(t *testing.T) {
 	const blockBytes, blocks = 64 << 10, 20
@@ -99,7 +128,7 @@
 		{"stops short", 2 * frameTimeout, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			runPipeServer(t, func(c *qt.C, s *pipeServer) {
+			runPipeServer(t, 10, func(c *qt.C, s *pipeServer) {
 				client := s.dial()
 				head := binary.BigEndian.AppendUint32(nil, blocks*blockBytes)
 				_, err := client.Write(head)
@@ -118,7 +147,7 @@
 // The memory of a frame is taken as it arrives, not by its declared length, and a frame that
 // does not fit ends its connection.
 func TestFramesTakeMemory(t *testing.T) {
-	runPipeServer(t, func(c *qt.C, s *pipeServer) {
+	runPipeServer(t, 10, func(c *qt.C, s *pipeServer) {
 		client := s.dial()
 		before := s.account.Used()
 		_, err := client.Write(binary.BigEndian.AppendUint32(nil, MaxFrameBytes))
@@ -140,7 +169,7 @@
 // A peer that does not read its acknowledgements holds up only itself, and loses its
 // connection.
 func TestAcknowledgementsHaveADeadline(t *testing.T) {
-	runPipeServer(t, func(c *qt.C, s *pipeServer) {
+	runPipeServer(t, 10, func(c *qt.C, s *pipeServer) {
 		client := s.dial()
 		codec := NewClientCodec(client)
 		c.Assert(sendBatch(client, 0, codec), qt.IsNil)
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -1,9 +1,12 @@
 package transport
 
 import (
+	"container/list"
 	"net"
 	"net/rpc"
 	"sync"
+	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -18,8 +21,21 @@
 	// method Take.
 	serviceName = "Door"
 	batchMethod = serviceName + ".Take"
-	// maxConnections bounds the connections accepted from peers.
-	maxConnections = 1024
+	// connectionBytes is the memory of a connection: its goroutine and buffers, and the bytes
+	// that have arrived and are not read yet (see package listener).
+	connectionBytes = 48 << 10
+	// acceptRetryDelay is the pause after a connection could not be accepted, for example
+	// because the process has too many open files.
+	acceptRetryDelay = 20 * time.Millisecond
+)
+
+// Names of counters; docs/operators.md explains them.
+const (
+	// Connections that were rejected, or closed in favour of newer ones, because of the limit
+	// of connections.
+	countTooManyConnections = "streams too many"
+	// Connections that could not be accepted.
+	countAcceptFailed = "streams not accepted"
 )
 
 // errWrongSite rejects a batch from another site.
@@ -40,8 +56,9 @@
 	// block. Count adds one to a named counter.
 	Deliver func(protocol.Envelope)
 	Count   func(name string)
-	// Account is the process's account of memory.
-	Account *memory.Account
+	// Account is the process's account of memory. MaxConnections bounds the connections.
+	Account        *memory.Account
+	MaxConnections int
 }
 
 // Server receives messages from peers.
@@ -49,13 +66,15 @@
 	options ServerOptions
 
 	mu          sync.Mutex
-	connections map[net.Conn]bool
-	closed      bool
+	connections map[net.Conn]*list.Element
+	// silent lists the connections, the one whose last message is oldest first.
+	silent list.List
+	closed bool
 }
 
 // NewServer returns a server. It accepts no connections before Serve is called.
 func NewServer(options ServerOptions) *Server {
-	return &Server{options: options, connections: map[net.Conn]bool{}}
+	return &Server{options: options, connections: map[net.Conn]*list.Element{}}
 }
 
 // Serve accepts connections until Close is called.
@@ -66,20 +85,40 @@
 	}
 	for {
 		conn, err := s.options.Listener.Accept()
-		if err != nil {
-			if s.isClosed() {
-				return nil
-			}
+		switch {
+		case err == nil:
+			s.serve(handler, conn)
+		case s.isClosed():
+			return nil
+		case !isTemporary(err):
 			return err
+		default:
+			s.options.Count(countAcceptFailed)
+			time.Sleep(acceptRetryDelay)
 		}
-		if !s.add(conn) {
-			_ = conn.Close()
-			// Counts connections closed because there are maxConnections already.
-			s.options.Count("streams too many")
-			continue
+	}
+}
+
+// isTemporary reports whether a later connection may be accepted after this error.
+func isTemporary(err error) bool {
+	for _, temporary := range []syscall.Errno{
+		syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED, syscall.ECONNRESET, syscall.EINTR,
+	} {
+		if errors.Is(err, temporary) {
+			return true
 		}
-		threads.Go(func() { s.serveConnection(handler, conn) })
 	}
+	return false
+}
+
+// serve handles the calls of a connection in its own goroutine, if there is room for it.
+func (s *Server) serve(handler *rpc.Server, conn net.Conn) {
+	if !s.add(conn) {
+		_ = conn.Close()
+		s.options.Count(countTooManyConnections)
+		return
+	}
+	threads.Go(func() { s.serveConnection(handler, conn) })
 }
 
 // serveConnection handles the calls of one connection, one after another, until it ends. A
@@ -90,7 +129,7 @@
 	defer limited.reservation.Close()
 	codec := newLimitedServerCodec(limited)
 	for handler.ServeRequest(codec) == nil {
-		continue
+		s.messageReceived(conn)
 	}
 	if codec.ReadErr != nil {
 		s.options.Count(string(errkind.Malformed))
@@ -114,22 +153,51 @@
 	return s.closed
 }
 
-// add registers a connection. It returns false if the server is closed or has too many.
+// add registers a connection. If there are too many, it closes the one whose last message is
+// oldest. It returns false if the server is closed, or if there is no memory.
 func (s *Server) add(conn net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || len(s.connections) >= maxConnections {
+	if s.closed {
 		return false
 	}
-	s.connections[conn] = true
+	for len(s.connections) >= s.options.MaxConnections || !s.options.Account.Take(memory.Messages, connectionBytes) {
+		oldest := s.silent.Front()
+		if oldest == nil {
+			return false
+		}
+		s.options.Count(countTooManyConnections)
+		s.removeLocked(oldest.Value.(net.Conn))
+	}
+	s.connections[conn] = s.silent.PushBack(conn)
 	return true
 }
 
+// messageReceived records that a connection has delivered a message.
+func (s *Server) messageReceived(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if element := s.connections[conn]; element != nil {
+		s.silent.MoveToBack(element)
+	}
+}
+
 func (s *Server) remove(conn net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.connections, conn)
+	s.removeLocked(conn)
+}
+
+// removeLocked closes and removes a connection. The caller holds mu.
+func (s *Server) removeLocked(conn net.Conn) {
 	_ = conn.Close()
+	element := s.connections[conn]
+	if element == nil {
+		return
+	}
+	s.silent.Remove(element)
+	delete(s.connections, conn)
+	s.options.Account.Release(memory.Messages, connectionBytes)
 }
 
 // batchService is the RPC service that peers call.
--- a/internal/transport/server_test.go
+++ b/internal/transport/server_test.go
@@ -20,7 +20,7 @@
 	c.Assert(err, qt.IsNil)
 	delivered, counted = make(chan protocol.Envelope, 16), make(chan string, 16)
 	server := NewServer(ServerOptions{
-		Site: "s", Listener: listener, Account: memory.NewAccount(memory.LimitFor(0)),
+		Site: "s", Listener: listener, Account: memory.NewAccount(memory.LimitFor(0)), MaxConnections: 100,
 		Deliver: func(envelope protocol.Envelope) { delivered <- envelope },
 		Count:   func(name string) { counted <- name },
 	})
