httpserver: a new connection takes the place of the one that has waited longest

Callers saw: daemons beyond their open files under connections that send nothing, at the ports for clients, readiness and operators, or that stay idle after a request. Cause: nothing bounded the connections that had not sent a whole head. Change: connections are bounded by the open files and by the account. The one that has waited longest for a whole request is closed for a new one; if all have requests in progress the new one gets 503 with a Retry-After. No request of a closed connection reaches a handler.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"container/list"
 	"context"
 	"net"
 	"net/http"
@@ -16,6 +17,9 @@
 // while the process was stalled.
 const finalReadTimeout = 10 * time.Millisecond
 
+// errEvicted ends the reads of a connection that was closed to make room for others.
+var errEvicted = &net.OpError{Op: "read", Err: errors.New("the connection was closed to make room for others")}
+
 // phase is the state of a connection between and during requests.
 type phase int
 
@@ -38,6 +42,8 @@
 	acceptedAt time.Time
 	// closed is set by Close, which any goroutine may call.
 	closed atomic.Bool
+	// element is the connection's place in connections.waiting, protected by connections.mu.
+	element *list.Element
 
 	// mu protects the fields below, and is held while a read deadline is set.
 	mu    sync.Mutex
@@ -45,8 +51,8 @@
 	// since is when the phase began.
 	since time.Time
 	// served is true after the first request. closing is true if no further request is to be
-	// read.
-	served, closing bool
+	// read, evicted if the connection was closed to make room for others.
+	served, closing, evicted bool
 }
 
 // connKey is the key of a request's Conn in its context.
@@ -87,14 +93,16 @@
 // setIdle records that the connection waits for its next request.
 func (c *Conn) setIdle() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.phase, c.since, c.served = phaseIdle, time.Now(), true
+	c.mu.Unlock()
+	c.connections.setWaiting(c, true)
 }
 
 // setActive records that the head of a request has been read. It clears the read deadline
 // of the head, or one that closeWhenIdle has set since, because it must not apply to the
 // body.
 func (c *Conn) setActive() {
+	c.connections.setWaiting(c, false)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase = phaseActive
@@ -112,6 +120,26 @@
 	}
 }
 
+// evict closes a connection without a complete request, to make room for others. It returns
+// false if a request is in progress.
+func (c *Conn) evict() bool {
+	c.mu.Lock()
+	if c.phase == phaseActive {
+		c.mu.Unlock()
+		return false
+	}
+	c.evicted = true
+	c.mu.Unlock()
+	_ = c.Close()
+	return true
+}
+
+func (c *Conn) wasEvicted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.evicted
+}
+
 // Close closes the connection. http.Server calls it when the goroutine that serves the
 // connection ends, and for connections that it considers idle.
 func (c *Conn) Close() error {
@@ -129,6 +157,9 @@
 	if n > 0 {
 		c.setReadingHead()
 	}
+	if c.wasEvicted() {
+		return 0, errEvicted
+	}
 	return n, err
 }
 
@@ -141,10 +172,14 @@
 // setReadingHead records that a part of a request head has been read.
 func (c *Conn) setReadingHead() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.phase == phaseIdle {
+	begins := c.phase == phaseIdle
+	if begins {
 		c.phase, c.since = phaseReadingHead, time.Now()
 	}
+	c.mu.Unlock()
+	if begins {
+		c.connections.setWaiting(c, true)
+	}
 }
 
 // readBeforeDeadline reads until the deadline. A change of the limits or closeWhenIdle may
@@ -165,11 +200,16 @@
 		if c.deadline().After(until) {
 			continue
 		}
-		if err := c.Conn.SetReadDeadline(time.Now().Add(finalReadTimeout)); err != nil {
-			return 0, err
-		}
-		return c.Conn.Read(p)
+		return c.readFinally(p)
+	}
+}
+
+// readFinally reads bytes that arrived before the deadline while the process was stalled.
+func (c *Conn) readFinally(p []byte) (int, error) {
+	if err := c.Conn.SetReadDeadline(time.Now().Add(finalReadTimeout)); err != nil {
+		return 0, err
 	}
+	return c.Conn.Read(p)
 }
 
 // setDeadline sets the read deadline of the phase and returns it.
--- a/internal/httpserver/conn_test.go
+++ b/internal/httpserver/conn_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"myrtlewinch/internal/memory"
 )
 
 // stalledConn returns its bytes only after its deadline has passed, like a connection whose
@@ -17,6 +19,11 @@
 	reads int
 }
 
+// newTestConnections returns connections with room for all.
+func newTestConnections(limits func() Limits) *Connections {
+	return NewConnections(Options{Limits: limits, Account: memory.NewAccount(memory.LimitFor(0)), MaxConnections: 100})
+}
+
 func (f *stalledConn) SetReadDeadline(time.Time) error { return nil }
 
 func (f *stalledConn) Read(p []byte) (int, error) {
@@ -28,7 +35,7 @@
 
 func TestBytesThatArrivedDuringAStallAreRead(t *testing.T) {
 	c := qt.New(t)
-	connections := NewConnections(func() Limits { return Limits{IdleTimeout: time.Second, HeadTimeout: time.Second} })
+	connections := newTestConnections(func() Limits { return Limits{IdleTimeout: time.Second, HeadTimeout: time.Second} })
 	connection := connections.add(&stalledConn{text: "GET"})
 	buffer := make([]byte, 8)
 	n, err := connection.Read(buffer)
@@ -56,7 +63,7 @@
 	} {
 		t.Run(test.about, func(t *testing.T) {
 			limits.FirstRequestTimeout = test.first
-			connections := NewConnections(func() Limits { return limits })
+			connections := newTestConnections(func() Limits { return limits })
 			connection := connections.add(&stalledConn{})
 			connection.phase, connection.served, connection.closing = test.phase, test.served, test.closing
 			connection.since = since
--- a/internal/httpserver/connections.go
+++ b/internal/httpserver/connections.go
@@ -3,45 +3,88 @@
 // reads from them. http.Server considers a connection idle until the whole head of the next
 // request is parsed; if it closed the connection then, it would lose a request that was
 // already read.
+//
+// The memory of connections is taken from the process's memory.Account. A connection that does
+// not fit replaces the one that has waited longest for a request, or is rejected.
 package httpserver
 
 import (
+	"container/list"
 	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"myrtlewinch/internal/errkind"
+	"myrtlewinch/internal/memory"
 )
 
-// Limits are the time limits of a connection.
+// connectionBytes is the memory of a connection: its goroutine, the buffers of net/http, and
+// the bytes that have arrived and are not read yet (see package listener).
+const connectionBytes = 56 << 10
+
+// Limits are the limits of a connection.
 type Limits struct {
-	// IdleTimeout is how long a connection may wait for its next request. HeadTimeout is how
-	// long the rest of a request head may take after its first byte.
+	// IdleTimeout is how long a connection may wait for its next request, and for the next
+	// bytes of a body. HeadTimeout is how long the rest of a request head may take after its
+	// first byte.
 	IdleTimeout, HeadTimeout time.Duration
 	// FirstRequestTimeout is how long a new connection may wait for its first request; 0
 	// means IdleTimeout.
 	FirstRequestTimeout time.Duration
 }
 
+// Options are the options of Connections.
+type Options struct {
+	// Limits returns the current limits. The goroutines of all connections call it whenever
+	// they need one, so that changes take effect.
+	Limits func() Limits
+	// Account is the process's account of memory.
+	Account *memory.Account
+	// MaxConnections is the largest number of connections, in addition to the limit of the
+	// account.
+	MaxConnections int
+	// WriteRejection writes an error response. retryMs is the time after which the client
+	// should try again, or 0. If it is nil, the native interface's format is used.
+	WriteRejection func(w http.ResponseWriter, kind errkind.Kind, retryMs int64)
+	// Count adds one to a named counter. It may be nil.
+	Count func(name string)
+}
+
 // Connections are the open connections of a server. It is safe for concurrent use.
 type Connections struct {
-	limits func() Limits
+	options Options
 
-	mu      sync.Mutex
-	open    map[*Conn]struct{}
+	mu   sync.Mutex
+	open map[*Conn]struct{}
+	// waiting lists the connections without a complete request, the one that has waited
+	// longest first.
+	waiting list.List
 	closing bool
 }
 
-// NewConnections returns an empty set of connections for a server. The goroutines of all
-// connections call limits whenever they need a deadline, so that changes take effect.
-func NewConnections(limits func() Limits) *Connections {
-	return &Connections{limits: limits, open: map[*Conn]struct{}{}}
+// NewConnections returns an empty set of connections for a server.
+func NewConnections(options Options) *Connections {
+	if options.WriteRejection == nil {
+		options.WriteRejection = func(w http.ResponseWriter, kind errkind.Kind, retryMs int64) {
+			errkind.ErrorBody{Kind: kind, RetryMs: retryMs}.Write(w)
+		}
+	}
+	if options.Count == nil {
+		options.Count = func(string) {}
+	}
+	return &Connections{options: options, open: map[*Conn]struct{}{}}
 }
 
-// Attach sets the callbacks of a server that track its connections. It must be called
-// before the server serves, and the server must serve the listener that Listen returns.
+func (s *Connections) limits() Limits { return s.options.Limits() }
+
+// Attach sets the callbacks of a server that track its connections, and wraps its handler. It
+// must be called before the server serves, and the server must serve the listener that Listen
+// returns.
 func (s *Connections) Attach(server *http.Server) {
 	server.ConnState = trackState
 	server.ConnContext = withConn
+	server.Handler = handlerOf(server.Handler)
 }
 
 // Listen wraps a listener so that the connections it accepts are tracked.
@@ -53,30 +96,92 @@
 	connections *Connections
 }
 
-// Accept waits for the next connection.
+// Accept waits for the next connection for which there is room.
 func (l trackedListener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.connections.add(accepted); c != nil {
+			return c, nil
+		}
+		l.connections.rejectConnection(accepted)
 	}
-	return l.connections.add(accepted), nil
 }
 
-// add wraps an accepted connection and adds it to the set.
+// add wraps an accepted connection and adds it to the set. If there is no room, it closes
+// the connections that have waited longest for a request. It returns nil if that is not
+// enough, because all others have requests in progress.
 func (s *Connections) add(accepted net.Conn) *Conn {
+	for !s.hasRoom() {
+		if !s.evictLongestWaiting() {
+			return nil
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	c := &Conn{Conn: accepted, connections: s, acceptedAt: now, since: now, closing: s.closing}
 	s.open[c] = struct{}{}
+	c.element = s.waiting.PushBack(c)
 	return c
 }
 
+// hasRoom takes the memory for a further connection if there is room.
+func (s *Connections) hasRoom() bool {
+	s.mu.Lock()
+	count := len(s.open)
+	s.mu.Unlock()
+	return count < s.options.MaxConnections && s.options.Account.Take(memory.Connections, connectionBytes)
+}
+
+// evictLongestWaiting closes the connection that has waited longest for a complete request.
+// It returns false if there is none.
+func (s *Connections) evictLongestWaiting() bool {
+	s.mu.Lock()
+	front := s.waiting.Front()
+	if front == nil {
+		s.mu.Unlock()
+		return false
+	}
+	c := front.Value.(*Conn)
+	s.unlistLocked(c)
+	s.mu.Unlock()
+	if c.evict() {
+		s.options.Count(countConnectionsEvicted)
+	}
+	return true
+}
+
+// setWaiting records whether a connection waits for a complete request. A connection that
+// begins to wait is the last one that is evicted.
+func (s *Connections) setWaiting(c *Conn, waits bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unlistLocked(c)
+	if _, isOpen := s.open[c]; waits && isOpen {
+		c.element = s.waiting.PushBack(c)
+	}
+}
+
+// unlistLocked removes a connection from waiting. The caller holds mu.
+func (s *Connections) unlistLocked(c *Conn) {
+	if c.element != nil {
+		s.waiting.Remove(c.element)
+		c.element = nil
+	}
+}
+
 // remove removes a closed connection from the set.
 func (s *Connections) remove(c *Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.open, c)
+	s.unlistLocked(c)
+	if _, isOpen := s.open[c]; isOpen {
+		delete(s.open, c)
+		s.options.Account.Release(memory.Connections, connectionBytes)
+	}
 }
 
 // CloseIdle closes each connection before its next request: immediately if it is idle, and
--- /dev/null
+++ b/internal/httpserver/limits_test.go
@@ -0,0 +1,139 @@
+package httpserver
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"myrtlewinch/internal/memory"
+	"myrtlewinch/internal/threads"
+)
+
+// queueListener accepts the connections of a queue.
+type queueListener struct{ queue chan net.Conn }
+
+func (l queueListener) Accept() (net.Conn, error) {
+	if accepted, ok := <-l.queue; ok {
+		return accepted, nil
+	}
+	return nil, net.ErrClosed
+}
+
+func (l queueListener) Close() error   { return nil }
+func (l queueListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// testServer is a server in virtual time, over pipes.
+type testServer struct {
+	connections *Connections
+	account     *memory.Account
+	queue       chan net.Conn
+	counts      map[string]int
+	clients     []net.Conn
+}
+
+var testLimits = Limits{IdleTimeout: 20 * time.Second, HeadTimeout: 5 * time.Second}
+
+// runServer runs a test with a server that has room for maxConnections.
+func runServer(t *testing.T, maxConnections int, handler func(s *testServer) http.Handler, run func(c *qt.C, s *testServer)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := &testServer{account: memory.NewAccount(memory.LimitFor(0)), queue: make(chan net.Conn), counts: map[string]int{}}
+		s.connections = NewConnections(Options{
+			Limits: func() Limits { return testLimits }, Account: s.account, MaxConnections: maxConnections,
+			Count: func(name string) { s.counts[name]++ },
+		})
+		server := &http.Server{Handler: handler(s)}
+		s.connections.Attach(server)
+		done := make(chan struct{})
+		threads.Go(func() { defer close(done); _ = server.Serve(s.connections.Listen(queueListener{s.queue})) })
+		run(qt.New(t), s)
+		for _, client := range s.clients {
+			_ = client.Close()
+		}
+		close(s.queue)
+		<-done
+		_ = server.Close()
+		// net/http waits before it closes some connections.
+		time.Sleep(2 * rejectTimeout)
+		synctest.Wait()
+		qt.Check(t, s.account.Used(), qt.Equals, int64(0))
+	})
+}
+
+// dial opens a connection.
+func (s *testServer) dial() net.Conn {
+	client, accepted := net.Pipe()
+	s.clients = append(s.clients, client)
+	s.queue <- accepted
+	synctest.Wait()
+	return client
+}
+
+// send sends a text and returns a channel that receives the response, or nil if the
+// connection ends without one.
+func send(client net.Conn, text string) <-chan *http.Response {
+	responses := make(chan *http.Response, 1)
+	threads.Go(func() { _, _ = io.WriteString(client, text) })
+	threads.Go(func() {
+		response, err := http.ReadResponse(bufio.NewReader(client), nil)
+		if err == nil {
+			_, err = io.ReadAll(response.Body)
+		}
+		if err != nil {
+			response = nil
+		}
+		responses <- response
+	})
+	return responses
+}
+
+// A connection without a complete request makes room for a new one, the one that has waited
+// longest first. Requests in progress do not.
+func TestWaitingConnectionsMakeRoom(t *testing.T) {
+	slow := func(*testServer) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/slow" {
+				time.Sleep(time.Minute)
+			}
+			_, _ = io.WriteString(w, "ok")
+		})
+	}
+	runServer(t, 3, slow, func(c *qt.C, s *testServer) {
+		inProgress := send(s.dial(), "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
+		synctest.Wait()
+		silent := send(s.dial(), "")
+		partial := send(s.dial(), "GET / HTTP/1.1\r\n")
+		synctest.Wait()
+		c.Assert((<-send(s.dial(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n")).StatusCode, qt.Equals, http.StatusOK)
+		c.Assert(<-silent, qt.IsNil)
+		// Those that are idle after a request have waited for a shorter time.
+		s.dial()
+		c.Assert(<-partial, qt.IsNil)
+		c.Assert(s.counts[countConnectionsEvicted], qt.Equals, 2)
+		c.Assert((<-inProgress).StatusCode, qt.Equals, http.StatusOK)
+	})
+}
+
+func TestConnectionsBesideRequestsInProgressAreRejected(t *testing.T) {
+	slow := func(*testServer) http.Handler {
+		return http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(time.Second) })
+	}
+	runServer(t, 1, slow, func(c *qt.C, s *testServer) {
+		inProgress := send(s.dial(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		synctest.Wait()
+		client, accepted := net.Pipe()
+		rejected := send(client, "")
+		s.queue <- accepted
+		response := <-rejected
+		c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+		c.Assert(response.Header.Get("Retry-After"), qt.Equals, "1")
+		c.Assert(s.counts[countConnectionsRejected], qt.Equals, 1)
+		c.Assert((<-inProgress).StatusCode, qt.Equals, http.StatusOK)
+	})
+}
--- a/internal/process/runtime.go
+++ b/internal/process/runtime.go
@@ -117,13 +117,18 @@
 		Handler: r.withConnectionClose(handler), MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: options.Log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
-	r.webConnections = httpserver.NewConnections(func() httpserver.Limits {
-		return httpserver.Limits{IdleTimeout: idleTimeout, HeadTimeout: headerTimeout, FirstRequestTimeout: headerTimeout}
+	r.webConnections = httpserver.NewConnections(httpserver.Options{
+		Limits: webLimits, Account: options.Account, Count: r.Count, MaxConnections: maxWebConnections(options.OpenFiles),
 	})
 	r.webConnections.Attach(r.web)
 	return r
 }
 
+// webLimits returns the limits of the connections of clients and operators.
+func webLimits() httpserver.Limits {
+	return httpserver.Limits{IdleTimeout: idleTimeout, HeadTimeout: headerTimeout, FirstRequestTimeout: headerTimeout}
+}
+
 // withConnectionClose wraps a handler. Once closeAfterResponse is true, each response closes
 // its connection.
 func (r *Runtime) withConnectionClose(handler http.Handler) http.Handler {
--- a/internal/proxy/clientlimits_test.go
+++ b/internal/proxy/clientlimits_test.go
@@ -18,6 +18,7 @@
 
 	"myrtlewinch/internal/config"
 	"myrtlewinch/internal/httpserver"
+	"myrtlewinch/internal/memory"
 	"myrtlewinch/internal/protocol"
 	"myrtlewinch/internal/threads"
 )
@@ -85,7 +86,7 @@
 	limits := func() httpserver.Limits {
 		return clientLimitsOf(&config.Configuration{Limits: *b.limits.Load()}).Limits
 	}
-	b.connections = httpserver.NewConnections(limits)
+	b.connections = httpserver.NewConnections(httpserver.Options{Limits: limits, Account: memory.NewAccount(memory.LimitFor(0)), MaxConnections: 10})
 	server := &http.Server{}
 	b.connections.Attach(server)
 	return server, b.connections.Listen(inner)
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -124,7 +124,10 @@
 		Handler: s, MaxHeaderBytes: headBytesCeiling, DisableGeneralOptionsHandler: true,
 		ErrorLog: logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
-	s.clientConns = httpserver.NewConnections(func() httpserver.Limits { return s.clientLimits().Limits })
+	s.clientConns = httpserver.NewConnections(httpserver.Options{
+		Limits: func() httpserver.Limits { return s.clientLimits().Limits }, Account: s.account, MaxConnections: int(s.maxRequests),
+		WriteRejection: codec.WriteRejection, Count: s.runtime.Count,
+	})
 	s.clientConns.Attach(s.clientServer)
 	return s, nil
 }
