httpserver: count a head as it arrives, and reject what does not fit or is late

Callers saw: a router that ran out of memory. Cause: net/http parses a head of up to 260 KiB, whatever max_header_bytes says; a field of a few bytes becomes a map entry of about 80, and nothing counted the heads being read. Change: a connection counts the bytes and lines of a head as they arrive and takes what they cost beyond 8 KiB from the account. A head above the configured size gets 431, one without room 503 with a Retry-After, and one that is not whole in time 408 instead of a closed connection, all before net/http has parsed it.

--- a/internal/errkind/kind.go
+++ b/internal/errkind/kind.go
@@ -23,6 +23,8 @@
 	TooLarge Kind = "too large"
 	// HeadTooLarge means that the request line and headers exceed the size limit.
 	HeadTooLarge Kind = "head too large"
+	// RequestTimeout means that the client did not send the whole request in time.
+	RequestTimeout Kind = "request too slow"
 	// WrongMethod means that the page does not support the method.
 	WrongMethod Kind = "wrong method"
 	// UnknownPage means that there is no such page.
--- a/internal/errkind/responses.go
+++ b/internal/errkind/responses.go
@@ -21,6 +21,7 @@
 	BadRequest:              {http.StatusBadRequest, 0, true},
 	TooLarge:                {http.StatusRequestEntityTooLarge, 0, true},
 	HeadTooLarge:            {http.StatusRequestHeaderFieldsTooLarge, 0, true},
+	RequestTimeout:          {http.StatusRequestTimeout, 0, true},
 	WrongMethod:             {http.StatusMethodNotAllowed, 0, true},
 	UnknownPage:             {http.StatusNotFound, 0, true},
 	ControlPlaneUnavailable: {http.StatusServiceUnavailable, 2, true},
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -53,6 +53,8 @@
 	// served is true after the first request. closing is true if no further request is to be
 	// read, evicted if the connection was closed to make room for others.
 	served, closing, evicted bool
+	// head is the size of the head that is being read or whose request is in progress.
+	head headSize
 }
 
 // connKey is the key of a request's Conn in its context.
@@ -94,6 +96,7 @@
 func (c *Conn) setIdle() {
 	c.mu.Lock()
 	c.phase, c.since, c.served = phaseIdle, time.Now(), true
+	c.releaseHeadLocked()
 	c.mu.Unlock()
 	c.connections.setWaiting(c, true)
 }
@@ -145,6 +148,9 @@
 func (c *Conn) Close() error {
 	c.closed.Store(true)
 	c.connections.remove(c)
+	c.mu.Lock()
+	c.releaseHeadLocked()
+	c.mu.Unlock()
 	return c.Conn.Close()
 }
 
@@ -156,9 +162,10 @@
 	n, err := c.readBeforeDeadline(p)
 	if n > 0 {
 		c.setReadingHead()
+		return c.checkHead(p[:n])
 	}
-	if c.wasEvicted() {
-		return 0, errEvicted
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.currentPhase() == phaseReadingHead {
+		return 0, c.rejectLateHead()
 	}
 	return n, err
 }
--- a/internal/httpserver/connections.go
+++ b/internal/httpserver/connections.go
@@ -4,8 +4,8 @@
 // request is parsed; if it closed the connection then, it would lose a request that was
 // already read.
 //
-// The memory of connections is taken from the process's memory.Account. A connection that does
-// not fit replaces the one that has waited longest for a request, or is rejected.
+// The memory of connections and heads is taken from the process's memory.Account
+// before it is used. What does not fit is rejected, or replaces what has waited longest.
 package httpserver
 
 import (
@@ -32,6 +32,9 @@
 	// FirstRequestTimeout is how long a new connection may wait for its first request; 0
 	// means IdleTimeout.
 	FirstRequestTimeout time.Duration
+	// HeadBytes is the largest size of a request head; 0 means that only http.Server limits
+	// it.
+	HeadBytes int64
 }
 
 // Options are the options of Connections.
--- a/internal/httpserver/limits_test.go
+++ b/internal/httpserver/limits_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -37,7 +39,7 @@
 	clients     []net.Conn
 }
 
-var testLimits = Limits{IdleTimeout: 20 * time.Second, HeadTimeout: 5 * time.Second}
+var testLimits = Limits{IdleTimeout: 20 * time.Second, HeadTimeout: 5 * time.Second, HeadBytes: 16 << 10}
 
 // runServer runs a test with a server that has room for maxConnections.
 func runServer(t *testing.T, maxConnections int, handler func(s *testServer) http.Handler, run func(c *qt.C, s *testServer)) {
@@ -93,6 +95,60 @@
 	return responses
 }
 
+func okHandler(*testServer) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
+}
+
+func TestHeadsWithoutEndAreRejected(t *testing.T) {
+	fields := func(count int) string {
+		var text strings.Builder
+		for number := range count {
+			fmt.Fprintf(&text, "%x:a\r\n", number)
+		}
+		return text.String()
+	}
+	for _, test := range []struct {
+		name, text string
+		status     int
+	}{
+		{"one field", "GET / HTTP/1.1\r\nA: " + strings.Repeat("a", 32<<10), http.StatusRequestHeaderFieldsTooLarge},
+		{"many fields", "GET / HTTP/1.1\r\n" + fields(8<<10), http.StatusRequestHeaderFieldsTooLarge},
+		{"request line", "GET /" + strings.Repeat("a", 32<<10), http.StatusRequestHeaderFieldsTooLarge},
+		{"silence", "GET / HTTP/1.1\r\n", http.StatusRequestTimeout},
+		{"whole", "GET / HTTP/1.1\r\nHost: h\r\n" + fields(1000) + "\r\n", http.StatusOK},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			runServer(t, 10, okHandler, func(c *qt.C, s *testServer) {
+				response := <-send(s.dial(), test.text)
+				c.Assert(response, qt.IsNotNil)
+				c.Assert(response.StatusCode, qt.Equals, test.status)
+				c.Assert(response.Close, qt.Equals, test.status != http.StatusOK)
+			})
+		})
+	}
+}
+
+// The fields of a head are taken from the account, and it is rejected if they do not fit.
+func TestHeadsTakeMemory(t *testing.T) {
+	runServer(t, 10, okHandler, func(c *qt.C, s *testServer) {
+		full := s.account.ClassLimit(memory.Heads)
+		c.Assert(s.account.Take(memory.Heads, full), qt.IsTrue)
+		text := "GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a:b\r\n", 1000)
+		response := <-send(s.dial(), text+"\r\n")
+		c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+		c.Assert(response.Header.Get("Retry-After"), qt.Equals, "1")
+		c.Assert(s.counts[countHeadsTooLarge], qt.Equals, 1)
+		c.Assert((<-send(s.dial(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n")).StatusCode, qt.Equals, http.StatusOK, qt.Commentf("an ordinary head"))
+		s.account.Release(memory.Heads, full)
+		client := s.dial()
+		before := s.account.Used()
+		response = <-send(client, text+"\r\n")
+		c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
+		synctest.Wait()
+		c.Assert(s.account.Used(), qt.Equals, before, qt.Commentf("returned after the request"))
+	})
+}
+
 // A connection without a complete request makes room for a new one, the one that has waited
 // longest first. Requests in progress do not.
 func TestWaitingConnectionsMakeRoom(t *testing.T) {
--- a/internal/httpserver/reject.go
+++ b/internal/httpserver/reject.go
@@ -7,22 +7,47 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"myrtlewinch/internal/errkind"
 )
 
 const (
-	// rejectTimeout bounds the write of a rejection.
+	// rejectTimeout bounds the write of a rejection and the wait for its client to read it
+	// and close the connection. Closing a connection with unread bytes resets it, and the
+	// client may lose the response.
 	rejectTimeout = 500 * time.Millisecond
-	// retryMemoryMs is the Retry-After if there is no memory for a request.
-	retryMemoryMs = 300
+	// maxIgnoredBytes bounds what is read and ignored meanwhile.
+	maxIgnoredBytes = 256 << 10
+	// ignoreBufferBytes is the size of the buffer for that.
+	ignoreBufferBytes = 2 << 10
 )
 
 // Names of counters; docs/operators.md explains them.
 const (
 	countConnectionsEvicted  = "connections closed for others"
 	countConnectionsRejected = "connections too many"
+	countHeadsTooLarge       = "heads too large together"
+	countHeadsTooSlow        = "heads too slow"
 )
 
+// errRejected ends the reads of a connection whose request was rejected. http.Server closes
+// the connection without a response of its own.
+var errRejected = &net.OpError{Op: "read", Err: errors.New("the request was rejected before its head was complete")}
+
+// reject writes an error response in place of http.Server, before the head of a request is
+// complete, and returns the error that ends the connection.
+func (c *Conn) reject(kind errkind.Kind, retryMs int64) error {
+	if c.wasEvicted() {
+		return errEvicted
+	}
+	c.connections.writeRejection(c.Conn, kind, retryMs)
+	if c.CloseWrite() == nil {
+		ignoreRest(c.Conn)
+	}
+	return errRejected
+}
+
 // rejectConnection rejects and closes a connection that was accepted without room for it.
 func (s *Connections) rejectConnection(accepted net.Conn) {
 	s.options.Count(countConnectionsRejected)
@@ -38,6 +63,19 @@
 	_, _ = connection.Write(response.bytes())
 }
 
+// ignoreRest reads what the client still sends, within limits.
+func ignoreRest(connection net.Conn) {
+	_ = connection.SetReadDeadline(time.Now().Add(rejectTimeout))
+	var buffer [ignoreBufferBytes]byte
+	for ignored := 0; ignored < maxIgnoredBytes; {
+		n, err := connection.Read(buffer[:])
+		if err != nil {
+			return
+		}
+		ignored += n
+	}
+}
+
 // responseBuffer is an http.ResponseWriter that keeps the response.
 type responseBuffer struct {
 	header http.Header
--- a/internal/process/runtime.go
+++ b/internal/process/runtime.go
@@ -126,7 +126,9 @@
 
 // webLimits returns the limits of the connections of clients and operators.
 func webLimits() httpserver.Limits {
-	return httpserver.Limits{IdleTimeout: idleTimeout, HeadTimeout: headerTimeout, FirstRequestTimeout: headerTimeout}
+	return httpserver.Limits{
+		IdleTimeout: idleTimeout, HeadTimeout: headerTimeout, FirstRequestTimeout: headerTimeout, HeadBytes: maxHeaderBytes,
+	}
 }
 
 // withConnectionClose wraps a handler. Once closeAfterResponse is true, each response closes
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -125,7 +125,7 @@
 		ErrorLog: logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
 	s.clientConns = httpserver.NewConnections(httpserver.Options{
-		Limits: func() httpserver.Limits { return s.clientLimits().Limits }, Account: s.account, MaxConnections: int(s.maxRequests),
+		Limits: s.connectionLimits, Account: s.account, MaxConnections: int(s.maxRequests),
 		WriteRejection: codec.WriteRejection, Count: s.runtime.Count,
 	})
 	s.clientConns.Attach(s.clientServer)
@@ -172,6 +172,13 @@
 // clientLimits returns the limits of the active configuration.
 func (s *Server) clientLimits() clientLimits { return clientLimitsOf(s.machine.Configuration()) }
 
+// connectionLimits returns the limits of the connections of clients.
+func (s *Server) connectionLimits() httpserver.Limits {
+	limits := s.clientLimits()
+	limits.HeadBytes = limits.headBytes
+	return limits.Limits
+}
+
 // SetSeeds replaces the addresses at which the router searches for the primary.
 func (s *Server) SetSeeds(seeds []string) { s.runtime.Submit(SetSeeds{Seeds: seeds}) }
 
