httpserver: a deadline for bodies that no handler reads

Callers saw: connections at every HTTP port that stay for good and count as requests. Cause: after a handler that does not read the body, net/http reads on so that the connection can be kept, and waits without a deadline for a body that never comes. Result: TestUnreadBodiesHaveADeadline, in virtual time, hangs without the change.

--- a/internal/httpserver/limits_test.go
+++ b/internal/httpserver/limits_test.go
@@ -193,3 +193,20 @@
 		c.Assert((<-inProgress).StatusCode, qt.Equals, http.StatusOK)
 	})
 }
+
+const chunkedHead = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+// A connection whose handler does not read the body ends soon, even if the body never comes.
+func TestUnreadBodiesHaveADeadline(t *testing.T) {
+	for _, head := range []string{chunkedHead, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n"} {
+		runServer(t, 10, okHandler, func(c *qt.C, s *testServer) {
+			begin := time.Now()
+			client := s.dial()
+			response := send(client, head)
+			c.Assert((<-response).StatusCode, qt.Equals, http.StatusOK)
+			_, err := client.Read(make([]byte, 1))
+			c.Assert(err, qt.Equals, io.EOF)
+			c.Assert(time.Since(begin) <= 3*unreadBodyTimeout, qt.IsTrue, qt.Commentf("after %s", time.Since(begin)))
+		})
+	}
+}
