proxy: count bodies as they arrive, and requests, in the account

Callers saw: a router that ran out of memory under bodies in chunks. Cause: a body counted by its declared length only, so one in chunks counted as nothing, and the buffer of io.ReadAll doubles as it grows; nothing tied the limit of requests and that of bodies together. Change: requests and bodies take from the account, a body in chunks before each growth of its buffer, one with a length before its first read. What does not fit gets 503 with a Retry-After and closes its connection.

--- a/internal/httpserver/body.go
+++ b/internal/httpserver/body.go
@@ -3,17 +3,173 @@
 import (
 	"io"
 	"net/http"
+	"os"
 	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"myrtlewinch/internal/errkind"
+	"myrtlewinch/internal/memory"
 )
 
 const (
-	// defaultBodyTimeout bounds the reading of a body if its handler sets no deadline.
+	// defaultBodyTimeout bounds the reading of a body if its request has no deadline.
 	defaultBodyTimeout = 30 * time.Second
+	// maxBodyTimeout bounds it whatever the deadline.
+	maxBodyTimeout = 24 * time.Hour
 	// unreadBodyTimeout bounds the time in which net/http reads the rest of a body after the
 	// handler has ended, so that the connection can be kept.
 	unreadBodyTimeout = 500 * time.Millisecond
 )
 
+// errBodyEvicted means that the reading of a body was ended to make room for others.
+var errBodyEvicted = errors.New("the reading of the body was ended to make room for others")
+
+// bodyClasses are the classes of the memory of bodies.
+var bodyClasses = memory.Classes{Short: memory.Requests, Long: memory.Bodies}
+
+// bodyState is the state of a request's body, protected by Conn.mu.
+type bodyState struct {
+	// reading is true while the handler reads it, complete once its end has been read.
+	reading, complete bool
+	// evicted is true if its reading was ended to make room for others.
+	evicted bool
+}
+
+// BodyLimits limit the reading of a body.
+type BodyLimits struct {
+	// MaxBytes is the largest size.
+	MaxBytes int64
+	// Timeout bounds the whole reading; 0 means a default. A client that sends nothing for
+	// the idle timeout of the connection ends it before.
+	Timeout time.Duration
+}
+
+// Body is the body of a request. It must be closed after the request.
+type Body struct {
+	Bytes       []byte
+	reservation *memory.Reservation
+}
+
+// Close returns the memory of the body.
+func (b *Body) Close() { b.reservation.Close() }
+
+// ReadBody reads the whole body of a request. If that fails it returns the kind of error with
+// which the request is to be rejected; the response then closes the connection.
+func (s *Connections) ReadBody(w http.ResponseWriter, r *http.Request, limits BodyLimits) (*Body, errkind.Kind) {
+	body := &Body{reservation: s.options.Account.Open()}
+	if r.ContentLength == 0 {
+		return body, ""
+	}
+	c := ConnOf(r)
+	if c != nil {
+		body.reservation.AllowEviction(c.evictBody)
+	}
+	text, err := body.reservation.ReadAll(newBodyReader(r, c, limits.Timeout), r.ContentLength, limits.MaxBytes, bodyClasses)
+	if c != nil {
+		c.endBody(err == nil)
+	}
+	if !body.reservation.Keep() {
+		err = errBodyEvicted
+	}
+	if err == nil {
+		body.Bytes = text
+		return body, ""
+	}
+	body.Close()
+	w.Header().Set("Connection", "close")
+	return nil, s.bodyErrorKind(err)
+}
+
+// bodyErrorKind returns the kind of error for a body that could not be read.
+func (s *Connections) bodyErrorKind(err error) errkind.Kind {
+	switch {
+	case errors.Is(err, memory.ErrTooLarge):
+		return errkind.TooLarge
+	case errors.Is(err, memory.ErrFull):
+		return errkind.Overloaded
+	case errors.Is(err, errBodyEvicted):
+		s.options.Count(countBodiesEvicted)
+		return errkind.Overloaded
+	}
+	return errkind.BadRequest
+}
+
+// bodyReader reads a body with a deadline for each read.
+type bodyReader struct {
+	body io.Reader
+	// conn is nil if the request has no Conn; there is no deadline then.
+	conn *Conn
+	// until bounds the whole body.
+	until time.Time
+}
+
+func newBodyReader(r *http.Request, c *Conn, timeout time.Duration) *bodyReader {
+	if timeout <= 0 {
+		timeout = defaultBodyTimeout
+	}
+	return &bodyReader{r.Body, c, time.Now().Add(min(timeout, maxBodyTimeout))}
+}
+
+// Read reads a part of the body.
+func (b *bodyReader) Read(p []byte) (int, error) {
+	if b.conn != nil && !b.conn.beginBodyRead(b.until) {
+		return 0, errBodyEvicted
+	}
+	return b.body.Read(p)
+}
+
+// beginBodyRead sets the read deadline for the next part of a body. It returns false if the
+// body was evicted.
+func (c *Conn) beginBodyRead(until time.Time) bool {
+	idle := time.Now().Add(c.connections.limits().IdleTimeout)
+	if idle.Before(until) {
+		until = idle
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.body.evicted {
+		return false
+	}
+	c.body.reading = true
+	_ = c.Conn.SetReadDeadline(until)
+	return true
+}
+
+// endBody records that the handler no longer reads the body. After a complete body there is
+// no read deadline, because net/http then only waits for the client to disconnect.
+func (c *Conn) endBody(complete bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.body.reading, c.body.complete = false, complete
+	if complete {
+		_ = c.Conn.SetReadDeadline(time.Time{})
+	}
+}
+
+// evictBody ends the reading of a body.
+func (c *Conn) evictBody() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.body.evicted = true
+	_ = c.Conn.SetReadDeadline(time.Now())
+}
+
+// readBody reads a part of a body, or waits for the client to disconnect.
+func (c *Conn) readBody(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.isReadingBody() {
+		return n, err
+	}
+	return c.readFinally(p)
+}
+
+func (c *Conn) isReadingBody() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.body.reading && !c.body.evicted
+}
+
 // handlerOf wraps a handler so that a body that it does not read has a deadline.
 func handlerOf(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -27,28 +183,18 @@
 			panic(http.ErrAbortHandler)
 		}
 		if r.ContentLength != 0 {
-			body := &endDetector{ReadCloser: r.Body}
-			r.Body = body
-			_ = c.SetReadDeadline(time.Now().Add(defaultBodyTimeout))
-			defer func() {
-				if !body.ended {
-					_ = c.SetReadDeadline(time.Now().Add(unreadBodyTimeout))
-				}
-			}()
+			c.limitUnreadBody(defaultBodyTimeout)
+			defer c.limitUnreadBody(unreadBodyTimeout)
 		}
 		handler.ServeHTTP(w, r)
 	})
 }
 
-// endDetector records whether a body was read to its end.
-type endDetector struct {
-	io.ReadCloser
-	ended bool
-}
-
-// Read reads a part of the body.
-func (d *endDetector) Read(p []byte) (int, error) {
-	n, err := d.ReadCloser.Read(p)
-	d.ended = d.ended || err == io.EOF
-	return n, err
+// limitUnreadBody sets a read deadline for a body that has not been read to its end.
+func (c *Conn) limitUnreadBody(timeout time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.body.complete {
+		_ = c.Conn.SetReadDeadline(time.Now().Add(timeout))
+	}
 }
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -55,6 +55,8 @@
 	served, closing, evicted bool
 	// head is the size of the head that is being read or whose request is in progress.
 	head headSize
+	// body is the state of the body of the request in progress.
+	body bodyState
 }
 
 // connKey is the key of a request's Conn in its context.
@@ -109,6 +111,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase = phaseActive
+	c.body = bodyState{}
 	_ = c.SetReadDeadline(time.Time{})
 }
 
@@ -157,7 +160,7 @@
 // Read reads with the deadline of the phase.
 func (c *Conn) Read(p []byte) (int, error) {
 	if c.currentPhase() == phaseActive {
-		return c.Conn.Read(p)
+		return c.readBody(p)
 	}
 	n, err := c.readBeforeDeadline(p)
 	if n > 0 {
--- a/internal/httpserver/connections.go
+++ b/internal/httpserver/connections.go
@@ -4,7 +4,7 @@
 // request is parsed; if it closed the connection then, it would lose a request that was
 // already read.
 //
-// The memory of connections and heads is taken from the process's memory.Account
+// The memory of connections, heads and bodies is taken from the process's memory.Account
 // before it is used. What does not fit is rejected, or replaces what has waited longest.
 package httpserver
 
@@ -114,11 +114,13 @@
 }
 
 // add wraps an accepted connection and adds it to the set. If there is no room, it closes
-// the connections that have waited longest for a request. It returns nil if that is not
-// enough, because all others have requests in progress.
+// the connections that have waited longest for a request. If that is not enough, because all
+// others have requests in progress, it ends the oldest request whose body is being read, and
+// returns nil: there may be room for the client's next try.
 func (s *Connections) add(accepted net.Conn) *Conn {
 	for !s.hasRoom() {
 		if !s.evictLongestWaiting() {
+			s.options.Account.EvictOldest()
 			return nil
 		}
 	}
--- a/internal/httpserver/limits_test.go
+++ b/internal/httpserver/limits_test.go
@@ -13,6 +13,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"myrtlewinch/internal/errkind"
 	"myrtlewinch/internal/memory"
 	"myrtlewinch/internal/threads"
 )
@@ -194,8 +195,62 @@
 	})
 }
 
+// bodyHandler reads the body and responds with its length, or with the error.
+func bodyHandler(limits BodyLimits) func(s *testServer) http.Handler {
+	return func(s *testServer) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			body, kind := s.connections.ReadBody(w, r, limits)
+			if kind != "" {
+				errkind.ErrorBody{Kind: kind}.Write(w)
+				return
+			}
+			defer body.Close()
+			_, _ = w.Write(body.Bytes)
+		})
+	}
+}
+
 const chunkedHead = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
 
+func TestBodies(t *testing.T) {
+	limits := BodyLimits{MaxBytes: 100, Timeout: 30 * time.Second}
+	for _, test := range []struct {
+		name, text string
+		status     int
+		after      time.Duration
+	}{
+		{"chunks", chunkedHead + "3\r\nabc\r\n0\r\n\r\n", http.StatusOK, 0},
+		{"length", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc", http.StatusOK, 0},
+		{"declared too large", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n", http.StatusRequestEntityTooLarge, 0},
+		{"too large", chunkedHead + "65\r\n" + strings.Repeat("a", 101) + "\r\n", http.StatusRequestEntityTooLarge, 0},
+		{"no chunk", chunkedHead + "x\r\n", http.StatusBadRequest, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			runServer(t, 10, bodyHandler(limits), func(c *qt.C, s *testServer) {
+				begin := time.Now()
+				response := <-send(s.dial(), test.text)
+				c.Assert(response, qt.IsNotNil)
+				c.Assert(response.StatusCode, qt.Equals, test.status)
+				c.Assert(time.Since(begin).Truncate(time.Second), qt.Equals, test.after)
+			})
+		})
+	}
+}
+
+// A body that has been read for a while makes room for others; its client gets a rejection
+// that states that the request has not run.
+func TestOldBodiesMakeRoom(t *testing.T) {
+	runServer(t, 10, bodyHandler(BodyLimits{MaxBytes: 4 << 20}), func(c *qt.C, s *testServer) {
+		stopped := send(s.dial(), fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\na", 4<<20))
+		time.Sleep(3 * time.Second)
+		c.Assert(s.account.Take(memory.Bodies, s.account.ClassLimit(memory.Bodies)), qt.IsFalse)
+		response := <-stopped
+		c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+		c.Assert(response.Close, qt.IsTrue)
+		c.Assert(s.counts[countBodiesEvicted], qt.Equals, 1)
+	})
+}
+
 // A connection whose handler does not read the body ends soon, even if the body never comes.
 func TestUnreadBodiesHaveADeadline(t *testing.T) {
 	for _, head := range []string{chunkedHead, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n"} {
--- a/internal/httpserver/reject.go
+++ b/internal/httpserver/reject.go
@@ -29,6 +29,7 @@
 	countConnectionsRejected = "connections too many"
 	countHeadsTooLarge       = "heads too large together"
 	countHeadsTooSlow        = "heads too slow"
+	countBodiesEvicted       = "bodies given up for others"
 )
 
 // errRejected ends the reads of a connection whose request was rejected. http.Server closes
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -26,19 +25,11 @@
 	tickMs = 25
 	// defaultMaxBodyBytes limits a request body if the configuration does not.
 	defaultMaxBodyBytes = 4 << 20
-	// smallBodyBytes is the length up to which a body's memory is allocated at once, and
-	// up to which a body does not count towards the limit of all bodies.
-	smallBodyBytes = 64 << 10
 	// bodyReadTimeout is how long the reading of a body may take.
 	bodyReadTimeout = 10 * time.Second
 
-	// defaultLargeBodyBytes limits the bodies above smallBodyBytes that are
-	// held at the same time, if the memory is not limited; otherwise it is
-	// 1/largeBodyMemoryDivisor of the memory.
-	defaultLargeBodyBytes  = 64 << 20
-	largeBodyMemoryDivisor = 5
-	// maxRequestsCeiling and minRequestsLimit bound the number of requests
-	// that are served at the same time, whatever the memory and open files.
+	// maxRequestsCeiling and minRequestsLimit bound the number of requests that are served at
+	// the same time, and of clients' connections, whatever the open files.
 	maxRequestsCeiling = 8192
 	minRequestsLimit   = 64
 	// reservedFiles is the number of open files reserved for everything except clients'
@@ -46,10 +37,9 @@
 	// connection to the runner.
 	reservedFiles   = 400
 	filesPerRequest = 2
-	// requestMemoryKb is the approximate memory of one request. All requests together may
-	// use 1/requestMemoryDivisor of the memory.
-	requestMemoryKb      = 96
-	requestMemoryDivisor = 2
+	// requestBytes is the approximate memory of one request, beyond that of its connection,
+	// head and body.
+	requestBytes = 64 << 10
 
 	// retryOverloadMs is the Retry-After of a router that is overloaded.
 	retryOverloadMs = 300
@@ -94,11 +84,7 @@
 	attemptsContext context.Context
 	cancelAttempts  func()
 	tracker         attemptTracker
-	// largeBodyBytes is the total declared length above smallBodyBytes of the bodies in
-	// progress, at most maxLargeBodyBytes.
-	largeBodyBytes    atomic.Int64
-	maxLargeBodyBytes int64
-	// account limits the memory that other processes make this one use.
+	// account limits the memory of connections, requests and responses.
 	account *memory.Account
 }
 
@@ -111,8 +97,7 @@
 	clock := process.NewClock()
 	s := &Server{
 		machine: New(settings, format, clock.NowMs()), settings: settings, codec: codec, clientListener: clients,
-		logger: logger, maxRequests: maxRequestsOf(settings), maxLargeBodyBytes: maxLargeBodyBytesOf(settings),
-		account: memory.NewAccount(memory.LimitFor(settings.MemoryMb)),
+		logger: logger, maxRequests: maxRequestsOf(settings), account: memory.NewAccount(memory.LimitFor(settings.MemoryMb)),
 	}
 	s.attemptsContext, s.cancelAttempts = context.WithCancel(context.Background())
 	s.runtime = process.New(process.Options{
@@ -132,26 +117,13 @@
 	return s, nil
 }
 
-// maxRequestsOf returns how many requests the open files and the memory allow.
+// maxRequestsOf returns how many requests and connections the open files allow.
 func maxRequestsOf(settings Settings) int64 {
-	limit := int64(maxRequestsCeiling)
-	if settings.OpenFiles > 0 {
-		byFiles := (settings.OpenFiles - reservedFiles) / filesPerRequest
-		limit = min(limit, int64(max(minRequestsLimit, byFiles)))
+	if settings.OpenFiles <= 0 {
+		return maxRequestsCeiling
 	}
-	if settings.MemoryMb > 0 {
-		byMemory := settings.MemoryMb * 1024 / requestMemoryDivisor / requestMemoryKb
-		limit = min(limit, int64(max(minRequestsLimit, byMemory)))
-	}
-	return limit
-}
-
-// maxLargeBodyBytesOf returns how many bytes of large bodies the memory allows.
-func maxLargeBodyBytesOf(settings Settings) int64 {
-	if settings.MemoryMb > 0 {
-		return int64(settings.MemoryMb) << 20 / largeBodyMemoryDivisor
-	}
-	return defaultLargeBodyBytes
+	byFiles := (settings.OpenFiles - reservedFiles) / filesPerRequest
+	return min(maxRequestsCeiling, int64(max(minRequestsLimit, byFiles)))
 }
 
 // AddTasks adds the router's tasks to a group.
@@ -232,18 +204,28 @@
 		w.Header().Set("Connection", "close")
 		s.shutdown.requestArrived(s.runtime.Clock().NowMs(), r)
 	}
-	if active > s.maxRequests {
+	if active > s.maxRequests || !s.account.Take(memory.Requests, requestBytes) {
 		s.runtime.Count(countTooManyRequests)
-		s.codec.WriteRejection(w, errkind.Overloaded, retryOverloadMs)
+		s.rejectUnread(w, r, errkind.Overloaded, retryOverloadMs)
 		return
 	}
+	defer s.account.Release(memory.Requests, requestBytes)
 	if s.rejecting.Load() {
-		s.codec.WriteRejection(w, errkind.ShuttingDown, retryShutdownMs)
+		s.rejectUnread(w, r, errkind.ShuttingDown, retryShutdownMs)
 		return
 	}
 	s.serveAdmitted(w, r)
 }
 
+// rejectUnread rejects a request whose body has not been read. If there is one, the
+// connection is closed, so that the body need not be read.
+func (s *Server) rejectUnread(w http.ResponseWriter, r *http.Request, kind errkind.Kind, retryMs int64) {
+	if r.ContentLength != 0 {
+		w.Header().Set("Connection", "close")
+	}
+	s.codec.WriteRejection(w, kind, retryMs)
+}
+
 // serveAdmitted serves a request that is within the limit of requests.
 func (s *Server) serveAdmitted(w http.ResponseWriter, r *http.Request) {
 	if headBytes(r) > s.clientLimits().headBytes {
@@ -253,58 +235,40 @@
 	}
 	path, query, hasQuery := strings.Cut(r.RequestURI, "?")
 	if !strings.HasPrefix(path, "/") {
-		s.codec.WriteRejection(w, errkind.BadRequest, 0)
+		s.rejectUnread(w, r, errkind.BadRequest, 0)
 		return
 	}
 	params, err := s.codec.ParseRequest(r)
 	if err != nil {
-		s.codec.WriteRejection(w, errkind.BadRequest, 0)
+		s.rejectUnread(w, r, errkind.BadRequest, 0)
 		return
 	}
-	if large := max(0, r.ContentLength-smallBodyBytes); large > 0 {
-		defer s.largeBodyBytes.Add(-large)
-		if s.largeBodyBytes.Add(large) > s.maxLargeBodyBytes {
-			s.runtime.Count(countBodiesTooLarge)
-			s.codec.WriteRejection(w, errkind.Overloaded, retryOverloadMs)
-			return
-		}
-	}
-	body, kind := s.readBody(w, r)
-	if kind != "" {
-		s.codec.WriteRejection(w, kind, 0)
+	body, ok := s.readBody(w, r)
+	if !ok {
 		return
 	}
+	defer body.Close()
 	e := &exchange{
-		server: s, writer: w, request: r, params: params, body: body,
+		server: s, writer: w, request: r, params: params, body: body.Bytes,
 		path: path, query: query, hasQuery: hasQuery,
 	}
 	e.serve()
 }
 
 // readBody reads the whole body before the request is sent to a runner, so that no runner
-// gets a truncated one. The kind is empty on success.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, errkind.Kind) {
-	if r.ContentLength == 0 {
-		return nil, ""
-	}
-	maxBytes := s.maxBodyBytes()
-	if r.ContentLength > maxBytes {
-		w.Header().Set("Connection", "close")
-		return nil, errkind.TooLarge
-	}
-	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
-	body, err := readAllOf(http.MaxBytesReader(w, r.Body, maxBytes), r.ContentLength)
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, errkind.TooLarge
-	case err != nil:
-		w.Header().Set("Connection", "close")
-		return nil, errkind.BadRequest
+// gets a truncated one. If it returns false the request has been rejected.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request) (*httpserver.Body, bool) {
+	body, kind := s.clientConns.ReadBody(w, r, httpserver.BodyLimits{MaxBytes: s.maxBodyBytes(), Timeout: bodyReadTimeout})
+	switch kind {
+	case "":
+		return body, true
+	case errkind.Overloaded:
+		s.runtime.Count(countBodiesTooLarge)
+		s.codec.WriteRejection(w, kind, retryOverloadMs)
+	default:
+		s.codec.WriteRejection(w, kind, 0)
 	}
-	return body, ""
+	return nil, false
 }
 
 // maxBodyBytes returns the limit of the active configuration.
@@ -315,19 +279,3 @@
 	}
 	return configuration.Limits.MaxBodyBytes
 }
-
-// readAllOf reads a body of the declared length, or of any length if that is negative.
-// The memory for a large one is allocated as the bytes arrive.
-func readAllOf(body io.Reader, length int64) ([]byte, error) {
-	if length < 0 || length > smallBodyBytes {
-		return io.ReadAll(body)
-	}
-	read := make([]byte, length)
-	if _, err := io.ReadFull(body, read); err != nil {
-		return read, err
-	}
-	// net/http detects the end of the body only when a read reaches it. Only after that
-	// does it detect that the client has disconnected.
-	_, _ = body.Read(make([]byte, 1))
-	return read, nil
-}
