proxy: a body may take as long as its client allows, and a late one gets 408

Callers saw: 400, after which no client tries again, for a body that took over 10 s of a deadline of 20 s. Cause: a fixed limit of 10 s for reading a body, and 400 for whatever ended the reading. Change: a body may take as long as X-Time-Left-Ms (30 s without), unless nothing comes for idle_ms; then the answer is 408, which promises that the request has not run. The time that the body took is part of the time that its runner is told.

--- a/internal/httpserver/body.go
+++ b/internal/httpserver/body.go
@@ -91,6 +91,9 @@
 	case errors.Is(err, errBodyEvicted):
 		s.options.Count(countBodiesEvicted)
 		return errkind.Overloaded
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		s.options.Count(countBodiesTooSlow)
+		return errkind.RequestTimeout
 	}
 	return errkind.BadRequest
 }
--- a/internal/httpserver/limits_test.go
+++ b/internal/httpserver/limits_test.go
@@ -223,6 +223,7 @@
 		{"length", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc", http.StatusOK, 0},
 		{"declared too large", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n", http.StatusRequestEntityTooLarge, 0},
 		{"too large", chunkedHead + "65\r\n" + strings.Repeat("a", 101) + "\r\n", http.StatusRequestEntityTooLarge, 0},
+		{"silence", chunkedHead + "3\r\nab", http.StatusRequestTimeout, testLimits.IdleTimeout},
 		{"no chunk", chunkedHead + "x\r\n", http.StatusBadRequest, 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -237,6 +238,32 @@
 	}
 }
 
+// A body may take as long as its client allows, if it never stops for the idle timeout.
+func TestSlowBodies(t *testing.T) {
+	const pause = 10 * time.Second
+	for _, test := range []struct {
+		name    string
+		timeout time.Duration
+		status  int
+	}{
+		{"in time", 45 * time.Second, http.StatusOK},
+		{"late", 35 * time.Second, http.StatusRequestTimeout},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			runServer(t, 10, bodyHandler(BodyLimits{MaxBytes: 100, Timeout: test.timeout}), func(c *qt.C, s *testServer) {
+				client := s.dial()
+				response := send(client, chunkedHead)
+				for range 4 {
+					time.Sleep(pause)
+					_, _ = io.WriteString(client, "1\r\na\r\n")
+				}
+				_, _ = io.WriteString(client, "0\r\n\r\n")
+				c.Assert((<-response).StatusCode, qt.Equals, test.status)
+			})
+		})
+	}
+}
+
 // A body that has been read for a while makes room for others; its client gets a rejection
 // that states that the request has not run.
 func TestOldBodiesMakeRoom(t *testing.T) {
--- a/internal/httpserver/reject.go
+++ b/internal/httpserver/reject.go
@@ -29,6 +29,7 @@
 	countConnectionsRejected = "connections too many"
 	countHeadsTooLarge       = "heads too large together"
 	countHeadsTooSlow        = "heads too slow"
+	countBodiesTooSlow       = "bodies too slow"
 	countBodiesEvicted       = "bodies given up for others"
 )
 
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -25,8 +25,6 @@
 	tickMs = 25
 	// defaultMaxBodyBytes limits a request body if the configuration does not.
 	defaultMaxBodyBytes = 4 << 20
-	// bodyReadTimeout is how long the reading of a body may take.
-	bodyReadTimeout = 10 * time.Second
 
 	// maxRequestsCeiling and minRequestsLimit bound the number of requests that are served at
 	// the same time, and of clients' connections, whatever the open files.
@@ -243,7 +241,7 @@
 		s.rejectUnread(w, r, errkind.BadRequest, 0)
 		return
 	}
-	body, ok := s.readBody(w, r)
+	body, ok := s.readBody(w, r, &params)
 	if !ok {
 		return
 	}
@@ -256,9 +254,17 @@
 }
 
 // readBody reads the whole body before the request is sent to a runner, so that no runner
-// gets a truncated one. If it returns false the request has been rejected.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) (*httpserver.Body, bool) {
-	body, kind := s.clientConns.ReadBody(w, r, httpserver.BodyLimits{MaxBytes: s.maxBodyBytes(), Timeout: bodyReadTimeout})
+// gets a truncated one. The time that this takes is part of the time that the client allows.
+// If it returns false the request has been rejected.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, params *RequestParams) (*httpserver.Body, bool) {
+	clock := s.runtime.Clock()
+	startMs := clock.NowMs()
+	body, kind := s.clientConns.ReadBody(w, r, httpserver.BodyLimits{
+		MaxBytes: s.maxBodyBytes(), Timeout: bodyTimeout(params.TimeoutMs),
+	})
+	if params.TimeoutMs > 0 {
+		params.TimeoutMs = max(1, params.TimeoutMs-(clock.NowMs()-startMs))
+	}
 	switch kind {
 	case "":
 		return body, true
@@ -271,6 +277,15 @@
 	return nil, false
 }
 
+// bodyTimeout returns how long a body may take if its client allows timeoutMs for the
+// request, or 0 if the client does not say.
+func bodyTimeout(timeoutMs int64) time.Duration {
+	if timeoutMs <= 0 {
+		timeoutMs = defaultDeadlineMs
+	}
+	return time.Duration(min(timeoutMs, maxTimeout.Milliseconds())) * time.Millisecond
+}
+
 // maxBodyBytes returns the limit of the active configuration.
 func (s *Server) maxBodyBytes() int64 {
 	configuration := s.machine.Configuration()
