platform: count submissions of operators in the account

Callers saw: a controller that runs out of memory. Cause: any number of submissions of up to 4 MiB were read at once and then copied. Change: submissions are read like the bodies of clients, within the account and 30 s, and the state machine gets the text without a copy.

--- a/internal/httpserver/body.go
+++ b/internal/httpserver/body.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"os"
 	"time"
+	"unsafe"
 
 	"github.com/cockroachdb/errors"
 
@@ -54,6 +55,9 @@
 // Close returns the memory of the body.
 func (b *Body) Close() { b.reservation.Close() }
 
+// Text returns the body as a string without copying it. Bytes must not be changed after that.
+func (b *Body) Text() string { return unsafe.String(unsafe.SliceData(b.Bytes), len(b.Bytes)) }
+
 // ReadBody reads the whole body of a request. If that fails it returns the kind of error with
 // which the request is to be rejected; the response then closes the connection.
 func (s *Connections) ReadBody(w http.ResponseWriter, r *http.Request, limits BodyLimits) (*Body, errkind.Kind) {
--- a/internal/httpserver/limits_test.go
+++ b/internal/httpserver/limits_test.go
@@ -205,7 +205,7 @@
 				return
 			}
 			defer body.Close()
-			_, _ = w.Write(body.Bytes)
+			_, _ = io.WriteString(w, body.Text())
 		})
 	}
 }
--- a/internal/process/runtime.go
+++ b/internal/process/runtime.go
@@ -10,6 +10,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
+	"myrtlewinch/internal/errkind"
 	"myrtlewinch/internal/httpclient"
 	"myrtlewinch/internal/httpserver"
 	"myrtlewinch/internal/memory"
@@ -30,6 +31,8 @@
 	headerTimeout  = 5 * time.Second
 	idleTimeout    = 60 * time.Second
 	maxHeaderBytes = 16 << 10
+	// submitTimeout bounds the reading of a request body.
+	submitTimeout = 30 * time.Second
 )
 
 // Machine is a state machine. It is called on one goroutine. It performs no I/O and reads no
@@ -131,6 +134,13 @@
 	}
 }
 
+// ReadBody reads the whole body of a request to the web listener, within the memory of the
+// process. If that fails it returns the kind of error with which the request is to be
+// rejected.
+func (r *Runtime) ReadBody(w http.ResponseWriter, request *http.Request, maxBytes int64) (*httpserver.Body, errkind.Kind) {
+	return r.webConnections.ReadBody(w, request, httpserver.BodyLimits{MaxBytes: maxBytes, Timeout: submitTimeout})
+}
+
 // withConnectionClose wraps a handler. Once closeAfterResponse is true, each response closes
 // its connection.
 func (r *Runtime) withConnectionClose(handler http.Handler) http.Handler {
