native: count requests and descriptions in the account

Callers saw: a router of the native interface that runs out of memory. Cause: any number of bodies of up to 16 MiB were read at once, in buffers that double.

--- a/internal/httpserver/body.go
+++ b/internal/httpserver/body.go
@@ -58,6 +58,12 @@
 // Text returns the body as a string without copying it. Bytes must not be changed after that.
 func (b *Body) Text() string { return unsafe.String(unsafe.SliceData(b.Bytes), len(b.Bytes)) }
 
+// GrowForCopy takes the memory for a copy of the body. It returns false if it does not fit.
+func (b *Body) GrowForCopy() bool {
+	length := int64(len(b.Bytes))
+	return b.reservation.Grow(bodyClasses.Of(length), length)
+}
+
 // ReadBody reads the whole body of a request. If that fails it returns the kind of error with
 // which the request is to be rejected; the response then closes the connection.
 func (s *Connections) ReadBody(w http.ResponseWriter, r *http.Request, limits BodyLimits) (*Body, errkind.Kind) {
--- a/internal/native/controller/api.go
+++ b/internal/native/controller/api.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -126,18 +127,24 @@
 
 // putDescription submits a description or, with PATCH, a change of some parts of it.
 func (d *Daemon) putDescription(w http.ResponseWriter, r *http.Request) {
-	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, description.MaxBytes))
-	if err != nil {
-		errkind.ErrorBody{Kind: errkind.TooLarge, Detail: fmt.Sprintf("a description may have at most %d bytes", description.MaxBytes)}.Write(w)
+	body, kind := d.runtime.ReadBody(w, r, description.MaxBytes)
+	switch kind {
+	case "":
+	case errkind.TooLarge:
+		errkind.ErrorBody{Kind: kind, Detail: fmt.Sprintf("a description may have at most %d bytes", description.MaxBytes)}.Write(w)
+		return
+	default:
+		errkind.ErrorBody{Kind: kind, Detail: "reading the body failed"}.Write(w)
 		return
 	}
+	defer body.Close()
 	base, fault := baseRevision(r)
 	if fault != nil {
 		fault.Write(w)
 		return
 	}
 	answer, ok := d.call(r, changeTimeout, func(id uint64) protocol.Input {
-		return SubmitDescription{ID: id, Base: base, Text: string(text), Partial: r.Method == http.MethodPatch}
+		return SubmitDescription{ID: id, Base: base, Text: body.Text(), Partial: r.Method == http.MethodPatch}
 	})
 	if !ok {
 		errkind.ErrorBody{Kind: errkind.AcceptanceUnknown, Detail: "the outcome was not known in time; read the description to find out"}.Write(w)
@@ -222,7 +229,13 @@
 // bootstrap bootstraps the site, or recovers it from this daemon's replica.
 func (d *Daemon) bootstrap(w http.ResponseWriter, r *http.Request) {
 	var request bootstrapRequest
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBootstrapBytes))
+	body, kind := d.runtime.ReadBody(w, r, maxBootstrapBytes)
+	if kind != "" {
+		errkind.ErrorBody{Kind: kind, Detail: "reading the body failed"}.Write(w)
+		return
+	}
+	defer body.Close()
+	decoder := json.NewDecoder(bytes.NewReader(body.Bytes))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&request); err != nil {
 		errkind.ErrorBody{Kind: errkind.BadRequest, Detail: err.Error()}.Write(w)
--- a/internal/native/router/server.go
+++ b/internal/native/router/server.go
@@ -7,7 +7,6 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -172,32 +171,34 @@
 	Input   json.RawMessage `json:"input"`
 }
 
-// readRequestBody parses the body and returns it with its size. The error has an empty kind if
-// the body is valid.
-func readRequestBody(w http.ResponseWriter, r *http.Request) (requestBody, int64, errkind.ErrorBody) {
+// parseRequestBody parses the body of a request. The error has an empty kind if it is valid.
+func parseRequestBody(text []byte) (requestBody, errkind.ErrorBody) {
 	var in requestBody
-	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return in, 0, errkind.ErrorBody{Kind: errkind.TooLarge, Detail: fmt.Sprintf("the body has more than %d bytes", maxBodyBytes)}
-	case err != nil:
-		return in, 0, badRequest("reading the body failed")
-	}
 	decoder := json.NewDecoder(bytes.NewReader(text))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&in); err != nil {
-		return in, 0, badRequest(err.Error())
+		return in, badRequest(err.Error())
 	}
 	if len(bytes.TrimSpace(text[decoder.InputOffset():])) > 0 {
-		return in, 0, badRequest("text after the end of the JSON body")
+		return in, badRequest("text after the end of the JSON body")
 	}
 	for _, field := range []struct{ name, value string }{{"id", in.ID}, {"model", in.Model}, {"adapter", in.Adapter}} {
 		if len(field.value) > maxNameLength || strings.ContainsAny(field.value, "/\n") {
-			return in, 0, badRequest(field.name + ": longer than 128 bytes, or contains a slash or a newline")
+			return in, badRequest(field.name + ": longer than 128 bytes, or contains a slash or a newline")
 		}
 	}
-	return in, int64(len(text)), errkind.ErrorBody{}
+	return in, errkind.ErrorBody{}
+}
+
+// bodyError returns the error for a body that could not be read.
+func bodyError(kind errkind.Kind) errkind.ErrorBody {
+	switch kind {
+	case errkind.TooLarge:
+		return errkind.ErrorBody{Kind: kind, Detail: fmt.Sprintf("the body has more than %d bytes", maxBodyBytes)}
+	case errkind.BadRequest:
+		return badRequest("reading the body failed")
+	}
+	return errkind.ErrorBody{Kind: kind}
 }
 
 func badRequest(detail string) errkind.ErrorBody {
@@ -213,7 +214,17 @@
 		tooManyRequests("").Write(w)
 		return
 	}
-	in, size, fault := readRequestBody(w, r)
+	body, kind := s.runtime.ReadBody(w, r, maxBodyBytes)
+	if kind != "" {
+		bodyError(kind).Write(w)
+		return
+	}
+	defer body.Close()
+	if !body.GrowForCopy() {
+		errkind.ErrorBody{Kind: errkind.Overloaded}.Write(w)
+		return
+	}
+	in, fault := parseRequestBody(body.Bytes)
 	if fault.Kind != "" {
 		fault.Write(w)
 		return
@@ -229,7 +240,7 @@
 	e := &exchange{server: s, writer: w, request: r, input: in.Input, requestID: requestID}
 	e.serve(Request{
 		Service: service, Model: in.Model, Adapter: in.Adapter,
-		RequestID: requestID, ClientChoseID: in.ID != "", BodyBytes: size,
+		RequestID: requestID, ClientChoseID: in.ID != "", BodyBytes: int64(len(body.Bytes)),
 	})
 }
 
