proxy, native: count buffered responses in the account

Callers saw: a router that runs out of memory under requests whose answers nobody reads. Cause: a whole response of up to 8 MiB is kept until its client has read it, at most 5 s past the deadline, and nothing counted these. Change: a buffered response takes its memory before it is read, waiting for it until the deadline, since the request has run. Once a client has not read it for 2 s and others wait, its connection is closed.

--- a/internal/httpserver/body.go
+++ b/internal/httpserver/body.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"os"
@@ -29,6 +30,9 @@
 // bodyClasses are the classes of the memory of bodies.
 var bodyClasses = memory.Classes{Short: memory.Requests, Long: memory.Bodies}
 
+// ResponseClasses are the classes of the memory of buffered responses.
+var ResponseClasses = memory.Classes{Short: memory.Requests, Long: memory.Responses}
+
 // bodyState is the state of a request's body, protected by Conn.mu.
 type bodyState struct {
 	// reading is true while the handler reads it, complete once its end has been read.
@@ -211,3 +215,17 @@
 		_ = c.Conn.SetReadDeadline(time.Now().Add(timeout))
 	}
 }
+
+// OpenResponse returns the reservation of a response that is buffered. It waits for memory
+// until the context is done.
+func (s *Connections) OpenResponse(ctx context.Context) *memory.Reservation {
+	return s.options.Account.OpenWaiting(ctx)
+}
+
+// AllowEviction lets the account close the connection of a request while its client does not
+// read the response, if others wait for the memory of the response.
+func AllowEviction(r *http.Request, response *memory.Reservation) {
+	if c := ConnOf(r); c != nil {
+		response.AllowEviction(func() { _ = c.Conn.Close() })
+	}
+}
--- a/internal/native/router/exchange.go
+++ b/internal/native/router/exchange.go
@@ -13,6 +13,8 @@
 
 	"myrtlewinch/internal/errkind"
 	"myrtlewinch/internal/httpclient"
+	"myrtlewinch/internal/httpserver"
+	"myrtlewinch/internal/memory"
 	"myrtlewinch/internal/protocol"
 )
 
@@ -113,7 +115,7 @@
 	case attempt.Streaming:
 		ended.Outcome, broken = e.forwardStream(response, attempt, timeout)
 	default:
-		ended.Outcome = e.forwardComplete(response, attempt)
+		ended.Outcome = e.forwardComplete(ctx, response, attempt)
 	}
 	return ended, broken
 }
@@ -172,12 +174,19 @@
 }
 
 // forwardComplete reads a whole response that is not a stream, and forwards it if it is valid.
-func (e *exchange) forwardComplete(response *http.Response, attempt StartAttempt) Outcome {
-	text, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
-	if err != nil {
+// Until ctx is done it waits for the memory of the response.
+func (e *exchange) forwardComplete(ctx context.Context, response *http.Response, attempt StartAttempt) Outcome {
+	reservation := e.server.runtime.OpenResponse(ctx)
+	defer reservation.Close()
+	text, err := reservation.ReadAll(response.Body, response.ContentLength, maxResponseBytes, httpserver.ResponseClasses)
+	switch {
+	case errors.Is(err, memory.ErrTooLarge):
+		return InvalidResponse
+	case err != nil:
 		return ResponseLost
 	}
-	if len(text) > maxResponseBytes || !ValidResponse(text, attempt.RequestID, attempt.Incarnation) {
+	httpserver.AllowEviction(e.request, reservation)
+	if !ValidResponse(text, attempt.RequestID, attempt.Incarnation) {
 		return InvalidResponse
 	}
 	e.writer.Header().Set("Content-Type", "application/json")
--- a/internal/process/runtime.go
+++ b/internal/process/runtime.go
@@ -141,6 +141,12 @@
 	return r.webConnections.ReadBody(w, request, httpserver.BodyLimits{MaxBytes: maxBytes, Timeout: submitTimeout})
 }
 
+// OpenResponse returns the reservation of a response that is buffered. It waits for memory
+// until the context is done.
+func (r *Runtime) OpenResponse(ctx context.Context) *memory.Reservation {
+	return r.webConnections.OpenResponse(ctx)
+}
+
 // withConnectionClose wraps a handler. Once closeAfterResponse is true, each response closes
 // its connection.
 func (r *Runtime) withConnectionClose(handler http.Handler) http.Handler {
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -62,6 +62,7 @@
 	runtime := e.server.runtime
 	id, outputs := runtime.OpenReplies()
 	defer runtime.CloseReplies(id)
+	defer func() { e.keptResponse.close() }()
 	e.id = id
 	e.arrivedMs = runtime.Clock().NowMs()
 	submitted := runtime.Submit(Request{ID: id, Host: hostWithoutPort(e.request.Host), Path: e.path, Params: e.params})
@@ -146,7 +147,7 @@
 	}
 	e.server.tracker.received(e.server.runtime.Clock().NowMs(), attempt.Params.Runner)
 	defer func() { _ = sent.Response.Body.Close() }()
-	ended := e.handleResponse(attempt, sent, leftMs, cancel)
+	ended := e.handleResponse(ctx, attempt, sent, leftMs, cancel)
 	_ = sent.Response.Body.Close()
 	ended.ConnectionIdleMs = sent.IdleTimeout().Milliseconds()
 	return ended
@@ -184,8 +185,8 @@
 
 // handleResponse checks a runner's response and forwards it if it is valid and the request
 // is not to be retried. leftMs was the time until the client's deadline when the attempt
-// began; cancel cancels the attempt.
-func (e *exchange) handleResponse(attempt StartAttempt, sent *httpclient.Exchange, leftMs int64, cancel func()) AttemptEnded {
+// began; cancel cancels the attempt, whose context is ctx.
+func (e *exchange) handleResponse(ctx context.Context, attempt StartAttempt, sent *httpclient.Exchange, leftMs int64, cancel func()) AttemptEnded {
 	response := sent.Response
 	head := e.server.codec.ParseResponseHead(response)
 	if !e.isValid(response, head) {
@@ -216,7 +217,7 @@
 		// An error response cannot follow events that were forwarded.
 		return e.attemptEnded(StreamBroken)
 	}
-	return e.attemptEnded(e.forwardComplete(attempt, sent, head, leftMs))
+	return e.attemptEnded(e.forwardComplete(ctx, attempt, sent, head, leftMs))
 }
 
 // isValid reports whether a response belongs to this request and is well-formed. A
--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -1,15 +1,16 @@
 package proxy
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
 	"strings"
 
-	"github.com/cockroachdb/errors"
-
 	"myrtlewinch/internal/config"
 	"myrtlewinch/internal/httpclient"
+	"myrtlewinch/internal/httpserver"
+	"myrtlewinch/internal/memory"
 )
 
 const (
@@ -21,31 +22,40 @@
 	discardMs       = 100
 )
 
-var errResponseTooLarge = errors.New("response exceeds the size limit")
-
-// bufferedResponse is a response that was read completely.
+// bufferedResponse is a response that was read completely. It must be closed.
 type bufferedResponse struct {
 	status int
 	header http.Header
 	body   []byte
+	// reservation is the memory of the body.
+	reservation *memory.Reservation
+}
+
+// close returns the memory of the response. It may be nil.
+func (r *bufferedResponse) close() {
+	if r != nil {
+		r.reservation.Close()
+	}
 }
 
 // forwardComplete reads a response that is not a stream completely, so that no part of a
 // truncated one is forwarded. It then forwards the response unless the request may be
 // retried.
-func (e *exchange) forwardComplete(attempt StartAttempt, sent *httpclient.Exchange, head ResponseHead, leftMs int64) Outcome {
+func (e *exchange) forwardComplete(ctx context.Context, attempt StartAttempt, sent *httpclient.Exchange, head ResponseHead, leftMs int64) Outcome {
 	response := sent.Response
-	body, err := e.readResponse(response)
+	complete, err := e.readResponse(ctx, response)
 	if err != nil {
 		sent.Reject()
 		return ResponseLost
 	}
-	complete := &bufferedResponse{response.StatusCode, response.Header, body}
 	retryable := attempt.Route.Retryable()
-	switch {
-	case retryable && isServerError(response.StatusCode):
+	if retryable && isServerError(response.StatusCode) {
+		e.keptResponse.close()
 		e.keptResponse = complete
 		return ServerError
+	}
+	defer complete.close()
+	switch {
 	case !retryable && !head.NotRun && statesNotRun(response.StatusCode):
 		// Its status would tell the client that the request has not run, which the runner
 		// did not state.
@@ -56,29 +66,26 @@
 	return Completed
 }
 
-// readResponse reads the body of a response that is not a stream.
-func (e *exchange) readResponse(response *http.Response) ([]byte, error) {
-	if response.ContentLength > maxResponseBytes {
-		return nil, errResponseTooLarge
+// readResponse reads a response that is not a stream. Until ctx is done it waits for the
+// memory of the body, because the request may have run and cannot be rejected any more.
+func (e *exchange) readResponse(ctx context.Context, response *http.Response) (*bufferedResponse, error) {
+	length := response.ContentLength
+	if e.request.Method == http.MethodHead {
+		length = 0
 	}
-	if response.ContentLength > 0 && e.request.Method != http.MethodHead {
-		body := make([]byte, response.ContentLength)
-		if _, err := io.ReadFull(response.Body, body); err != nil {
-			return nil, err
-		}
-		// The connection can be reused only once the end of the body has been read.
-		_, _ = response.Body.Read(make([]byte, 1))
-		return body, nil
-	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = errResponseTooLarge
+	reservation := e.server.clientConns.OpenResponse(ctx)
+	body, err := reservation.ReadAll(response.Body, length, maxResponseBytes, httpserver.ResponseClasses)
+	if err != nil {
+		reservation.Close()
+		return nil, err
 	}
-	return body, err
+	return &bufferedResponse{response.StatusCode, response.Header, body, reservation}, nil
 }
 
-// forwardResponse writes a complete response to the client.
+// forwardResponse writes a complete response to the client. If the client does not read it,
+// the account may close the connection in favour of others.
 func (e *exchange) forwardResponse(response *bufferedResponse) {
+	httpserver.AllowEviction(e.request, response.reservation)
 	e.writeHeader(response.header)
 	hasBody := response.status != http.StatusNoContent && response.status != http.StatusNotModified
 	if hasBody && e.request.Method != http.MethodHead {
