httpserver: a deadline for every write, and room for others instead of unread responses

Callers saw: nothing yet; connections whose clients do not read stay for good. Cause: only forwarded responses had a write deadline. Rejections, pages and the operators' answers had none, so a client that sends requests and reads no answer kept its connection, and a crowd of them kept all connections, which only waiting ones left. Change: unless the handler sets a deadline, each 64 KiB must be written within 30 s. If all connections have requests in progress, the one whose write has waited longest, at least 2 s, is closed, otherwise the oldest body is given up. Result: TestWritesHaveADeadline and TestBlockedWritesMakeRoom, in virtual time, fail without the change.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -13,9 +13,18 @@
 	"github.com/cockroachdb/errors"
 )
 
-// finalReadTimeout bounds one more read after the deadline, which returns bytes that arrived
-// while the process was stalled.
-const finalReadTimeout = 10 * time.Millisecond
+const (
+	// finalReadTimeout bounds one more read after the deadline, which returns bytes that
+	// arrived while the process was stalled.
+	finalReadTimeout = 10 * time.Millisecond
+	// writeTimeout bounds the write of writePieceBytes to a client that does not read, unless
+	// the handler sets a write deadline.
+	writeTimeout    = 30 * time.Second
+	writePieceBytes = 64 << 10
+	// blockedWriteAge is how long a write may wait for its client while others wait for a
+	// connection.
+	blockedWriteAge = 2 * time.Second
+)
 
 // errEvicted ends the reads of a connection that was closed to make room for others.
 var errEvicted = &net.OpError{Op: "read", Err: errors.New("the connection was closed to make room for others")}
@@ -42,6 +51,10 @@
 	acceptedAt time.Time
 	// closed is set by Close, which any goroutine may call.
 	closed atomic.Bool
+	// writeSince is when the write in progress began, in Unix nanoseconds, or 0.
+	writeSince atomic.Int64
+	// hasWriteDeadline is true while the handler limits the time of writes.
+	hasWriteDeadline atomic.Bool
 	// element is the connection's place in connections.waiting, protected by connections.mu.
 	element *list.Element
 
@@ -251,6 +264,42 @@
 	return c.since.Add(limits.IdleTimeout)
 }
 
+// SetWriteDeadline limits the time of the handler's writes. A zero time restores the default.
+func (c *Conn) SetWriteDeadline(until time.Time) error {
+	c.hasWriteDeadline.Store(!until.IsZero())
+	return c.Conn.SetWriteDeadline(until)
+}
+
+// Write writes to the client. Unless the handler has set a deadline, each piece has to be
+// written before writeTimeout.
+func (c *Conn) Write(p []byte) (written int, err error) {
+	c.writeSince.Store(time.Now().UnixNano())
+	defer c.writeSince.Store(0)
+	if c.hasWriteDeadline.Load() {
+		return c.Conn.Write(p)
+	}
+	for {
+		piece := p[written:min(len(p), written+writePieceBytes)]
+		if err := c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(piece)
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
+// blockedSince returns when a write began that is older than blockedWriteAge, or 0.
+func (c *Conn) blockedSince(now time.Time) int64 {
+	since := c.writeSince.Load()
+	if since == 0 || now.UnixNano()-since < int64(blockedWriteAge) {
+		return 0
+	}
+	return since
+}
+
 // CloseWrite closes the connection for writing. This lets a client read the last response
 // even if part of its request was not read.
 func (c *Conn) CloseWrite() error {
--- a/internal/httpserver/connections.go
+++ b/internal/httpserver/connections.go
@@ -115,12 +115,12 @@
 
 // add wraps an accepted connection and adds it to the set. If there is no room, it closes
 // the connections that have waited longest for a request. If that is not enough, because all
-// others have requests in progress, it ends the oldest request whose body is being read, and
-// returns nil: there may be room for the client's next try.
+// others have requests in progress, it ends a request whose client does not send its body or
+// read its response, and returns nil: there may be room for the client's next try.
 func (s *Connections) add(accepted net.Conn) *Conn {
 	for !s.hasRoom() {
 		if !s.evictLongestWaiting() {
-			s.options.Account.EvictOldest()
+			s.evictBlocked()
 			return nil
 		}
 	}
@@ -159,6 +159,30 @@
 	return true
 }
 
+// evictBlocked closes the connection whose client has not read its response for the longest
+// time. If there is none, it ends the oldest request that is being read.
+func (s *Connections) evictBlocked() {
+	if c := s.longestBlocked(); c != nil {
+		s.options.Count(countResponsesEvicted)
+		_ = c.Conn.Close()
+		return
+	}
+	s.options.Account.EvictOldest()
+}
+
+// longestBlocked returns the connection with the oldest blocked write, or nil.
+func (s *Connections) longestBlocked() (oldest *Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now, oldestSince := time.Now(), int64(0)
+	for c := range s.open {
+		if since := c.blockedSince(now); since != 0 && (oldest == nil || since < oldestSince) {
+			oldest, oldestSince = c, since
+		}
+	}
+	return oldest
+}
+
 // setWaiting records whether a connection waits for a complete request. A connection that
 // begins to wait is the last one that is evicted.
 func (s *Connections) setWaiting(c *Conn, waits bool) {
--- a/internal/httpserver/limits_test.go
+++ b/internal/httpserver/limits_test.go
@@ -292,3 +292,40 @@
 		})
 	}
 }
+
+// A connection whose client does not read its response makes room if no other can.
+func TestBlockedWritesMakeRoom(t *testing.T) {
+	large := func(*testServer) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, writePieceBytes)) })
+	}
+	runServer(t, 1, large, func(c *qt.C, s *testServer) {
+		const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+		_, err := io.WriteString(s.dial(), request)
+		c.Assert(err, qt.IsNil)
+		for range 2 {
+			client, accepted := net.Pipe()
+			rejected := send(client, "")
+			s.queue <- accepted
+			c.Assert((<-rejected).StatusCode, qt.Equals, http.StatusServiceUnavailable)
+			time.Sleep(blockedWriteAge)
+		}
+		c.Assert(s.counts[countResponsesEvicted], qt.Equals, 1)
+		c.Assert((<-send(s.dial(), request)).StatusCode, qt.Equals, http.StatusOK)
+	})
+}
+
+// A client that does not read its response loses its connection.
+func TestWritesHaveADeadline(t *testing.T) {
+	large := func(*testServer) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 3*writePieceBytes)) })
+	}
+	runServer(t, 10, large, func(c *qt.C, s *testServer) {
+		client := s.dial()
+		_, err := io.WriteString(client, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		c.Assert(err, qt.IsNil)
+		time.Sleep(writeTimeout - time.Second)
+		c.Assert(s.account.Used(), qt.Not(qt.Equals), int64(0))
+		time.Sleep(2 * time.Second)
+		c.Assert(s.account.Used(), qt.Equals, int64(0))
+	})
+}
--- a/internal/httpserver/reject.go
+++ b/internal/httpserver/reject.go
@@ -31,6 +31,7 @@
 	countHeadsTooSlow        = "heads too slow"
 	countBodiesTooSlow       = "bodies too slow"
 	countBodiesEvicted       = "bodies given up for others"
+	countResponsesEvicted    = "unread responses given up for others"
 )
 
 // errRejected ends the reads of a connection whose request was rejected. http.Server closes
