--- a/internal/simulation/hostileclients/native_test.go
+++ b/internal/simulation/hostileclients/native_test.go
@@ -27,7 +27,7 @@
 // memory and answers an ordinary request while the clients keep their connections open.
 func checkNative(t *testing.T, program, method, path string) {
 	c := qt.New(t)
-	ip := fmt.Sprintf("127.99.%d.1", lastSite.Add(1))
+	ip := newNetwork() + "1"
 	arguments := []string{
 		"--site", "s", "--name", program, "--zone", "z", "--address", ip + ":7100", "--http", fmt.Sprintf("%s:%d", ip, portNative),
 		"--seeds", ip + ":7101", "--platform", ip + ":7102",
--- a/internal/simulation/hostileclients/site_test.go
+++ b/internal/simulation/hostileclients/site_test.go
@@ -66,15 +66,21 @@
 	nextID      atomic.Int64
 }
 
-// lastSite numbers the sites, so that each has loopback addresses of its own.
-var lastSite atomic.Int64
+// lastNetwork numbers the networks of this process.
+var lastNetwork atomic.Int64
+
+// newNetwork returns the start of loopback addresses that no other site uses, also if another
+// process runs these tests at the same time.
+func newNetwork() string {
+	const firstOctet, octets = 2, 250
+	return fmt.Sprintf("127.%d.%d.", firstOctet+os.Getpid()%octets, lastNetwork.Add(1))
+}
 
 // startSite starts a site and waits until its router serves requests.
 func startSite(t *testing.T) *site {
 	c := qt.New(t)
-	number := int(lastSite.Add(1))
 	s := &site{
-		network: fmt.Sprintf("127.%d.%d.", 100+os.Getpid()%100, number), folder: t.TempDir(),
+		network: newNetwork(), folder: t.TempDir(),
 		http: &http.Client{Timeout: 25 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	serveHTTP(t, s.at(1, portCloud), http.HandlerFunc(s.serveRunnerList))
