--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -85,7 +85,7 @@
 		UsageError("%v", err)
 	}
 	logger := NewLogger(role + " " + s.Name)
-	peers, web := listenAt("address", s.Address), listenAt("http", s.HTTP)
+	peers, web := listenAt("address", s.Address, listener.PeerBufferBytes), listenAt("http", s.HTTP, listener.ClientBufferBytes)
 	daemon, err := newDaemon(s, peers, web, logger)
 	if err != nil {
 		Fatal("%v", err)
@@ -109,11 +109,11 @@
 	if err != nil || net.ParseIP(host) == nil {
 		UsageError("%s: %q is not IP:port", flag, address)
 	}
-	return listenAt(flag, address)
+	return listenAt(flag, address, listener.ClientBufferBytes)
 }
 
-func listenAt(flag, address string) net.Listener {
-	opened, err := listener.Listen(address)
+func listenAt(flag, address string, bufferBytes int) net.Listener {
+	opened, err := listener.Listen(address, bufferBytes)
 	if err != nil {
 		Fatal("%s: %v", flag, err)
 	}
--- a/internal/httpserver/connections.go
+++ b/internal/httpserver/connections.go
@@ -16,12 +16,13 @@
 	"time"
 
 	"myrtlewinch/internal/errkind"
+	"myrtlewinch/internal/listener"
 	"myrtlewinch/internal/memory"
 )
 
 // connectionBytes is the memory of a connection: its goroutine, the buffers of net/http, and
-// the bytes that have arrived and are not read yet (see package listener).
-const connectionBytes = 56 << 10
+// the bytes that have arrived and are not read yet.
+const connectionBytes = 24<<10 + listener.ClientBufferBytes
 
 // Limits are the limits of a connection.
 type Limits struct {
--- a/internal/listener/listener_linux_test.go
+++ b/internal/listener/listener_linux_test.go
@@ -12,7 +12,7 @@
 // records.
 func TestReceiveBufferIsLimited(t *testing.T) {
 	c := qt.New(t)
-	opened, err := Listen("127.0.0.1:0")
+	opened, err := Listen("127.0.0.1:0", ClientBufferBytes)
 	c.Assert(err, qt.IsNil)
 	defer func() { _ = opened.Close() }()
 	client, err := net.Dial("tcp", opened.Addr().String())
@@ -28,10 +28,10 @@
 		size, err = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF)
 	}), qt.IsNil)
 	c.Assert(err, qt.IsNil)
-	c.Assert(size, qt.Equals, 2*receiveBufferBytes)
+	c.Assert(size, qt.Equals, 2*ClientBufferBytes)
 }
 
 func TestListenReportsErrors(t *testing.T) {
-	_, err := Listen("nowhere")
+	_, err := Listen("nowhere", ClientBufferBytes)
 	qt.Assert(t, err, qt.IsNotNil)
 }
--- a/internal/listener/receivebuffer_other.go
+++ b/internal/listener/receivebuffer_other.go
@@ -4,5 +4,5 @@
 
 import "syscall"
 
-// limitReceiveBuffer does nothing where the size of receive buffers is not set.
-func limitReceiveBuffer(_, _ string, _ syscall.RawConn) error { return nil }
+// limitReceiveBuffer returns no function where the size of receive buffers is not set.
+func limitReceiveBuffer(int) func(network, address string, raw syscall.RawConn) error { return nil }
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"myrtlewinch/internal/errkind"
+	"myrtlewinch/internal/listener"
 	"myrtlewinch/internal/memory"
 	"myrtlewinch/internal/protocol"
 	"myrtlewinch/internal/threads"
@@ -22,8 +23,8 @@
 	serviceName = "Door"
 	batchMethod = serviceName + ".Take"
 	// connectionBytes is the memory of a connection: its goroutine and buffers, and the bytes
-	// that have arrived and are not read yet (see package listener).
-	connectionBytes = 48 << 10
+	// that have arrived and are not read yet.
+	connectionBytes = 16<<10 + listener.PeerBufferBytes
 	// acceptRetryDelay is the pause after a connection could not be accepted, for example
 	// because the process has too many open files.
 	acceptRetryDelay = 20 * time.Millisecond
