--- a/internal/simulation/hostileclients/router_test.go
+++ b/internal/simulation/hostileclients/router_test.go
@@ -335,6 +335,17 @@
 	}
 }
 
+// The time that a body took is no longer part of the time that the runner is given. The rule
+// BUDGET allows half a second more than the client's.
+func TestTimeLeftAfterASlowBody(t *testing.T) {
+	const allowedMs, slackMs = 20_000, 500
+	s := startSite(t)
+	begin := time.Now()
+	qt.Assert(t, s.post(plainPath, &slowReader{end: begin.Add(slowBodyTime)}, -1, nil), qt.IsNil)
+	leftMs := lastTimeLeftMs.Load()
+	qt.Assert(t, leftMs > 0 && leftMs <= allowedMs-slowBodyTime.Milliseconds()+slackMs, qt.IsTrue, qt.Commentf("%d ms", leftMs))
+}
+
 // smallReader returns its bytes one at a time.
 type smallReader struct{ rest int }
 
--- a/internal/simulation/hostileclients/site_test.go
+++ b/internal/simulation/hostileclients/site_test.go
@@ -253,6 +253,9 @@
 // largeAnswer is the body of a large response.
 var largeAnswer = bytes.Repeat([]byte("herbaria"), largeAnswerBytes/8)
 
+// lastTimeLeftMs is the time that the last request gave the runner.
+var lastTimeLeftMs atomic.Int64
+
 // serveRunner is the runner.
 func serveRunner(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("X-Runner-Id", runnerID)
@@ -263,6 +266,8 @@
 	if err != nil {
 		return
 	}
+	timeLeftMs, _ := strconv.ParseInt(r.Header.Get("X-Time-Left-Ms"), 10, 64)
+	lastTimeLeftMs.Store(timeLeftMs)
 	id := r.Header.Get("X-Try-Id")
 	w.Header().Set("X-Try-Id", id)
 	w.Header().Set("X-Server-Seal", runnerID+"."+id)
