memory: three quarters for connections, 32 KiB for a request beside its connection

Change: connections may use three quarters; a request takes 32 KiB beside the 88 KiB of its connection, which is what sixty requests with unread bytes behind them took (11 MB in all).

--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -42,7 +42,7 @@
 	share      int64
 	useReserve bool
 }{
-	Connections: {8, false},
+	Connections: {12, false},
 	Heads:       {4, false},
 	Bodies:      {8, false},
 	Requests:    {16, true},
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -37,7 +37,7 @@
 	filesPerRequest = 2
 	// requestBytes is the approximate memory of one request, beyond that of its connection,
 	// head and body.
-	requestBytes = 64 << 10
+	requestBytes = 32 << 10
 
 	// retryOverloadMs is the Retry-After of a router that is overloaded.
 	retryOverloadMs = 300
