listener: bound the bytes of connections that are not accepted yet

Cause: while a process is frozen or busy, the system accepts up to 4096 connections for it, each with its receive buffer full, and makes each buffer twice as large as asked for. Change: a backlog of 64 connections, and half of the wanted buffer is asked for.

--- a/internal/listener/receivebuffer_linux.go
+++ b/internal/listener/receivebuffer_linux.go
@@ -1,6 +1,7 @@
 package listener
 
 import (
+	"net"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -11,8 +12,24 @@
 func limitReceiveBuffer(bytes int) func(network, address string, raw syscall.RawConn) error {
 	return func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(fd uintptr) {
-			// If it fails, the system's limit applies.
-			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bytes)
+			// Linux doubles the size, and all of that may hold bytes. If it fails, the
+			// system's limit applies.
+			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bytes/2)
 		})
 	}
 }
+
+// limitBacklog limits the connections that wait until they are accepted. Package net asks for
+// as many as the system allows.
+func limitBacklog(opened net.Listener) {
+	tcp, ok := opened.(*net.TCPListener)
+	if !ok {
+		return
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return
+	}
+	// If it fails, the system's limit applies.
+	_ = raw.Control(func(fd uintptr) { _ = unix.Listen(int(fd), backlog) })
+}
