--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -51,8 +51,8 @@
 	acceptedAt time.Time
 	// closed is set by Close, which any goroutine may call.
 	closed atomic.Bool
-	// writeSince is when the write in progress began, in Unix nanoseconds, or 0.
-	writeSince atomic.Int64
+	// writeSince is when the write in progress began, or nil.
+	writeSince atomic.Pointer[time.Time]
 	// hasWriteDeadline is true while the handler limits the time of writes.
 	hasWriteDeadline atomic.Bool
 	// element is the connection's place in connections.waiting, protected by connections.mu.
@@ -273,8 +273,9 @@
 // Write writes to the client. Unless the handler has set a deadline, each piece has to be
 // written before writeTimeout.
 func (c *Conn) Write(p []byte) (written int, err error) {
-	c.writeSince.Store(time.Now().UnixNano())
-	defer c.writeSince.Store(0)
+	now := time.Now()
+	c.writeSince.Store(&now)
+	defer c.writeSince.Store(nil)
 	if c.hasWriteDeadline.Load() {
 		return c.Conn.Write(p)
 	}
@@ -291,13 +292,13 @@
 	}
 }
 
-// blockedSince returns when a write began that is older than blockedWriteAge, or 0.
-func (c *Conn) blockedSince(now time.Time) int64 {
+// blockedFor returns how long a write has waited if that is at least blockedWriteAge, or 0.
+func (c *Conn) blockedFor(now time.Time) time.Duration {
 	since := c.writeSince.Load()
-	if since == 0 || now.UnixNano()-since < int64(blockedWriteAge) {
+	if since == nil || now.Sub(*since) < blockedWriteAge {
 		return 0
 	}
-	return since
+	return now.Sub(*since)
 }
 
 // CloseWrite closes the connection for writing. This lets a client read the last response
--- a/internal/httpserver/connections.go
+++ b/internal/httpserver/connections.go
@@ -175,10 +175,10 @@
 func (s *Connections) longestBlocked() (oldest *Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now, oldestSince := time.Now(), int64(0)
+	now, longest := time.Now(), time.Duration(0)
 	for c := range s.open {
-		if since := c.blockedSince(now); since != 0 && (oldest == nil || since < oldestSince) {
-			oldest, oldestSince = c, since
+		if blocked := c.blockedFor(now); blocked > longest {
+			oldest, longest = c, blocked
 		}
 	}
 	return oldest
