listener: a backlog by the process's memory, so that a burst of clients is not dropped

Cause: bounded the connections that are not accepted yet at 64 for every process. A router gets 75 clients at the same moment in this case. If its accept loop does not run just then, what is beyond the 64 is dropped by the system and tried again by the client after a second.

Ruled out: a rejection lost by a reset (those come after 500 ms of the rejection, not after 1.000 s of the dial), and evicted connections (no counter moved; they end at once).

Change: one connection for each MB of the process's memory, 64 to 4096, so that a port's backlog holds at most an eighth of the memory with the widest buffers.

--- a/cmd/myrtlewinch/process.go
+++ b/cmd/myrtlewinch/process.go
@@ -41,15 +41,15 @@
 	if err != nil {
 		return nil, err
 	}
-	peers, err := listen("listening for peers", settings.PeerAddress(), listener.PeerBufferBytes)
+	peers, err := listen("listening for peers", settings.PeerAddress(), listener.PeerBufferBytes, settings.MemoryMb)
 	if err != nil {
 		return nil, err
 	}
-	clients, err := listen("listening for clients", settings.ClientAddress, listener.ClientBufferBytes)
+	clients, err := listen("listening for clients", settings.ClientAddress, listener.ClientBufferBytes, settings.MemoryMb)
 	if err != nil {
 		return nil, err
 	}
-	readiness, err := listen("listening for the platform's readiness checks", settings.ReadinessAddress, listener.ClientBufferBytes)
+	readiness, err := listen("listening for the platform's readiness checks", settings.ReadinessAddress, listener.ClientBufferBytes, settings.MemoryMb)
 	if err != nil {
 		return nil, err
 	}
@@ -68,11 +68,11 @@
 	if err != nil {
 		return nil, err
 	}
-	peers, err := listen("listening for peers", settings.PeerAddress(), listener.PeerBufferBytes)
+	peers, err := listen("listening for peers", settings.PeerAddress(), listener.PeerBufferBytes, settings.MemoryMb)
 	if err != nil {
 		return nil, err
 	}
-	operators, err := listen("listening for operators", settings.OperatorAddress, listener.ClientBufferBytes)
+	operators, err := listen("listening for operators", settings.OperatorAddress, listener.ClientBufferBytes, settings.MemoryMb)
 	if err != nil {
 		return nil, err
 	}
@@ -108,8 +108,8 @@
 }
 
 // listen opens a listener. The purpose becomes part of an error.
-func listen(purpose, address string, bufferBytes int) (net.Listener, error) {
-	opened, err := listener.Listen(address, bufferBytes)
+func listen(purpose, address string, bufferBytes, memoryMb int) (net.Listener, error) {
+	opened, err := listener.Listen(address, bufferBytes, memoryMb)
 	if err != nil {
 		return nil, errors.Wrap(err, purpose)
 	}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -113,7 +113,7 @@
 }
 
 func listenAt(flag, address string, bufferBytes int) net.Listener {
-	opened, err := listener.Listen(address, bufferBytes)
+	opened, err := listener.Listen(address, bufferBytes, 0)
 	if err != nil {
 		Fatal("%s: %v", flag, err)
 	}
--- a/internal/listener/receivebuffer_linux.go
+++ b/internal/listener/receivebuffer_linux.go
@@ -21,7 +21,7 @@
 
 // limitBacklog limits the connections that wait until they are accepted. Package net asks for
 // as many as the system allows.
-func limitBacklog(opened net.Listener) {
+func limitBacklog(opened net.Listener, backlog int) {
 	tcp, ok := opened.(*net.TCPListener)
 	if !ok {
 		return
--- a/internal/listener/receivebuffer_other.go
+++ b/internal/listener/receivebuffer_other.go
@@ -11,4 +11,4 @@
 func limitReceiveBuffer(int) func(network, address string, raw syscall.RawConn) error { return nil }
 
 // limitBacklog does nothing where the backlog is not set.
-func limitBacklog(net.Listener) {}
+func limitBacklog(net.Listener, int) {}
