httpserver: a rejection reaches clients that send their whole request first

Callers saw: a client within the limits that is rejected for want of memory, and reads only after it has sent its whole body, got a reset connection in place of the 503 with Retry-After.

Cause: what is closed with unread bytes is reset, and the client's system drops the response. rejectConnection closed at once; ignoreRest stopped after 256 KiB of a body that may have 4 MiB; net/http ignores 256 KiB, and nothing at all if the request asks to close the connection. A connection without room was also answered before its request: such a response is unsolicited, and net/http's client drops it.

Change: the rest of a rejected request is read and ignored up to max_body_bytes, for 2 s at most and while something comes every 500 ms. Connections without room are rejected by goroutines of their own, at most 32 and within the limits of connections and of the account, and once their request has begun; beyond them as before. Error bodies of the native interface have a length, so that they are complete before the rest is ignored.

TestConnectionsAreRejectedAfterTheirRequest fails without awaitRequest.

--- a/internal/errkind/errorbody.go
+++ b/internal/errkind/errorbody.go
@@ -50,6 +50,10 @@
 	if seconds := b.RetryAfterSec(); seconds > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(seconds))
 	}
+	// An ErrorBody always encodes.
+	text, _ := json.Marshal(b)
+	text = append(text, '\n')
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	w.WriteHeader(response.Status)
-	_ = json.NewEncoder(w).Encode(b)
+	_, _ = w.Write(text)
 }
--- a/internal/httpserver/body.go
+++ b/internal/httpserver/body.go
@@ -204,9 +204,25 @@
 			defer c.limitUnreadBody(unreadBodyTimeout)
 		}
 		handler.ServeHTTP(w, r)
+		if r.ContentLength != 0 && !c.isBodyComplete() && endsConnection(w.Header()) {
+			c.ignoreRestOfBody(w, r)
+		}
 	})
 }
 
+// isBodyComplete reports whether the end of the body has been read.
+func (c *Conn) isBodyComplete() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.body.complete
+}
+
+// endsConnection reports whether a response closes its connection, and is complete once it has
+// been flushed.
+func endsConnection(header http.Header) bool {
+	return header.Get("Connection") == "close" && header.Get("Content-Length") != ""
+}
+
 // limitUnreadBody sets a read deadline for a body that has not been read to its end.
 func (c *Conn) limitUnreadBody(timeout time.Duration) {
 	c.mu.Lock()
--- a/internal/httpserver/connections.go
+++ b/internal/httpserver/connections.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"myrtlewinch/internal/errkind"
@@ -36,6 +37,9 @@
 	// HeadBytes is the largest size of a request head; 0 means that only http.Server limits
 	// it.
 	HeadBytes int64
+	// BodyBytes is the largest size of a request body; 0 means that it is not known. As much
+	// of the body of a rejected request is read and ignored.
+	BodyBytes int64
 }
 
 // Options are the options of Connections.
@@ -45,8 +49,8 @@
 	Limits func() Limits
 	// Account is the process's account of memory.
 	Account *memory.Account
-	// MaxConnections is the largest number of connections, in addition to the limit of the
-	// account.
+	// MaxConnections is the largest number of connections, including those that are being
+	// rejected, in addition to the limit of the account.
 	MaxConnections int
 	// WriteRejection writes an error response. retryMs is the time after which the client
 	// should try again, or 0. If it is nil, the native interface's format is used.
@@ -58,6 +62,8 @@
 // Connections are the open connections of a server. It is safe for concurrent use.
 type Connections struct {
 	options Options
+	// rejecting counts the connections that are being rejected, at most maxRejecting().
+	rejecting atomic.Int64
 
 	mu   sync.Mutex
 	open map[*Conn]struct{}
@@ -139,7 +145,7 @@
 	s.mu.Lock()
 	count := len(s.open)
 	s.mu.Unlock()
-	return count < s.options.MaxConnections && s.options.Account.Take(memory.Connections, connectionBytes)
+	return int64(count) < int64(s.options.MaxConnections)-s.maxRejecting() && s.options.Account.Take(memory.Connections, connectionBytes)
 }
 
 // evictLongestWaiting closes the connection that has waited longest for a complete request.
--- a/internal/httpserver/limits_test.go
+++ b/internal/httpserver/limits_test.go
@@ -81,8 +81,13 @@
 // send sends a text and returns a channel that receives the response, or nil if the
 // connection ends without one.
 func send(client net.Conn, text string) <-chan *http.Response {
-	responses := make(chan *http.Response, 1)
 	threads.Go(func() { _, _ = io.WriteString(client, text) })
+	return receive(client)
+}
+
+// receive is send without a text.
+func receive(client net.Conn) <-chan *http.Response {
+	responses := make(chan *http.Response, 1)
 	threads.Go(func() {
 		response, err := http.ReadResponse(bufio.NewReader(client), nil)
 		if err == nil {
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -145,7 +145,7 @@
 // connectionLimits returns the limits of the connections of clients.
 func (s *Server) connectionLimits() httpserver.Limits {
 	limits := s.clientLimits()
-	limits.HeadBytes = limits.headBytes
+	limits.HeadBytes, limits.BodyBytes = limits.headBytes, s.maxBodyBytes()
 	return limits.Limits
 }
 
