process: the parts of a process's memory in its log at each new peak

Each time the account of what others make a process hold reaches a further eighth of its limit, from a half on, one line tells the parts by class at the peak, the Go runtime's resident memory, heap and stacks, goroutines, threads and architecture: five lines at most in the life of a process.

TestPeaksOfTheAccountAreLogged: one line a step, with the parts.

--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -29,6 +29,15 @@
 	classCount
 )
 
+// classNames are the names of the classes in logs.
+var classNames = [classCount]string{
+	Connections: "connections", Heads: "heads", Bodies: "bodies",
+	Requests: "requests", Responses: "responses", Messages: "messages",
+}
+
+// String returns the name of the class.
+func (c Class) String() string { return classNames[c] }
+
 // shareDenominator is the denominator of all shares of an Account's limit.
 const shareDenominator = 16
 
@@ -88,6 +97,8 @@
 	mu     sync.Mutex
 	used   int64
 	usedBy [classCount]int64
+	// peak is what was in use when that was the most.
+	peak Usage
 	// evictable lists the reservations that may be evicted, the oldest first.
 	evictable list.List
 }
@@ -126,6 +137,22 @@
 	return a.used
 }
 
+// Usage is what an Account had given out at one moment, in bytes.
+type Usage struct {
+	Total   int64
+	ByClass [classCount]int64
+}
+
+// Peak returns what was given out when that was the most since the start of the process.
+func (a *Account) Peak() Usage {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.peak
+}
+
+// Limit returns how many bytes the account may give out.
+func (a *Account) Limit() int64 { return a.limit }
+
 // ClassLimit returns how many bytes a class may use.
 func (a *Account) ClassLimit(class Class) int64 {
 	return a.limit * classLimits[class].share / shareDenominator
@@ -141,6 +168,9 @@
 	}
 	a.used += bytes
 	a.usedBy[class] += bytes
+	if a.used > a.peak.Total {
+		a.peak = Usage{a.used, a.usedBy}
+	}
 	return true
 }
 
--- a/internal/process/runtime.go
+++ b/internal/process/runtime.go
@@ -91,8 +91,9 @@
 	replies            replyTable
 	counters           counters
 	// ended is closed when the machine's goroutine ends.
-	ended chan struct{}
-	pause pauseSwitch
+	ended          chan struct{}
+	pause          pauseSwitch
+	memoryReporter memoryReporter
 }
 
 // New returns a runtime; nothing runs before AddTasks. Peers connect to the listener peers;
@@ -107,6 +108,7 @@
 		inputs: ringbuffer.New[protocol.Input](maxInputs), writes: ringbuffer.New[diskWrite](maxInputs),
 		webListener: web, replies: newReplyTable(), counters: newCounters(), ended: make(chan struct{}),
 	}
+	r.memoryReporter = memoryReporter{account: options.Account, log: options.Log}
 	r.sender = transport.NewSender(r.Count)
 	r.server = transport.NewServer(transport.ServerOptions{
 		Site: options.Site, Listener: peers, Count: r.Count,
@@ -186,6 +188,7 @@
 }
 
 func (r *Runtime) tick() {
+	r.memoryReporter.reportPeak()
 	// While the machine is paused, ticks must not fill the input queue.
 	if waiting, _ := r.inputs.Stats(); waiting < maxInputs/2 {
 		r.inputs.Push(protocol.Tick{})
