proxy: bound the names in the cache of the index

Callers would have seen: a router near its memory by names alone. A client may name any adapter of a model, up to the size of a head, and the index's reply is cached under it.

Cause: the cache was bounded by its entries only.

Change: the keys of all entries have 1 MiB; the least recently used make room. A single longer key is stored alone, so that its requests are served as before.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -186,7 +186,7 @@
 // from the cached index entry. If another runner responded at the address, the expected
 // one no longer exists and counts as draining.
 func (m *Machine) attemptMisdirected(r *request, otherRunner bool) {
-	if entry := m.cache[r.key]; entry != nil && !r.forwarded {
+	if entry := m.cache.get(r.key); entry != nil && !r.forwarded {
 		entry.exclude(m.nowMs, r.runnerID)
 	}
 	if otherRunner {
--- a/internal/proxy/cache.go
+++ b/internal/proxy/cache.go
@@ -8,6 +8,9 @@
 
 const (
 	maxCacheEntries = 2048
+	// maxCacheKeyBytes bounds the keys of all entries. Clients choose the adapter of a key, up
+	// to the size of a request's head.
+	maxCacheKeyBytes = 1 << 20
 	// entryMaxAgeMs is the maximum age of an entry that counts as a hit. An older one may
 	// be wrong: when a runner stops holding a model, the index notifies only routers that
 	// looked it up recently.
@@ -29,6 +32,9 @@
 	return slices.Compare([]string{k.service, k.model, k.adapter}, []string{other.service, other.model, other.adapter}) < 0
 }
 
+// bytes returns the size of the names.
+func (k cacheKey) bytes() int { return len(k.service) + len(k.model) + len(k.adapter) }
+
 // cacheEntry is a cached entry of the index.
 type cacheEntry struct {
 	// epoch and change are the entry's version.
@@ -47,19 +53,29 @@
 	excluded map[string]int64
 }
 
-// cache keeps the index entries of keys that were requested.
-type cache map[cacheKey]*cacheEntry
+// cache keeps the index entries of keys that were requested. The zero value is empty.
+type cache struct {
+	entries map[cacheKey]*cacheEntry
+	// keyBytes is the size of all keys.
+	keyBytes int
+}
+
+// get returns the entry of a key, or nil.
+func (c *cache) get(key cacheKey) *cacheEntry { return c.entries[key] }
+
+// len returns the number of entries.
+func (c *cache) len() int { return len(c.entries) }
 
 // update stores an entry that the index sent. It returns false, and keeps the cached
 // entry, if the cached one is newer.
-func (c cache) update(nowMs int64, reply protocol.IndexReply) bool {
+func (c *cache) update(nowMs int64, reply protocol.IndexReply) bool {
 	key := cacheKey{reply.Service, reply.Model, reply.Adapter}
-	old := c[key]
+	old := c.get(key)
 	if old != nil && old.newerThan(reply) {
 		return false
 	}
-	if old == nil && len(c) >= maxCacheEntries {
-		c.evictLeastRecentlyUsed()
+	if old == nil {
+		c.makeRoom(key)
 	}
 	entry := &cacheEntry{
 		epoch: reply.Epoch, change: reply.Change, holders: reply.Holders,
@@ -72,10 +88,21 @@
 		entry.lastUsedMs = old.lastUsedMs
 		entry.keepExclusions(nowMs, old)
 	}
-	c[key] = entry
+	c.entries[key] = entry
 	return true
 }
 
+// makeRoom counts a new key and evicts the entries that no longer fit beside it.
+func (c *cache) makeRoom(key cacheKey) {
+	if c.entries == nil {
+		c.entries = map[cacheKey]*cacheEntry{}
+	}
+	c.keyBytes += key.bytes()
+	for len(c.entries) > 0 && (len(c.entries) >= maxCacheEntries || c.keyBytes > maxCacheKeyBytes) {
+		c.evictLeastRecentlyUsed()
+	}
+}
+
 // newerThan reports whether the entry's version is newer than the version of a reply.
 func (e *cacheEntry) newerThan(reply protocol.IndexReply) bool {
 	if e.epoch != reply.Epoch {
@@ -114,17 +141,18 @@
 
 // evictLeastRecentlyUsed removes one entry. Ties are broken by key, so that a simulation is
 // repeatable.
-func (c cache) evictLeastRecentlyUsed() {
+func (c *cache) evictLeastRecentlyUsed() {
 	var oldest cacheKey
 	var oldestMs int64
 	found := false
-	for key, entry := range c {
+	for key, entry := range c.entries {
 		older := entry.lastUsedMs < oldestMs || entry.lastUsedMs == oldestMs && key.less(oldest)
 		if !found || older {
 			oldest, oldestMs, found = key, entry.lastUsedMs, true
 		}
 	}
-	delete(c, oldest)
+	delete(c.entries, oldest)
+	c.keyBytes -= oldest.bytes()
 }
 
 // isEmpty reports whether the entry names no runner and no load. Such an entry may come
--- a/internal/proxy/lookup.go
+++ b/internal/proxy/lookup.go
@@ -74,7 +74,7 @@
 // unresponsive, the runner list that the router has read itself replaces entries that are
 // missing or empty.
 func (m *Machine) indexEntry(key cacheKey) *cacheEntry {
-	entry := m.cache[key]
+	entry := m.cache.get(key)
 	if entry != nil && len(entry.holders) > 0 || !m.listUsable() {
 		return entry
 	}
@@ -88,7 +88,7 @@
 	if len(update.Holders) == 0 || !m.cache.update(m.nowMs, update) {
 		return entry
 	}
-	return m.cache[key]
+	return m.cache.get(key)
 }
 
 // applyIndexReply applies the reply to a look-up, or the notification of a change of the
@@ -106,7 +106,7 @@
 		}
 	}
 	// Only keys that were requested are cached.
-	if !requested && m.cache[key] == nil && reply.ID == 0 {
+	if !requested && m.cache.get(key) == nil && reply.ID == 0 {
 		return
 	}
 	for i := range reply.Holders {
--- a/internal/proxy/machine.go
+++ b/internal/proxy/machine.go
@@ -145,7 +145,6 @@
 		},
 		runnerListing:    runnerListing{nextListReadMs: nowMs},
 		drainingRunners:  map[string]int64{},
-		cache:            cache{},
 		runners:          map[string]*runnerState{},
 		requests:         map[uint64]*request{},
 		slotWaiters:      map[string]int{},
--- a/internal/proxy/status.go
+++ b/internal/proxy/status.go
@@ -71,7 +71,7 @@
 	return Status{
 		Name: m.settings.Self.Name, Version: m.configVersion, Epoch: m.epoch, Primary: m.primary,
 		PrimaryContactAgeMs: m.nowMs - m.primaryConfirmedMs, Routers: m.routerCount, Draining: m.shutdown.draining,
-		Entries: len(m.cache), Runners: len(m.runners), Requests: len(m.requests), Waiting: len(m.queue),
+		Entries: m.cache.len(), Runners: len(m.runners), Requests: len(m.requests), Waiting: len(m.queue),
 		Counters: counters,
 	}
 }
