placement: store nothing about adapters that nobody has

Callers would have seen: controllers out of memory by look-ups. A look-up of a model that exists with an adapter that does not made a subscription (20,000 at most, for 4 s) and on followers an entry of demand, each with the name that a client chose, up to 16 KiB: 320 MB at 5,000 such requests a second, of 280 (worked out, not brought about).

Cause: findModel refuses unknown models, and nothing asked the same of the adapter.

Change: nothing is stored unless the configuration or a runner names the adapter. The reply is as before: no holder.

TestLookUpsOfUnknownAdaptersStoreNothing, as primary and as follower, fails on (the model has subscribers) and passes now.

--- a/internal/placement/lookup.go
+++ b/internal/placement/lookup.go
@@ -11,6 +11,9 @@
 // LookUp answers a router's look-up, counts it as demand and subscribes the router to changes.
 func (m *Manager) LookUp(nowMs int64, from protocol.Node, lookUp protocol.IndexLookUp) protocol.IndexReply {
 	model := m.findModel(lookUp.Service, lookUp.Model)
+	if model != nil && !knowsAdapter(model, lookUp.Adapter) {
+		model = nil
+	}
 	if model != nil {
 		waits := int64(0)
 		// A router that only confirms a known holder waits for no load.
@@ -27,6 +30,12 @@
 	return reply
 }
 
+// knowsAdapter reports whether the configuration or a runner names the adapter. Clients choose
+// the name in a look-up, and nothing is stored about others.
+func knowsAdapter(model *runnerstate.Model, adapter string) bool {
+	return adapter == "" || model.HasAdapter(adapter) || len(model.AdapterHolders[adapter]) > 0
+}
+
 // replyForUpdate returns the reply for all subscribers of a key.
 func (m *Manager) replyForUpdate(buffer []protocol.IndexHolder, model *runnerstate.Model, adapter string) protocol.IndexReply {
 	return m.replyInto(buffer, m.nowMs, protocol.Node{}, model.Service.Name, model.Name, adapter)
--- a/internal/placement/lookup_test.go
+++ b/internal/placement/lookup_test.go
@@ -5,6 +5,7 @@
 	"encoding/gob"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -234,3 +235,31 @@
 	_, err := json.Marshal(manager.Status())
 	c.Assert(err, qt.IsNil)
 }
+
+// Nothing is stored about adapters that neither the configuration nor a runner names, since
+// clients choose the names: no subscription, and no demand. They get a reply all the same.
+func TestLookUpsOfUnknownAdaptersStoreNothing(t *testing.T) {
+	const lookUps = 1000
+	longName := strings.Repeat("n", 16<<10)
+	for _, isPrimary := range []bool{true, false} {
+		c := qt.New(t)
+		s := newPlatformSim(t, 1, newConfiguration(4, 8, 4.2), 0)
+		manager := s.manager("one")
+		if isPrimary {
+			manager.BecomePrimary(s.events.NowMs(), 1, s.events.NowMs()+1_000_000)
+		}
+		model := manager.findModel(llm, "m000")
+		c.Assert(model, qt.IsNotNil)
+		for i := range lookUps {
+			adapter := fmt.Sprint(i) + longName
+			reply := manager.LookUp(s.events.NowMs(), protocol.Node{Name: "router"}, protocol.IndexLookUp{Service: llm, Model: "m000", Adapter: adapter, Waits: true})
+			c.Assert(reply.Adapter, qt.Equals, adapter)
+			c.Assert(reply.Holders, qt.HasLen, 0)
+		}
+		c.Assert(manager.subscriptions.Has(model), qt.IsFalse)
+		c.Assert(model.Adapters, qt.HasLen, 0)
+		c.Assert(manager.DrainDemand(), qt.HasLen, 0)
+		manager.LookUp(s.events.NowMs(), protocol.Node{Name: "router"}, protocol.IndexLookUp{Service: llm, Model: "m000", Adapter: "a1"})
+		c.Assert(manager.subscriptions.Has(model), qt.IsTrue)
+	}
+}
