process: count status pages while they are unread, and submissions while they are queued

Callers would have seen: a process over its memory by clients that ask for /status and do not read it (some 100 KB a page of a large site for up to 30 s, at up to 487 connections), or by operators whose submissions wait in the queue of a state machine that is held up: after ack_ms their request ended and its memory, up to 4 MiB each, counted as free.

Change: pages are encoded one at a time, taken from the account with their length until they have been read, evictable like other responses, and rejected with 503 where there is no room. A submission's body is retained until the machine has handled its input.

--- a/internal/dataplane/statuspage.go
+++ b/internal/dataplane/statuspage.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"time"
 
@@ -20,9 +19,3 @@
 	defer cancel()
 	return runtime.Call(ctx, query)
 }
-
-// WriteJSON writes a value as a JSON document.
-func WriteJSON(w http.ResponseWriter, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(value)
-}
--- a/internal/httpserver/body.go
+++ b/internal/httpserver/body.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"time"
 	"unsafe"
 
@@ -54,10 +55,19 @@
 type Body struct {
 	Bytes       []byte
 	reservation *memory.Reservation
+	// retained counts the further users of the body.
+	retained atomic.Int64
 }
 
-// Close returns the memory of the body.
-func (b *Body) Close() { b.reservation.Close() }
+// Retain adds a further user of the body, who must close it as well.
+func (b *Body) Retain() { b.retained.Add(1) }
+
+// Close returns the memory of the body once its last user has closed it.
+func (b *Body) Close() {
+	if b.retained.Add(-1) < 0 {
+		b.reservation.Close()
+	}
+}
 
 // Text returns the body as a string without copying it. Bytes must not be changed after that.
 func (b *Body) Text() string { return unsafe.String(unsafe.SliceData(b.Bytes), len(b.Bytes)) }
--- a/internal/httpserver/connections.go
+++ b/internal/httpserver/connections.go
@@ -64,6 +64,8 @@
 	options Options
 	// rejecting counts the connections that are being rejected, at most maxRejecting().
 	rejecting atomic.Int64
+	// encoding is held while a document is encoded whose memory has not been taken yet.
+	encoding sync.Mutex
 
 	mu   sync.Mutex
 	open map[*Conn]struct{}
--- a/internal/native/controller/api.go
+++ b/internal/native/controller/api.go
@@ -143,7 +143,9 @@
 		fault.Write(w)
 		return
 	}
-	answer, ok := d.call(r, changeTimeout, func(id uint64) protocol.Input {
+	ctx, cancel := context.WithTimeout(r.Context(), changeTimeout)
+	defer cancel()
+	answer, ok := d.runtime.CallWithBody(ctx, body, func(id uint64) protocol.Input {
 		return SubmitDescription{ID: id, Base: base, Text: body.Text(), Partial: r.Method == http.MethodPatch}
 	})
 	if !ok {
@@ -191,7 +193,7 @@
 
 func (d *Daemon) getHistory(w http.ResponseWriter, r *http.Request) {
 	if reply, ok := d.readDescription(w, r); ok {
-		writeJSON(w, historyPage{Revisions: reply.History, Authoritative: reply.Authoritative})
+		d.runtime.WriteJSON(w, r, historyPage{Revisions: reply.History, Authoritative: reply.Authoritative})
 	}
 }
 
@@ -208,7 +210,7 @@
 		writeNoReply(w)
 		return
 	}
-	writeJSON(w, status)
+	d.runtime.WriteJSON(w, r, status)
 }
 
 // getHealth responds with 200 as long as this controller replies, its disk accepts writes and
--- a/internal/native/router/server.go
+++ b/internal/native/router/server.go
@@ -132,7 +132,7 @@
 	case r.URL.Path == "/soundness" && r.Method == http.MethodGet:
 		s.serveHealth(w, r)
 	case r.URL.Path == "/counters" && r.Method == http.MethodGet:
-		dataplane.WriteJSON(w, s.runtime.Counts())
+		s.runtime.WriteJSON(w, r, s.runtime.Counts())
 	default:
 		errkind.ErrorBody{Kind: errkind.UnknownPage, Detail: r.URL.Path}.Write(w)
 	}
@@ -150,7 +150,7 @@
 		errkind.ErrorBody{Kind: errkind.ControlPlaneUnavailable, Detail: "the router did not reply in time"}.Write(w)
 		return
 	}
-	dataplane.WriteJSON(w, status)
+	s.runtime.WriteJSON(w, r, status)
 }
 
 // serveHealth serves the health check: it succeeds if this router may send requests now.
@@ -160,7 +160,7 @@
 		errkind.ErrorBody{Kind: errkind.ControlPlaneUnavailable, Detail: "this router may not send requests at present"}.Write(w)
 		return
 	}
-	dataplane.WriteJSON(w, map[string]any{"sound": true, "revision": status.Revision})
+	s.runtime.WriteJSON(w, r, map[string]any{"sound": true, "revision": status.Revision})
 }
 
 // requestBody is the body of a client's request.
--- a/internal/process/machine.go
+++ b/internal/process/machine.go
@@ -33,6 +33,9 @@
 		if in.store == r.store {
 			r.step(in.DiskWriteDone)
 		}
+	case inputWithBody:
+		r.step(in.Input)
+		in.body.Close()
 	default:
 		r.step(input)
 	}
--- a/internal/process/runtime.go
+++ b/internal/process/runtime.go
@@ -149,6 +149,12 @@
 	return r.webConnections.OpenResponse(ctx)
 }
 
+// WriteJSON writes a value as a JSON document to a client of the web listener, within the memory
+// of the process.
+func (r *Runtime) WriteJSON(w http.ResponseWriter, request *http.Request, value any) {
+	r.webConnections.WriteJSON(w, request, value)
+}
+
 // withConnectionClose wraps a handler. Once closeAfterResponse is true, each response closes
 // its connection.
 func (r *Runtime) withConnectionClose(handler http.Handler) http.Handler {
@@ -212,6 +218,23 @@
 	return true
 }
 
+// inputWithBody is an input that refers to the body of a request.
+type inputWithBody struct {
+	protocol.Input
+	body *httpserver.Body
+}
+
+// submitWithBody is Submit for an input that refers to a body, which it retains until the machine
+// has handled the input.
+func (r *Runtime) submitWithBody(body *httpserver.Body, input protocol.Input) bool {
+	body.Retain()
+	if !r.Submit(inputWithBody{input, body}) {
+		body.Close()
+		return false
+	}
+	return true
+}
+
 // Pause makes the process hang until release is called: its machine, its disk writes, and
 // its outbound calls immediately before they are written. It is for fault injection in
 // tests.
@@ -250,9 +273,20 @@
 // it. It returns false if ctx is done, or the machine has ended, before a response arrives,
 // or if the input was dropped.
 func (r *Runtime) Call(ctx context.Context, input func(id uint64) protocol.Input) (protocol.Reply, bool) {
+	return r.call(ctx, func(id uint64) bool { return r.Submit(input(id)) })
+}
+
+// CallWithBody is Call for an input that refers to the body of a request. The memory of the body
+// is kept until the machine has handled the input, even if the request has ended before.
+func (r *Runtime) CallWithBody(ctx context.Context, body *httpserver.Body, input func(id uint64) protocol.Input) (protocol.Reply, bool) {
+	return r.call(ctx, func(id uint64) bool { return r.submitWithBody(body, input(id)) })
+}
+
+// call calls submit with a new id and waits for the first response to that.
+func (r *Runtime) call(ctx context.Context, submit func(id uint64) bool) (protocol.Reply, bool) {
 	id, replies := r.OpenReplies()
 	defer r.CloseReplies(id)
-	if !r.Submit(input(id)) {
+	if !submit(id) {
 		return nil, false
 	}
 	select {
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -168,7 +168,7 @@
 	case "/status":
 		s.serveStatus(w, r)
 	case "/counters":
-		dataplane.WriteJSON(w, s.runtime.Counts())
+		s.runtime.WriteJSON(w, r, s.runtime.Counts())
 	default:
 		s.serveReady(w)
 	}
@@ -180,7 +180,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	dataplane.WriteJSON(w, status)
+	s.runtime.WriteJSON(w, r, status)
 }
 
 // serveReady tells the platform by the status code whether it may send clients to this
