process: the test of queued bodies ends when it fails

It waited for its blocked machine until the time-out of the package (seen once, 600 s, while the retention was taken out to see it fail).

--- a/internal/process/body_test.go
+++ b/internal/process/body_test.go
@@ -39,7 +39,7 @@
 		listeners[i] = opened
 	}
 	account := memory.NewAccount(memory.LimitFor(0))
-	machine := blockedMachine{make(chan struct{}), make(chan struct{})}
+	machine := blockedMachine{make(chan struct{}, 2), make(chan struct{}, 2)}
 	var runtime *Runtime
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, kind := runtime.ReadBody(w, r, bodyBytes)
@@ -56,7 +56,11 @@
 	stopped, done := make(chan struct{}), make(chan struct{})
 	group.StopWhen(stopped)
 	threads.Go(func() { defer close(done); _ = group.Run() })
-	c.Cleanup(func() { close(stopped); <-done })
+	c.Cleanup(func() {
+		close(machine.proceed)
+		close(stopped)
+		<-done
+	})
 
 	response, err := http.Post("http://"+listeners[1].Addr().String(), "text/plain", strings.NewReader(strings.Repeat("a", bodyBytes)))
 	c.Assert(err, qt.IsNil)
@@ -67,5 +71,4 @@
 	machine.proceed <- struct{}{}
 	<-machine.started
 	c.Assert(account.Used() < bodyBytes, qt.IsTrue, qt.Commentf("%d taken after it was handled", account.Used()))
-	machine.proceed <- struct{}{}
 }
