controller: a configuration is accepted only if it can be carried to all daemons

Callers saw: a configuration that grew above 8 MiB by changes was acknowledged with 200, applied by no router (404 for its routes), and gone after a kill of all controllers.

Cause: submission knew no bound of the layers behind it. Decompress refuses a text above 8 MiB, and a message has 8 MiB, so what was accepted could be read neither from the row nor by routers.

A submission is measured before anything is written. Beyond: 413 with the sizes in the detail.

Left: larger configurations are refused, not carried in parts.

--- a/internal/controller/history_test.go
+++ b/internal/controller/history_test.go
@@ -129,8 +129,8 @@
 	}
 	text, err := json.Marshal(legacy)
 	qt.Assert(t, err, qt.IsNil)
-	active, faults := old.buildConfig(SubmitConfig{Text: "version 327"})
-	qt.Assert(t, faults, qt.HasLen, 0)
+	active, rejection := old.buildConfig(SubmitConfig{Text: "version 327"})
+	qt.Assert(t, rejection, qt.IsNil)
 	h, controller := newPendingPrimary(map[string]string{legacyRow: string(text), configRow: encodeRow(storedConfig{327, active.packed})})
 
 	// Submissions wait until the migration is committed.
--- a/internal/controller/submissions.go
+++ b/internal/controller/submissions.go
@@ -107,9 +107,9 @@
 // acceptSubmission commits and activates a configuration that builds on the active
 // one, unless it has faults.
 func (c *Controller) acceptSubmission(h consensus.Host, request SubmitConfig, sum string) {
-	next, faults := c.buildConfig(request)
-	if len(faults) > 0 {
-		rejectFaulty(h, request, faults)
+	next, rejection := c.buildConfig(request)
+	if rejection != nil {
+		reject(h, request.ID, *rejection)
 		return
 	}
 	rows := acceptedRows(h, request.BaseVersion, next.version, sum, c.submissions.maxHistory)
@@ -126,27 +126,46 @@
 	})
 }
 
-// buildConfig returns the configuration that a submission requests, or its faults.
-func (c *Controller) buildConfig(request SubmitConfig) (activeConfig, []string) {
+// buildConfig returns the configuration that a submission requests, or the rejection if that has
+// faults or is too large to be carried to all daemons.
+func (c *Controller) buildConfig(request SubmitConfig) (activeConfig, *protocol.Rejection) {
 	active := &c.config.active
 	text := []byte(request.Text)
 	if request.Partial {
 		changed, faults := c.format.ApplyChange([]byte(active.text), text)
 		if len(faults) > 0 {
-			return activeConfig{}, faults
+			return activeConfig{}, faultyConfig(faults)
 		}
 		text = changed
 	}
+	if len(text) > protocol.MaxTextBytes {
+		return activeConfig{}, oversizedConfig("", len(text), protocol.MaxTextBytes)
+	}
 	parsed, faults := c.format.Parse(text)
 	if len(faults) > 0 {
-		return activeConfig{}, faults
+		return activeConfig{}, faultyConfig(faults)
 	}
 	if parsed.Version <= active.version {
 		fault := fmt.Sprintf("version: is %d; it must be above the active version (%d)", parsed.Version, active.version)
-		return activeConfig{}, []string{fault}
+		return activeConfig{}, faultyConfig([]string{fault})
 	}
 	complete := string(text)
-	return activeConfig{parsed.Version, protocol.Digest(complete), complete, protocol.Compress(complete), parsed}, nil
+	packed := protocol.Compress(complete)
+	if len(packed) > protocol.MaxPackedBytes {
+		return activeConfig{}, oversizedConfig("compressed ", len(packed), protocol.MaxPackedBytes)
+	}
+	return activeConfig{parsed.Version, protocol.Digest(complete), complete, packed, parsed}, nil
+}
+
+func faultyConfig(faults []string) *protocol.Rejection {
+	return &protocol.Rejection{Kind: errkind.FaultyDescription, Detail: "the configuration has faults", Faults: faults}
+}
+
+// oversizedConfig returns the rejection of a configuration with more bytes, in this form, than
+// may be.
+func oversizedConfig(form string, bytes, maxBytes int) *protocol.Rejection {
+	detail := fmt.Sprintf("the complete configuration would have %d %sbytes; at most %d can be carried to all daemons", bytes, form, maxBytes)
+	return &protocol.Rejection{Kind: errkind.TooLarge, Detail: detail}
 }
 
 // replicate commits rows and then calls done. No other submission is processed
@@ -197,7 +216,7 @@
 func (c *Controller) rejectTooOld(h consensus.Host, request SubmitConfig) {
 	if !request.Partial {
 		if _, faults := c.format.Parse([]byte(request.Text)); len(faults) > 0 {
-			rejectFaulty(h, request, faults)
+			reject(h, request.ID, *faultyConfig(faults))
 			return
 		}
 	}
@@ -206,7 +225,3 @@
 		Kind: errkind.AcceptanceUnknown, Detail: "the submission is older than the history of accepted submissions", Revision: c.config.active.version,
 	})
 }
-
-func rejectFaulty(h consensus.Host, request SubmitConfig, faults []string) {
-	reject(h, request.ID, protocol.Rejection{Kind: errkind.FaultyDescription, Detail: "the configuration has faults", Faults: faults})
-}
--- a/internal/protocol/compression.go
+++ b/internal/protocol/compression.go
@@ -9,12 +9,6 @@
 	"github.com/cockroachdb/errors"
 )
 
-// MaxMessageBytes bounds one message between daemons.
-const MaxMessageBytes = 8 << 20
-
-// MaxTextBytes is the maximum size of a compressed text after decompression.
-const MaxTextBytes = MaxMessageBytes
-
 // Compress compresses a text for the network and for storage.
 func Compress(text string) []byte {
 	var compressed bytes.Buffer
