controller: the mark of the first start is on the disk before the daemon listens

Callers saw: all controllers killed 30 ms after their first start, and the site never started: 503 for the first configuration and all requests, with all daemons up.

Cause: only a disk with the mark of the first start may vote for the first record, since one that was wiped later may have voted before. The mark was written by the first tick, up to 50 ms after the start.

Change: an empty data folder gets the mark at the first start in the same file as its site and incarnation, which becomes durable as a whole, before the process runs or answers. The simulators do the same. Ruled out: blank disks that start again because all seeds say they are blank. After a turnover of seeds the new ones may all be blank and cut off from the daemons that hold the site.

Tests of modelcheck, faultsim, consensus, election and compatibility pass.

Left: a kill before the folder's first file is renamed into place leaves an empty folder as before.

--- a/internal/consensus/disk.go
+++ b/internal/consensus/disk.go
@@ -22,6 +22,14 @@
 	initialDiskKey = "bootstrap"
 )
 
+// initialDiskMark is the value of initialDiskKey.
+const initialDiskMark = "first start"
+
+// InitialRows returns the rows that an empty disk gets before anything else at the first start of
+// a site that its seeds bootstrap. They must be durable before the daemon can be reached: a disk
+// that loses its daemon before has none, and cannot be told from one that was wiped later.
+func InitialRows() map[string]string { return map[string]string{initialDiskKey: initialDiskMark} }
+
 // savedRecord is the active record with the ballot under which it was accepted.
 type savedRecord struct {
 	Record protocol.EpochRecord `json:"record"`
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -38,7 +38,7 @@
 		m.primary.End()
 		m.settings.Application.LostPrimacy(host{m})
 	case election.InitialDiskMarked:
-		m.saveRow(initialDiskKey, "first start")
+		m.saveRow(initialDiskKey, initialDiskMark)
 	case election.BootstrapFailed:
 		m.respond(out.ID, out.Rejection)
 	case election.Retired:
--- a/internal/controller/daemon.go
+++ b/internal/controller/daemon.go
@@ -77,7 +77,7 @@
 	newOperatorAPI func(*process.Runtime) http.Handler, peers, web net.Listener, logger *log.Logger,
 ) (*Daemon, error) {
 	clock := process.NewClock()
-	machine, store, err := settings.openMachine(storage.Open, format, clock)
+	machine, store, err := settings.openMachine(settings.openStore, format, clock)
 	if err != nil {
 		return nil, err
 	}
@@ -124,6 +124,14 @@
 	return machine, store, nil
 }
 
+// openStore opens the data folder at the start of the process.
+func (s DaemonSettings) openStore(folder, site string) (*storage.Store, error) {
+	if s.FirstStart {
+		return storage.OpenInitial(folder, site, consensus.InitialRows())
+	}
+	return storage.Open(folder, site)
+}
+
 // identify sets the role and the incarnation of Self. The data folder holds the
 // incarnation.
 func (s *DaemonSettings) identify(store *storage.Store) {
--- a/internal/simulation/faultsim/node_lifecycle.go
+++ b/internal/simulation/faultsim/node_lifecycle.go
@@ -29,6 +29,10 @@
 	n.incarnation++
 	n.startedMs, n.clockOffsetMs = sim.NowMs(), clockStartMs+sim.random.Int63n(clockSpreadMs)
 	n.requests = map[uint64]*proxiedRequest{}
+	if isFirstStart && n.isController() {
+		// The process writes these before it can be reached.
+		maps.Copy(n.disk.Contents, consensus.InitialRows())
+	}
 	sim.createStateMachine(n, isFirstStart)
 	sim.logf("%s starts", n.name)
 	sim.connectivity.recordFault(n)
--- a/internal/simulation/modelcheck/cluster.go
+++ b/internal/simulation/modelcheck/cluster.go
@@ -81,8 +81,11 @@
 	}
 	for i := range c.members {
 		disk := map[string]string{}
-		if disks != nil {
+		switch {
+		case disks != nil:
 			disk = maps.Clone(disks[i])
+		case isFirstStart:
+			disk = consensus.InitialRows()
 		}
 		c.startMember(i, disk, isFirstStart)
 		c.push(&event{atMs: c.nowMs + tickMs, member: i, body: tick{}})
--- a/internal/storage/growth_test.go
+++ b/internal/storage/growth_test.go
@@ -44,7 +44,7 @@
 			c := qt.New(t)
 			folder := c.TempDir()
 			var largest int64
-			store, err := openWith(folder, "zagreb", func(*os.File) error {
+			store, err := openWith(folder, "zagreb", nil, func(*os.File) error {
 				largest = max(largest, folderBytes(c, folder))
 				return nil
 			})
--- a/internal/storage/load.go
+++ b/internal/storage/load.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
+	"maps"
 	"os"
 
 	"github.com/cockroachdb/errors"
@@ -10,13 +11,13 @@
 )
 
 // load reads the state of the folder, or writes the initial state if the folder is empty.
-func (s *Store) load(site string) error {
+func (s *Store) load(site string, initialRows map[string]string) error {
 	empty, err := s.finishReplacement()
 	if err != nil {
 		return err
 	}
 	if empty {
-		return s.initialize(site)
+		return s.initialize(site, initialRows)
 	}
 	if err := s.repairAndOpenFile(); err != nil {
 		return err
@@ -35,12 +36,13 @@
 	return s.syncPath(s.folder)
 }
 
-// initialize writes the initial state of an empty folder.
-func (s *Store) initialize(site string) error {
+// initialize writes the initial state of an empty folder. It becomes durable as a whole.
+func (s *Store) initialize(site string, initialRows map[string]string) error {
 	token := make([]byte, incarnationBytes)
 	if _, err := rand.Read(token); err != nil {
 		return err
 	}
+	maps.Copy(s.rows, initialRows)
 	s.rows[siteRow] = site
 	s.rows[incarnationRow] = hex.EncodeToString(token)
 	return s.replaceFile(s.rows)
--- a/internal/storage/powerloss_test.go
+++ b/internal/storage/powerloss_test.go
@@ -220,7 +220,7 @@
 			return 0, err
 		}
 	}
-	store, err := openWith(folder, "zagreb", noSync)
+	store, err := openWith(folder, "zagreb", nil, noSync)
 	if err != nil {
 		return 0, errors.Wrap(err, "opening failed")
 	}
@@ -254,7 +254,7 @@
 // bounded to 3 changes, so that the file is replaced after a few of them. Between some
 // changes the store is closed and opened again, as after a kill of the process.
 func (r *syncRecorder) runChanges(c *qt.C, changes int) {
-	store, err := openWith(r.folder, "zagreb", r.sync)
+	store, err := openWith(r.folder, "zagreb", nil, r.sync)
 	c.Assert(err, qt.IsNil)
 	store.log.maxChanges = 3
 	// From now on peers may know the state that was read and synced, so it must not be lost.
@@ -265,7 +265,7 @@
 	for range changes {
 		if r.begun%5 == 4 {
 			store.Close()
-			store, err = openWith(r.folder, "zagreb", r.sync)
+			store, err = openWith(r.folder, "zagreb", nil, r.sync)
 			c.Assert(err, qt.IsNil)
 			store.log.maxChanges = 3
 		}
@@ -342,7 +342,7 @@
 	c := qt.New(t)
 	parent := c.TempDir()
 	var synced []string
-	store, err := openWith(filepath.Join(parent, "data"), "zagreb", func(file *os.File) error {
+	store, err := openWith(filepath.Join(parent, "data"), "zagreb", nil, func(file *os.File) error {
 		synced = append(synced, file.Name())
 		return nil
 	})
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -91,11 +91,16 @@
 // gets the site's name and a new random incarnation. A folder that belongs to another
 // site, or is corrupt, is left unchanged, and Open returns an error.
 func Open(folder, site string) (*Store, error) {
-	return openWith(folder, site, (*os.File).Sync)
+	return OpenInitial(folder, site, nil)
 }
 
-// openWith is Open with a replacement for File.Sync.
-func openWith(folder, site string, sync syncFunc) (*Store, error) {
+// OpenInitial is Open for a folder that gets these rows as well if it is empty.
+func OpenInitial(folder, site string, initialRows map[string]string) (*Store, error) {
+	return openWith(folder, site, initialRows, (*os.File).Sync)
+}
+
+// openWith is OpenInitial with a replacement for File.Sync.
+func openWith(folder, site string, initialRows map[string]string, sync syncFunc) (*Store, error) {
 	if err := makeFolder(folder, sync); err != nil {
 		return nil, errors.Wrapf(err, "data folder %s", folder)
 	}
@@ -108,7 +113,7 @@
 		return nil, errors.Mark(errors.Newf("data folder %s is in use by another process", folder), ErrInUse)
 	}
 	s := &Store{folder: folder, lock: lock, rows: map[string]string{}, log: logSize{maxChanges: maxLogChanges}, sync: sync}
-	if err := s.load(site); err != nil {
+	if err := s.load(site, initialRows); err != nil {
 		s.Close()
 		return nil, err
 	}
--- a/internal/storage/write_test.go
+++ b/internal/storage/write_test.go
@@ -63,7 +63,7 @@
 			c := qt.New(t)
 			folder := c.TempDir()
 			syncs := 0
-			store, err := openWith(folder, "zagreb", func(*os.File) error { syncs++; return nil })
+			store, err := openWith(folder, "zagreb", nil, func(*os.File) error { syncs++; return nil })
 			c.Assert(err, qt.IsNil)
 			syncs = 0
 			c.Assert(store.Save(test.writes...), qt.IsNil)
