proxy: responses without a length end with their connection

Cause: hasDelimitedEnd took every such response for invalid.

Change: the check is gone. The body is read to the end of the connection, and a reset is an error that makes the response truncated, as for chunks. The client gets a length or chunks, so that a truncated response never looks complete.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -227,10 +227,7 @@
 	if head.RequestID != e.params.RequestID || head.UnexpectedEncoding {
 		return false
 	}
-	if isSuccess(response) && !head.HasSeal {
-		return false
-	}
-	return hasDelimitedEnd(response)
+	return !isSuccess(response) || head.HasSeal
 }
 
 // failureOutcome returns the outcome of a failed attempt: StreamBroken if the client has
--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -66,7 +66,8 @@
 	return Completed
 }
 
-// readResponse reads a response that is not a stream. Until ctx is done it waits for the
+// readResponse reads a response that is not a stream. A body without a length or chunks is
+// complete when the runner closes the connection in order, and truncated if it is reset. Until ctx is done it waits for the
 // memory of the body, because the request may have run and cannot be rejected any more.
 func (e *exchange) readResponse(ctx context.Context, response *http.Response) (*bufferedResponse, error) {
 	length := response.ContentLength
@@ -134,12 +135,6 @@
 	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || status == http.StatusRequestTimeout
 }
 
-// hasDelimitedEnd reports whether a complete body can be distinguished from a truncated
-// one.
-func hasDelimitedEnd(response *http.Response) bool {
-	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Request.Method == http.MethodHead
-}
-
 // isStream reports whether a response is forwarded event by event.
 func isStream(route *config.Route, response *http.Response) bool {
 	if !isSuccess(response) {
