--- a/internal/process/body_test.go
+++ b/internal/process/body_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -13,7 +12,6 @@
 
 	"myrtlewinch/internal/memory"
 	"myrtlewinch/internal/protocol"
-	"myrtlewinch/internal/threads"
 )
 
 // blockedMachine handles an input only once it is told to. started gets a value when it begins.
@@ -32,12 +30,7 @@
 func TestBodiesCountWhileTheirInputIsQueued(t *testing.T) {
 	const bodyBytes = 1 << 20
 	c := qt.New(t)
-	var listeners [2]net.Listener
-	for i := range listeners {
-		opened, err := net.Listen("tcp", "127.0.0.1:0")
-		c.Assert(err, qt.IsNil)
-		listeners[i] = opened
-	}
+	peers, web := listenLocally(c), listenLocally(c)
 	account := memory.NewAccount(memory.LimitFor(0))
 	machine := blockedMachine{make(chan struct{}, 2), make(chan struct{}, 2)}
 	var runtime *Runtime
@@ -50,19 +43,11 @@
 		_, ok := runtime.CallWithBody(late, body, func(uint64) protocol.Input { return protocol.Envelope{} })
 		c.Check(ok, qt.IsFalse)
 	})
-	runtime = New(Options{Clock: NewClock(), Log: log.New(io.Discard), TickMs: 1000, Account: account}, machine, nil, listeners[0], listeners[1], handler)
-	group := &threads.Group{}
-	runtime.AddTasks(group)
-	stopped, done := make(chan struct{}), make(chan struct{})
-	group.StopWhen(stopped)
-	threads.Go(func() { defer close(done); _ = group.Run() })
-	c.Cleanup(func() {
-		close(machine.proceed)
-		close(stopped)
-		<-done
-	})
+	runtime = New(Options{Clock: NewClock(), Log: log.New(io.Discard), TickMs: 1000, Account: account}, machine, nil, peers, web, handler)
+	c.Cleanup(runTasks(runtime))
+	c.Cleanup(func() { close(machine.proceed) })
 
-	response, err := http.Post("http://"+listeners[1].Addr().String(), "text/plain", strings.NewReader(strings.Repeat("a", bodyBytes)))
+	response, err := http.Post("http://"+web.Addr().String(), "text/plain", strings.NewReader(strings.Repeat("a", bodyBytes)))
 	c.Assert(err, qt.IsNil)
 	_ = response.Body.Close()
 	<-machine.started
--- a/internal/process/diskwriter_test.go
+++ b/internal/process/diskwriter_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"testing"
@@ -13,7 +12,6 @@
 	"myrtlewinch/internal/protocol"
 	"myrtlewinch/internal/ringbuffer"
 	"myrtlewinch/internal/storage"
-	"myrtlewinch/internal/threads"
 )
 
 // writeText is an input that makes a writer write the text.
@@ -51,22 +49,9 @@
 // startRuntime runs a state machine with a store until stop is called.
 func startRuntime(c *qt.C, options Options, machine Machine, store *storage.Store) (runtime *Runtime, stop func()) {
 	c.Helper()
-	listen := func() net.Listener {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		c.Assert(err, qt.IsNil)
-		return listener
-	}
 	options.Site, options.Clock, options.Log, options.TickMs = "s", NewClock(), log.New(io.Discard), 1000
-	runtime = New(options, machine, store, listen(), listen(), http.NotFoundHandler())
-	done, ended := make(chan struct{}), make(chan struct{})
-	var group threads.Group
-	runtime.AddTasks(&group)
-	group.StopWhen(done)
-	threads.Go(func() { _ = group.Run(); close(ended) })
-	return runtime, func() {
-		close(done)
-		<-ended
-	}
+	runtime = New(options, machine, store, listenLocally(c), listenLocally(c), http.NotFoundHandler())
+	return runtime, runTasks(runtime)
 }
 
 // openStore opens a store in a new folder.
--- a/internal/process/web_test.go
+++ b/internal/process/web_test.go
@@ -20,36 +20,46 @@
 
 func (idleMachine) Step(int64, protocol.Input) protocol.Effects { return protocol.Effects{} }
 
-// If keep-alives are disabled after a request was read, the request still gets its
-// response, and that closes the connection.
-func TestDisablingKeepAlivesLosesNoRequest(t *testing.T) {
-	c := qt.New(t)
-	var listeners [2]net.Listener
-	for i := range listeners {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		c.Assert(err, qt.IsNil)
-		listeners[i] = listener
-	}
-	web := stalltest.New(listeners[1])
-	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.URL.Path) })
-	runtime := New(Options{Clock: NewClock(), Log: log.New(io.Discard), TickMs: 1000}, idleMachine{}, nil, listeners[0], web, handler)
+// listenLocally returns a listener at a free loopback port.
+func listenLocally(c *qt.C) net.Listener {
+	opened, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	return opened
+}
+
+// runTasks runs a runtime until stop is called.
+func runTasks(runtime *Runtime) (stop func()) {
 	group := &threads.Group{}
 	runtime.AddTasks(group)
 	stopped, done := make(chan struct{}), make(chan struct{})
 	group.StopWhen(stopped)
 	threads.Go(func() { defer close(done); _ = group.Run() })
-	c.Cleanup(func() { close(stopped); <-done })
+	return func() {
+		close(stopped)
+		<-done
+	}
+}
+
+// If keep-alives are disabled after a request was read, the request still gets its
+// response, and that closes the connection.
+func TestDisablingKeepAlivesLosesNoRequest(t *testing.T) {
+	c := qt.New(t)
+	peers, web := listenLocally(c), listenLocally(c)
+	stalled := stalltest.New(web)
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.URL.Path) })
+	runtime := New(Options{Clock: NewClock(), Log: log.New(io.Discard), TickMs: 1000}, idleMachine{}, nil, peers, stalled, handler)
+	c.Cleanup(runTasks(runtime))
 
-	client, err := net.Dial("tcp", listeners[1].Addr().String())
+	client, err := net.Dial("tcp", web.Addr().String())
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { _ = client.Close() })
 	responses := bufio.NewReader(client)
 	send := func(path string, meanwhile func()) (body string, closes bool) {
 		_, err := io.WriteString(client, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n")
 		c.Assert(err, qt.IsNil)
-		<-web.HeadRead
+		<-stalled.HeadRead
 		meanwhile()
-		web.Resume <- struct{}{}
+		stalled.Resume <- struct{}{}
 		response, err := http.ReadResponse(responses, nil)
 		c.Assert(err, qt.IsNil)
 		text, err := io.ReadAll(response.Body)
