httpserver: the rest of a rejected request is not lost to a stall of the process

One more short read follows the deadline now, as for heads and bodies. httpserver four times with -race: passed.

--- a/internal/httpserver/body.go
+++ b/internal/httpserver/body.go
@@ -163,6 +163,13 @@
 	return true
 }
 
+// beginIgnoringBody records that the rest of the body is read after its request was rejected.
+func (c *Conn) beginIgnoringBody() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.body = bodyState{reading: true}
+}
+
 // endBody records that the handler no longer reads the body. After a complete body there is
 // no read deadline, because net/http then only waits for the client to disconnect.
 func (c *Conn) endBody(complete bool) {
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -228,11 +228,15 @@
 }
 
 // readFinally reads bytes that arrived before the deadline while the process was stalled.
-func (c *Conn) readFinally(p []byte) (int, error) {
-	if err := c.Conn.SetReadDeadline(time.Now().Add(finalReadTimeout)); err != nil {
+func (c *Conn) readFinally(p []byte) (int, error) { return readFinally(c.Conn, p) }
+
+// readFinally reads bytes that arrived on a connection before its deadline while the process was
+// stalled.
+func readFinally(connection net.Conn, p []byte) (int, error) {
+	if err := connection.SetReadDeadline(time.Now().Add(finalReadTimeout)); err != nil {
 		return 0, err
 	}
-	return c.Conn.Read(p)
+	return connection.Read(p)
 }
 
 // setDeadline sets the read deadline of the phase and returns it.
--- a/internal/httpserver/reject.go
+++ b/internal/httpserver/reject.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -111,7 +112,14 @@
 		return
 	}
 	limits := s.limits()
-	ignoreRest(connection, connection, limits.HeadBytes+limits.ignoredBodyBytes())
+	read := func(p []byte) (int, error) {
+		n, err := connection.Read(p)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		return readFinally(connection, p)
+	}
+	ignoreRest(connection, read, limits.HeadBytes+limits.ignoredBodyBytes())
 }
 
 // writeRejection writes an error response that closes the connection.
@@ -130,12 +138,9 @@
 	return defaultIgnoredBytes
 }
 
-// deadlineSetter sets the deadline of reads.
-type deadlineSetter interface{ SetReadDeadline(time.Time) error }
-
 // ignoreRest reads the rest of a request, up to maxBytes, and ignores it. It ends when nothing
 // arrives for rejectTimeout.
-func ignoreRest(connection deadlineSetter, rest io.Reader, maxBytes int64) {
+func ignoreRest(connection net.Conn, read func(p []byte) (int, error), maxBytes int64) {
 	until := time.Now().Add(ignoreTimeout)
 	var buffer [ignoreBufferBytes]byte
 	for ignored := int64(0); ignored < maxBytes; {
@@ -146,7 +151,7 @@
 		if connection.SetReadDeadline(wait) != nil {
 			return
 		}
-		n, err := rest.Read(buffer[:])
+		n, err := read(buffer[:])
 		if err != nil {
 			return
 		}
@@ -160,7 +165,9 @@
 	if http.NewResponseController(w).Flush() != nil {
 		return
 	}
-	ignoreRest(c.Conn, r.Body, c.connections.limits().ignoredBodyBytes())
+	c.beginIgnoringBody()
+	ignoreRest(c.Conn, r.Body.Read, c.connections.limits().ignoredBodyBytes())
+	c.endBody(false)
 }
 
 // responseBuffer is an http.ResponseWriter that keeps the response.
