protocol: the text of a configuration has 8 MiB at most, as old releases read

Cause: set the bound at 10 MiB, on figures of an idle machine. The primary sends no heartbeats during the step that applies, parses and compresses a change; that failovers followed is inferred, not read from a log.

Change: 8 MiB, which all layers and the releases before read. Beyond it 413, as before.

Tests of protocol, controller, transport, proxy and pages pass.

--- a/internal/protocol/bounds.go
+++ b/internal/protocol/bounds.go
@@ -9,9 +9,8 @@
 	// encoded in base64, which makes it a third larger, and a snapshot carries the row beside the
 	// history of submissions, the index and the orders, in one message.
 	MaxPackedBytes = MaxMessageBytes / 4
-	// MaxTextBytes bounds the text of a configuration. Every daemon holds the text and its
-	// parsed form, and while the configuration changes both of them twice. The primary applies
-	// a change to the text, parses and compresses it in one step, which must be shorter than its
-	// lease.
-	MaxTextBytes = MaxMessageBytes + MaxMessageBytes/4
+	// MaxTextBytes bounds the text of a configuration. The primary applies a change to the text,
+	// parses and compresses it in one step, during which it sends no heartbeats. Every daemon
+	// holds the text and its parsed form, and while the configuration changes both of them twice.
+	MaxTextBytes = MaxMessageBytes
 )
