proxy: a stream without a length that ends within an event is not complete

Cause: the kernel closes the connections of a killed process in order, which also is how a body without a length ends. streamForwarder.end took every such end for the end of the stream, wrote the incomplete event that was left in the splitter, and reported Completed. Only a resumed stream was refused with a rest.

Change: where only the end of the connection ends the body (Exchange.EndsWithConnection) and the response may be an event stream, an end within an event, its blank line or a comment is ResponseLost: resumed or retried where the route allows it, otherwise the client's connection is aborted. Not refused are whole events, whole comments without a blank line, lines that end in CR alone, and other content types.

--- a/internal/httpclient/exchange.go
+++ b/internal/httpclient/exchange.go
@@ -49,6 +49,8 @@
 	stopContextWatch func() bool
 	// writeNotAllowed is true if the caller's check did not allow the first byte.
 	writeNotAllowed bool
+	// endsWithConnection is the value of EndsWithConnection.
+	endsWithConnection bool
 	// bodyComplete is true if the body was read to its declared end, accepted if the caller
 	// called Accept, and unusable if anything in the exchange rules out a reuse of the
 	// connection.
@@ -63,6 +65,11 @@
 // if it was closed. It may be called once the body of the response is closed.
 func (x *Exchange) IdleTimeout() time.Duration { return x.idleTimeout }
 
+// EndsWithConnection reports whether the body of the response has neither a length nor chunks,
+// so that only the end of the connection ends it. Then io.EOF does not show that the body is
+// complete: the kernel ends the connections of a process that crashes in the same way.
+func (x *Exchange) EndsWithConnection() bool { return x.endsWithConnection }
+
 // Accept confirms that the response belongs to this request, so that the connection may be
 // reused once the body has been read to its end.
 func (x *Exchange) Accept() { x.accepted = true }
@@ -189,6 +196,7 @@
 		x.unusable = true
 	}
 	x.bodyComplete = response.Body == http.NoBody
+	x.endsWithConnection = !x.bodyComplete && response.ContentLength < 0 && len(response.TransferEncoding) == 0
 	response.Body = &responseBody{response.Body, x}
 	x.Response = response
 }
--- a/internal/proxy/eventsplitter.go
+++ b/internal/proxy/eventsplitter.go
@@ -54,3 +54,26 @@
 func isBlank(line []byte) bool {
 	return len(line) == 0 || len(line) == 1 && line[0] == '\r'
 }
+
+// endsWithinEvent reports whether a stream that ends here breaks off within an event, its blank
+// line or a comment. Whole comments need no blank line, and events whose lines end in CR alone
+// are buffered up to the end of the stream.
+func (s *eventSplitter) endsWithinEvent() bool {
+	rest := s.buffered
+	if len(rest) == 0 || bytes.HasSuffix(rest, []byte("\r\r")) {
+		return false
+	}
+	lastLineIsWhole := rest[len(rest)-1] == '\n'
+	return !lastLineIsWhole || !hasOnlyComments(rest)
+}
+
+// hasOnlyComments reports whether no line of a text is part of an event. Lines that begin with a
+// colon are comments, which runners send to keep a connection open.
+func hasOnlyComments(text []byte) bool {
+	for line := range bytes.SplitSeq(text, []byte("\n")) {
+		if !isBlank(line) && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -208,7 +208,7 @@
 		discard(response, cancel)
 		return e.attemptEnded(Rejected)
 	case isStream(attempt.Route, response):
-		outcome := e.forwardStream(attempt, response, head, leftMs)
+		outcome := e.forwardStream(attempt, sent, head, leftMs)
 		if outcome != Completed {
 			sent.Reject()
 		}
--- a/internal/proxy/exchange_log_test.go
+++ b/internal/proxy/exchange_log_test.go
@@ -234,6 +234,8 @@
 		{"a complete stream", []*arrival{ran}, stream(completeStream("a"), false), ""},
 		{"a truncated stream", []*arrival{ran}, stream(streamEvent("a", 1)+"id: 2", true), ""},
 		{"a stream that ends early", []*arrival{ran}, stream(streamEvent("a", 1), false), ruleCompleteStream},
+		{"a stream that ends within an event", []*arrival{ran}, stream(streamEvent("a", 1)+"id: 2", false), ruleCompleteStream},
+		{"a stream that ends within its last blank line", []*arrival{ran}, stream(strings.TrimSuffix(completeStream("a"), "\n"), false), ruleCompleteStream},
 		{"a stream with a gap", []*arrival{ran}, stream(streamEvent("a", 1)+streamEvent("a", 3), true), ruleCompleteStream},
 		{"a stream with a duplicate event", []*arrival{ran}, stream(streamEvent("a", 1)+streamEvent("a", 1), true), ruleCompleteStream},
 		{"the events of another request", []*arrival{ran}, stream(completeStream("b"), false), ruleCompleteStream},
--- a/internal/proxy/exchange_model_test.go
+++ b/internal/proxy/exchange_model_test.go
@@ -54,13 +54,15 @@
 	reactCutStream         reaction = "truncated stream"
 	reactGap               reaction = "stream with a gap"
 	reactCutLastEvent      reaction = "resumed stream that ends within an event"
+	reactNoLengthCutEvent  reaction = "stream without a length that ends within an event"
+	reactNoLengthCutBlank  reaction = "stream without a length that ends within a blank line"
 )
 
 var reactions = []reaction{
 	reactComplete, reactChunks, reactChunksAndLength, reactRejected, reactOtherRunner, reactServerError, react503MayHaveRun, reactCutBody, reactCutHead, reactGarbage,
 	reactInvalidStatus, reactUpgrade, reactClose, reactReset, reactCompleteThenReset, reactOtherID, reactOtherIDRejection, reactNoID, reactTwoIDs,
 	reactDoubled, reactExtraBytes, reactPreviousFirst, reactBeforeBody, reactInformational, reactUnsealed, reactEncoded, reactNoLength, reactNoLengthReset, reactNoResponse,
-	reactCutStream, reactGap, reactCutLastEvent,
+	reactCutStream, reactGap, reactCutLastEvent, reactNoLengthCutEvent, reactNoLengthCutBlank,
 }
 
 // modelRunners are three runners. Each request has its own list of reactions, one for
@@ -199,7 +201,8 @@
 	requestID := a.requestID
 	if strings.HasPrefix(request.URL.Path, "/stream/") || strings.HasPrefix(request.URL.Path, "/once/") {
 		switch react {
-		case reactComplete, reactChunks, reactChunksAndLength, reactCutBody, reactCutStream, reactGap, reactCompleteThenReset, reactDoubled, reactExtraBytes, reactInformational, reactPreviousFirst, reactBeforeBody, reactCutLastEvent, reactNoLength, reactNoLengthReset:
+		case reactComplete, reactChunks, reactChunksAndLength, reactCutBody, reactCutStream, reactGap, reactCompleteThenReset, reactDoubled, reactExtraBytes, reactInformational, reactPreviousFirst, reactBeforeBody, reactCutLastEvent, reactNoLength, reactNoLengthReset,
+			reactNoLengthCutEvent, reactNoLengthCutBlank:
 			return m.respondStream(requestID, request, react)
 		}
 	}
@@ -220,7 +223,7 @@
 	case react503MayHaveRun:
 		m.recordResponse(requestID, 503, "", true)
 		return write(withLength("503 Full", requestID, ""))
-	case reactCutBody, reactCutStream:
+	case reactCutBody, reactCutStream, reactNoLengthCutEvent, reactNoLengthCutBlank:
 		m.recordResponse(requestID, 200, body, false)
 		_ = writeInvalid(strings.TrimSuffix(good, requestID))
 		return false
@@ -309,7 +312,8 @@
 		first++
 	}
 	write := func(text string) bool { _, err := io.WriteString(m.connection, text); return err == nil }
-	if react == reactNoLength || react == reactNoLengthReset {
+	switch react {
+	case reactNoLength, reactNoLengthReset, reactNoLengthCutEvent, reactNoLengthCutBlank:
 		return m.respondStreamWithoutLength(requestID, first, react)
 	}
 	head := responseHead("200 OK", requestID, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")
@@ -360,18 +364,25 @@
 
 // respondStreamWithoutLength responds with the events from the first on, of which the end of the
 // connection is the end. With reactNoLengthReset the last one is missing and the connection reset.
+// With reactNoLengthCutEvent and reactNoLengthCutBlank the last one is cut, and the connection is
+// closed in order, as the kernel does for a process that was killed.
 func (m *modelConn) respondStreamWithoutLength(requestID string, first int, react reaction) bool {
-	last := streamEvents
-	if react == reactNoLengthReset {
-		last--
-	}
-	text := responseHead("200 OK", requestID, "Content-Type: text/event-stream\r\n")
-	for id := first; id <= last; id++ {
+	text := ""
+	for id := first; id <= streamEvents; id++ {
 		text += streamEvent(requestID, id)
 	}
-	_, _ = io.WriteString(m.connection, text)
+	last := len(streamEvent(requestID, streamEvents))
+	switch react {
+	case reactNoLengthReset:
+		text = text[:max(0, len(text)-last)]
+	case reactNoLengthCutEvent:
+		text = text[:max(0, len(text)-last/2)]
+	case reactNoLengthCutBlank:
+		text = text[:max(0, len(text)-1)]
+	}
+	_, _ = io.WriteString(m.connection, responseHead("200 OK", requestID, "Content-Type: text/event-stream\r\n")+text)
+	m.invalid = react != reactNoLength
 	if react == reactNoLengthReset {
-		m.invalid = true
 		_ = m.connection.(*net.TCPConn).SetLinger(0)
 	}
 	return false
--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -140,5 +140,10 @@
 	if !isSuccess(response) {
 		return false
 	}
-	return route.Kind == config.Stream || strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
+	return route.Kind == config.Stream || isEventStream(response.Header.Get("Content-Type"))
+}
+
+// isEventStream reports whether a content type is that of server-sent events.
+func isEventStream(contentType string) bool {
+	return strings.HasPrefix(contentType, "text/event-stream")
 }
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strconv"
 	"sync"
+
+	"myrtlewinch/internal/httpclient"
 )
 
 // streamBufferBytes is the size of the buffers that streams are read with.
@@ -16,7 +18,7 @@
 // stream ends it forwards only complete events, each as soon as it is complete.
 type streamForwarder struct {
 	exchange   *exchange
-	response   *http.Response
+	sent       *httpclient.Exchange
 	controller *http.ResponseController
 	events     eventSplitter
 	// resumed is true if the client has a part of the stream from an earlier attempt.
@@ -29,7 +31,7 @@
 
 // forwardStream forwards the stream of an attempt. It panics with http.ErrAbortHandler if
 // the client has disconnected or does not read.
-func (e *exchange) forwardStream(attempt StartAttempt, response *http.Response, head ResponseHead, leftMs int64) Outcome {
+func (e *exchange) forwardStream(attempt StartAttempt, sent *httpclient.Exchange, head ResponseHead, leftMs int64) Outcome {
 	defer e.limitWriteTime(leftMs + writeSlackMs)()
 	buffer := streamBuffers.Get().(*[streamBufferBytes]byte)
 	defer streamBuffers.Put(buffer)
@@ -37,12 +39,12 @@
 		e.weightsVersion = head.WeightsVersion
 	}
 	forwarder := streamForwarder{
-		exchange: e, response: response, controller: http.NewResponseController(e.writer), resumed: e.forwarded,
+		exchange: e, sent: sent, controller: http.NewResponseController(e.writer), resumed: e.forwarded,
 	}
 	timing := streamTiming{arrivedMs: e.arrivedMs, attemptMs: e.attemptMs}
 	defer func() { e.countLateness(timing.cause(attempt.Route)) }()
 	for {
-		n, err := response.Body.Read(buffer[:])
+		n, err := sent.Response.Body.Read(buffer[:])
 		if n > 0 {
 			nowMs := e.server.runtime.Clock().NowMs()
 			timing.received(nowMs)
@@ -130,16 +132,16 @@
 		return
 	}
 	e.forwarded = true
-	e.writeHeader(f.response.Header)
+	e.writeHeader(f.sent.Response.Header)
 	// Another attempt may continue the stream, so its length is not known.
 	e.writer.Header().Del("Content-Length")
-	e.writer.WriteHeader(f.response.StatusCode)
+	e.writer.WriteHeader(f.sent.Response.StatusCode)
 }
 
 // end handles the end of the stream, or the error that ended it.
 func (f *streamForwarder) end(err error) Outcome {
 	e := f.exchange
-	if err != io.EOF {
+	if err != io.EOF || f.isCut() {
 		return e.failureOutcome(ResponseLost)
 	}
 	rest := f.events.buffered
@@ -153,3 +155,19 @@
 	}
 	return Completed
 }
+
+// isCut reports whether the bytes show that the runner did not finish the stream, although its
+// connection was closed in order. Where a length or chunks state the end, the runner has
+// stated that the stream is complete.
+func (f *streamForwarder) isCut() bool {
+	if !f.sent.EndsWithConnection() || !mayBeEventStream(f.sent.Response.Header) {
+		return false
+	}
+	return f.events.endsWithinEvent()
+}
+
+// mayBeEventStream reports whether a response has the content type of an event stream, or none.
+func mayBeEventStream(header http.Header) bool {
+	contentType := header.Get("Content-Type")
+	return contentType == "" || isEventStream(contentType)
+}
--- /dev/null
+++ b/internal/proxy/streamend_test.go
@@ -0,0 +1,162 @@
+package proxy
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// streamScript is a stream of a scripted runner without its end: the head and the body are sent
+// as they are, and the connection is then closed in order, as the kernel does for a process that
+// was killed.
+func streamScript(head, body string) string { return head + "\r\n" + body + closeMark }
+
+const (
+	// streamHead is the head of a stream without a length and without chunks.
+	streamHead = okHead + "Content-Type: text/event-stream\r\n"
+	// streamHead10 is the same of a runner that speaks HTTP/1.0.
+	streamHead10 = "HTTP/1.0 200 OK\r\nTry: TRY\r\nSeal: s\r\nContent-Type: text/event-stream\r\n"
+)
+
+// inOneChunk returns a body in one chunk, without the last chunk that ends it.
+func inOneChunk(body string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(body), body) }
+
+// cutEvent returns events 1 to whole, and the next one without its last bytes.
+func cutEvent(whole, missing int) string {
+	text := eventTexts(1, whole+1)
+	return text[:len(text)-missing]
+}
+
+// Guards against review/6: a runner that crashes within an event of a stream without a length
+// ended the client's response as a complete one. In every form of a stream, a cut that the bytes
+// show is resumed, retried, or shown to the client by an incomplete response.
+func TestStreamCutWithinAnEventIsNotComplete(t *testing.T) {
+	lengthOf := func(body string) string { return streamHead + fmt.Sprintf("Content-Length: %d\r\n", len(body)) }
+	chunked := streamHead + "Transfer-Encoding: chunked\r\n"
+	crlf := func(text string) string { return strings.ReplaceAll(text, "\n", "\r\n") }
+	large := "id: 3\ndata: " + strings.Repeat("x", 3*streamBufferBytes)
+	cuts := []struct{ about, script string }{
+		{"no length, within an event", streamScript(streamHead, cutEvent(2, 5))},
+		{"no length, within the first line of an event", streamScript(streamHead, eventTexts(1, 2)+"id")},
+		{"no length, within a blank line", streamScript(streamHead, cutEvent(2, 1))},
+		{"no length, HTTP/1.0, within an event", streamScript(streamHead10, cutEvent(2, 5))},
+		{"no length, within an event larger than one read", streamScript(streamHead, eventTexts(1, 2)+large)},
+		{"no length, within a comment", streamScript(streamHead, eventTexts(1, 2)+": ali")},
+		{"a length, within an event", streamScript(lengthOf(eventTexts(1, 3)), cutEvent(2, 5))},
+		{"a length, after an event", streamScript(lengthOf(eventTexts(1, 3)), eventTexts(1, 2))},
+		{"chunks, within a chunk", streamScript(chunked, fmt.Sprintf("%x\r\n%s", len(eventTexts(1, 3)), cutEvent(2, 5)))},
+		{"chunks, after a chunk within an event", streamScript(chunked, inOneChunk(cutEvent(2, 5)))},
+		{"chunks, after a chunk at the end of an event", streamScript(chunked, inOneChunk(eventTexts(1, 2)))},
+		{"chunks, within the last chunk", streamScript(chunked, inOneChunk(eventTexts(1, 2))+"0\r\n")},
+		{"reset after an event", strings.TrimSuffix(streamScript(streamHead, eventTexts(1, 2)), closeMark) + resetMark},
+	}
+	for _, cut := range cuts {
+		t.Run(cut.about, func(t *testing.T) {
+			c := qt.New(t)
+			checkCutStream(c, cut.script, eventTexts(1, 2))
+		})
+	}
+	t.Run("CR LF, within an event", func(t *testing.T) {
+		body := crlf(cutEvent(2, 5))
+		checkCutStreamWithoutResume(qt.New(t), streamScript(streamHead, body), crlf(eventTexts(1, 2)))
+	})
+	t.Run("CR LF, within a blank line", func(t *testing.T) {
+		body := crlf(eventTexts(1, 3))
+		checkCutStreamWithoutResume(qt.New(t), streamScript(streamHead, body[:len(body)-1]), crlf(eventTexts(1, 2)))
+	})
+}
+
+// Guards against review/6 at each byte: a stream without a length is complete only if its
+// connection ends after a whole event. There the bytes cannot show more (docs/limits.md).
+func TestStreamWithoutLengthCutAtEachByte(t *testing.T) {
+	for _, newline := range []string{"\n", "\r\n"} {
+		event := func(id int) string {
+			return strings.ReplaceAll(fmt.Sprintf("id: %d\ndata: x\n\n", id), "\n", newline)
+		}
+		text := event(1) + event(2)
+		for length := len(event(1)); length <= len(text); length++ {
+			t.Run(fmt.Sprintf("%q", text[:length]), func(t *testing.T) {
+				c := qt.New(t)
+				_, once := clientOf(c, "/once/x", streamScript(streamHead, text[:length]))
+				switch length {
+				case len(event(1)), len(text):
+					c.Assert(once, qt.Equals, streamResult{200, text[:length], false, 1})
+				default:
+					c.Assert(once, qt.Equals, streamResult{200, event(1), true, 1})
+				}
+			})
+		}
+	}
+}
+
+// An orderly end of the connection completes a stream without a length, as the platform states.
+func TestWholeStreamWithoutLengthIsComplete(t *testing.T) {
+	events := eventTexts(1, 3)
+	json := strings.Replace(streamHead, "text/event-stream", "application/json", 1)
+	untyped := strings.Replace(streamHead, "Content-Type: text/event-stream\r\n", "", 1)
+	for _, test := range []struct{ about, head, body string }{
+		{"lines end in LF", streamHead, events},
+		{"lines end in CR LF", streamHead, strings.ReplaceAll(events, "\n", "\r\n")},
+		{"lines end in CR", streamHead, strings.ReplaceAll(events, "\n", "\r")},
+		{"no content type", untyped, events},
+		{"HTTP/1.0", streamHead10, events},
+		{"an event larger than one read", streamHead, events + "data: " + strings.Repeat("x", 3*streamBufferBytes) + "\n\n"},
+		{"a comment at the end", streamHead, events + ": alive\n"},
+		{"comments at the end", streamHead, events + ": alive\r\n: alive\r\n"},
+		{"not a stream of events", json, `{"data":"x"}`},
+	} {
+		t.Run(test.about, func(t *testing.T) {
+			c := qt.New(t)
+			for _, path := range []string{"/stream/x", "/once/x"} {
+				_, got := clientOf(c, path, streamScript(test.head, test.body))
+				c.Assert(got, qt.Equals, streamResult{200, test.body, false, 1})
+			}
+		})
+	}
+	t.Run("resumed", func(t *testing.T) {
+		c := qt.New(t)
+		_, got := clientOf(c, "/stream/x", eventStream(1, 2, false), streamScript(streamHead, eventTexts(3, 4)))
+		c.Assert(got, qt.Equals, streamResult{200, eventTexts(1, 4), false, 2})
+	})
+}
+
+// checkCutStream checks a stream that breaks off after the events in whole: it is resumed where the
+// route has that, also if the resumed one breaks off, and shown as incomplete otherwise.
+func checkCutStream(c *qt.C, script, whole string) {
+	c.Helper()
+	again := streamScript(streamHead, eventTexts(3, 3)+"id: 4\nda")
+	_, resumed := clientOf(c, "/stream/x", script, eventStream(3, 5, true))
+	c.Assert(resumed, qt.Equals, streamResult{200, eventTexts(1, 5), false, 2})
+	_, twice := clientOf(c, "/stream/x", script, again, eventStream(4, 5, true))
+	c.Assert(twice, qt.Equals, streamResult{200, eventTexts(1, 5), false, 3})
+	_, lastAttempt := clientOf(c, "/stream/x", script, again, streamScript(streamHead, "id: 4\ndata"))
+	c.Assert(lastAttempt, qt.Equals, streamResult{200, eventTexts(1, 3), true, 3})
+	checkCutStreamWithoutResume(c, script, whole)
+}
+
+// checkCutStreamWithoutResume checks the same on a route that has one attempt.
+func checkCutStreamWithoutResume(c *qt.C, script, whole string) {
+	c.Helper()
+	_, once := clientOf(c, "/once/x", script)
+	c.Assert(once, qt.Equals, streamResult{200, whole, true, 1})
+}
+
+// streamResult is what the client of a stream received.
+type streamResult struct {
+	status    int
+	body      string
+	truncated bool
+	// attempts is how many requests reached the runners.
+	attempts int
+}
+
+// clientOf returns what a client receives whose attempts get these scripts in order.
+func clientOf(c *qt.C, path string, scripts ...string) (*scriptedRunner, streamResult) {
+	c.Helper()
+	runner := newScriptedRunner(c, scripts...)
+	_, server := newServerBench(c, runner, runner, runner, runner)
+	status, _, body, truncated := postRequest(c, server.URL, path)
+	return runner, streamResult{status, body, truncated, len(runner.requests())}
+}
