proxy: a stream without a length is not complete before an event that must follow

No event is incomplete here, but an event must follow: "On stream routes the answer is a series of events" (PROTOCOL.md), unless the request resumes a stream; and an event that one attempt began belongs to every run of the request.

Change: exchange.eventExpected records both, and also an event that a resumed stream left out. Such an end is ResponseLost, as within an event. A stream that states its end by a length or chunks, or that the client or the router resumed after a whole event, may be empty as before.

--- a/internal/proxy/eventsplitter.go
+++ b/internal/proxy/eventsplitter.go
@@ -56,17 +56,20 @@
 }
 
 // endsWithinEvent reports whether a stream that ends here breaks off within an event, its blank
-// line or a comment. Whole comments need no blank line, and events whose lines end in CR alone
-// are buffered up to the end of the stream.
+// line or a comment. Whole comments need no blank line.
 func (s *eventSplitter) endsWithinEvent() bool {
 	rest := s.buffered
-	if len(rest) == 0 || bytes.HasSuffix(rest, []byte("\r\r")) {
+	if len(rest) == 0 || s.holdsWholeEvents() {
 		return false
 	}
 	lastLineIsWhole := rest[len(rest)-1] == '\n'
 	return !lastLineIsWhole || !hasOnlyComments(rest)
 }
 
+// holdsWholeEvents reports whether the buffer ends with a whole event. Events whose lines end in
+// CR alone are not split and stay in the buffer.
+func (s *eventSplitter) holdsWholeEvents() bool { return bytes.HasSuffix(s.buffered, []byte("\r\r")) }
+
 // hasOnlyComments reports whether no line of a text is part of an event. Lines that begin with a
 // colon are comments, which runners send to keep a connection open.
 func hasOnlyComments(text []byte) bool {
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -51,6 +51,10 @@
 	lastEventID            string
 	numbered               bool
 	eventNumber, eventStep int64
+	// eventExpected is true if the stream cannot be complete without another event: none has
+	// been forwarded of a stream that starts at its beginning, or a runner has begun the
+	// event after the last one that was forwarded.
+	eventExpected bool
 	// weightsVersion is the version of the model weights that produced the last event, 0
 	// if it is not known.
 	weightsVersion int64
--- a/internal/proxy/exchange_model_test.go
+++ b/internal/proxy/exchange_model_test.go
@@ -56,13 +56,14 @@
 	reactCutLastEvent      reaction = "resumed stream that ends within an event"
 	reactNoLengthCutEvent  reaction = "stream without a length that ends within an event"
 	reactNoLengthCutBlank  reaction = "stream without a length that ends within a blank line"
+	reactNoLengthNoEvent   reaction = "stream without a length that ends before its first event"
 )
 
 var reactions = []reaction{
 	reactComplete, reactChunks, reactChunksAndLength, reactRejected, reactOtherRunner, reactServerError, react503MayHaveRun, reactCutBody, reactCutHead, reactGarbage,
 	reactInvalidStatus, reactUpgrade, reactClose, reactReset, reactCompleteThenReset, reactOtherID, reactOtherIDRejection, reactNoID, reactTwoIDs,
 	reactDoubled, reactExtraBytes, reactPreviousFirst, reactBeforeBody, reactInformational, reactUnsealed, reactEncoded, reactNoLength, reactNoLengthReset, reactNoResponse,
-	reactCutStream, reactGap, reactCutLastEvent, reactNoLengthCutEvent, reactNoLengthCutBlank,
+	reactCutStream, reactGap, reactCutLastEvent, reactNoLengthCutEvent, reactNoLengthCutBlank, reactNoLengthNoEvent,
 }
 
 // modelRunners are three runners. Each request has its own list of reactions, one for
@@ -202,7 +203,7 @@
 	if strings.HasPrefix(request.URL.Path, "/stream/") || strings.HasPrefix(request.URL.Path, "/once/") {
 		switch react {
 		case reactComplete, reactChunks, reactChunksAndLength, reactCutBody, reactCutStream, reactGap, reactCompleteThenReset, reactDoubled, reactExtraBytes, reactInformational, reactPreviousFirst, reactBeforeBody, reactCutLastEvent, reactNoLength, reactNoLengthReset,
-			reactNoLengthCutEvent, reactNoLengthCutBlank:
+			reactNoLengthCutEvent, reactNoLengthCutBlank, reactNoLengthNoEvent:
 			return m.respondStream(requestID, request, react)
 		}
 	}
@@ -223,7 +224,7 @@
 	case react503MayHaveRun:
 		m.recordResponse(requestID, 503, "", true)
 		return write(withLength("503 Full", requestID, ""))
-	case reactCutBody, reactCutStream, reactNoLengthCutEvent, reactNoLengthCutBlank:
+	case reactCutBody, reactCutStream, reactNoLengthCutEvent, reactNoLengthCutBlank, reactNoLengthNoEvent:
 		m.recordResponse(requestID, 200, body, false)
 		_ = writeInvalid(strings.TrimSuffix(good, requestID))
 		return false
@@ -313,7 +314,7 @@
 	}
 	write := func(text string) bool { _, err := io.WriteString(m.connection, text); return err == nil }
 	switch react {
-	case reactNoLength, reactNoLengthReset, reactNoLengthCutEvent, reactNoLengthCutBlank:
+	case reactNoLength, reactNoLengthReset, reactNoLengthCutEvent, reactNoLengthCutBlank, reactNoLengthNoEvent:
 		return m.respondStreamWithoutLength(requestID, first, react)
 	}
 	head := responseHead("200 OK", requestID, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")
@@ -365,7 +366,9 @@
 // respondStreamWithoutLength responds with the events from the first on, of which the end of the
 // connection is the end. With reactNoLengthReset the last one is missing and the connection reset.
 // With reactNoLengthCutEvent and reactNoLengthCutBlank the last one is cut, and the connection is
-// closed in order, as the kernel does for a process that was killed.
+// closed in order, as the kernel does for a process that was killed. With reactNoLengthNoEvent
+// that happens before the first event; a resumed stream is sent whole, because its client could
+// not know that an event is missing.
 func (m *modelConn) respondStreamWithoutLength(requestID string, first int, react reaction) bool {
 	text := ""
 	for id := first; id <= streamEvents; id++ {
@@ -379,6 +382,10 @@
 		text = text[:max(0, len(text)-last/2)]
 	case reactNoLengthCutBlank:
 		text = text[:max(0, len(text)-1)]
+	case reactNoLengthNoEvent:
+		if first == 1 {
+			text = ""
+		}
 	}
 	_, _ = io.WriteString(m.connection, responseHead("200 OK", requestID, "Content-Type: text/event-stream\r\n")+text)
 	m.invalid = react != reactNoLength
--- a/internal/proxy/server_test.go
+++ b/internal/proxy/server_test.go
@@ -30,7 +30,7 @@
 
 func (plainCodec) ParseRequest(r *http.Request) (RequestParams, error) {
 	left, _ := strconv.ParseInt(r.Header.Get("Left"), 10, 64)
-	return RequestParams{RequestID: r.Header.Get("Try"), Model: r.Header.Get("Model"), TimeoutMs: left}, nil
+	return RequestParams{RequestID: r.Header.Get("Try"), Model: r.Header.Get("Model"), TimeoutMs: left, LastEventID: r.Header.Get("After")}, nil
 }
 
 func (plainCodec) WriteAttemptHeader(to, from http.Header, params AttemptParams) {
@@ -237,7 +237,8 @@
 }
 
 // postRequest sends a request to the router. truncated is true if the response was incomplete.
-func postRequest(c *qt.C, base, path string) (status int, header http.Header, body string, truncated bool) {
+// Further headers may be given, each as its name and value.
+func postRequest(c *qt.C, base, path string, further ...string) (status int, header http.Header, body string, truncated bool) {
 	c.Helper()
 	r, err := http.NewRequest(http.MethodPost, base+path, strings.NewReader("the body"))
 	c.Assert(err, qt.IsNil)
@@ -245,6 +246,9 @@
 	r.Header.Set("Try", "t1")
 	r.Header.Set("Model", "m")
 	r.Header.Set("Left", "5000")
+	for ; len(further) > 0; further = further[2:] {
+		r.Header.Set(further[0], further[1])
+	}
 	transport := &http.Transport{DisableKeepAlives: true}
 	response, err := transport.RoundTrip(r)
 	if err != nil {
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -1,11 +1,13 @@
 package proxy
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"strconv"
 	"sync"
 
+	"myrtlewinch/internal/config"
 	"myrtlewinch/internal/httpclient"
 )
 
@@ -38,6 +40,9 @@
 	if e.weightsVersion == 0 {
 		e.weightsVersion = head.WeightsVersion
 	}
+	if attempt.Route.Kind == config.Stream && e.params.LastEventID == "" && !e.forwarded {
+		e.eventExpected = true
+	}
 	forwarder := streamForwarder{
 		exchange: e, sent: sent, controller: http.NewResponseController(e.writer), resumed: e.forwarded,
 	}
@@ -86,6 +91,9 @@
 		return !f.gap
 	}
 	f.writeHead()
+	if !hasOnlyComments(event) {
+		f.exchange.eventExpected = false
+	}
 	_, f.writeErr = f.exchange.writer.Write(event)
 	return f.writeErr == nil
 }
@@ -115,7 +123,7 @@
 		return false
 	}
 	if f.resumed && e.eventStep > 0 && number > e.eventNumber+e.eventStep {
-		f.gap = true
+		f.gap, e.eventExpected = true, true
 		return false
 	}
 	if e.numbered {
@@ -142,6 +150,7 @@
 func (f *streamForwarder) end(err error) Outcome {
 	e := f.exchange
 	if err != io.EOF || f.isCut() {
+		e.eventExpected = e.eventExpected || f.beganNextEvent()
 		return e.failureOutcome(ResponseLost)
 	}
 	rest := f.events.buffered
@@ -163,7 +172,21 @@
 	if !f.sent.EndsWithConnection() || !mayBeEventStream(f.sent.Response.Header) {
 		return false
 	}
-	return f.events.endsWithinEvent()
+	lacksEvent := f.exchange.eventExpected && !f.events.holdsWholeEvents()
+	return lacksEvent || f.events.endsWithinEvent()
+}
+
+// beganNextEvent reports whether a part of the event after the last one that was forwarded has
+// been received. A resumed stream may begin with events that the client has.
+func (f *streamForwarder) beganNextEvent() bool {
+	rest := f.events.buffered
+	if !f.resumed {
+		return !hasOnlyComments(rest)
+	}
+	wholeLines := rest[:bytes.LastIndexByte(rest, '\n')+1]
+	id, _ := f.exchange.server.codec.ParseEvent(wholeLines)
+	number, err := strconv.ParseInt(id, 10, 64)
+	return err == nil && number > f.exchange.eventNumber
 }
 
 // mayBeEventStream reports whether a response has the content type of an event stream, or none.
--- a/internal/proxy/streamend_test.go
+++ b/internal/proxy/streamend_test.go
@@ -122,6 +122,72 @@
 	})
 }
 
+// Guards against streams without a length that end as complete before an event that must follow:
+// the runner crashed before the first one, or before the one that an earlier attempt had begun.
+func TestStreamWithoutTheExpectedEventIsNotComplete(t *testing.T) {
+	noEvent := streamScript(streamHead, "")
+	onlyComment := streamScript(streamHead, ": alive\n\n")
+	resetAfter := func(last int) string {
+		return strings.TrimSuffix(streamScript(streamHead, eventTexts(1, last)), closeMark) + resetMark
+	}
+	beganThird := streamScript(streamHead, eventTexts(1, 2)+"id: 3\nda")
+	for _, test := range []struct {
+		about, path string
+		scripts     []string
+		want        streamResult
+	}{
+		{"before the first event", "/stream/x", []string{noEvent, eventStream(1, 2, true)}, streamResult{200, eventTexts(1, 2), false, 2}},
+		{"before the first event, one attempt", "/once/x", []string{noEvent}, streamResult{502, "", false, 1}},
+		{"before the first event, each attempt", "/stream/x", []string{noEvent, noEvent, noEvent}, streamResult{502, "", false, 3}},
+		{"after a comment", "/once/x", []string{onlyComment}, streamResult{200, ": alive\n\n", true, 1}},
+		{"before an event that was begun", "/stream/x", []string{beganThird, noEvent, eventStream(3, 4, true)}, streamResult{200, eventTexts(1, 4), false, 3}},
+		{"before an event that was begun, in a resumed stream",
+			"/stream/x", []string{resetAfter(2), streamScript(streamHead, "id: 3\nda"), noEvent}, streamResult{200, eventTexts(1, 2), true, 3}},
+		{"before an event that was missing", "/stream/x", []string{resetAfter(2), eventStream(4, 4, true), noEvent}, streamResult{200, eventTexts(1, 2), true, 3}},
+	} {
+		t.Run(test.about, func(t *testing.T) {
+			c := qt.New(t)
+			_, got := clientOf(c, test.path, test.scripts...)
+			c.Assert(got, qt.Equals, test.want)
+		})
+	}
+}
+
+// A stream may be complete without an event: it states its end, or the client has all events.
+func TestStreamWithoutEventsMayBeComplete(t *testing.T) {
+	noEvent := streamScript(streamHead, "")
+	t.Run("chunks", func(t *testing.T) {
+		c := qt.New(t)
+		_, got := clientOf(c, "/once/x", streamScript(streamHead+"Transfer-Encoding: chunked\r\n", "0\r\n\r\n"))
+		c.Assert(got, qt.Equals, streamResult{200, "", false, 1})
+	})
+	t.Run("a length", func(t *testing.T) {
+		c := qt.New(t)
+		_, got := clientOf(c, "/once/x", streamScript(streamHead+"Content-Length: 0\r\n", ""))
+		c.Assert(got, qt.Equals, streamResult{200, "", false, 1})
+	})
+	t.Run("resumed by the router", func(t *testing.T) {
+		c := qt.New(t)
+		reset := strings.TrimSuffix(streamScript(streamHead, eventTexts(1, 2)), closeMark) + resetMark
+		_, got := clientOf(c, "/stream/x", reset, noEvent)
+		c.Assert(got, qt.Equals, streamResult{200, eventTexts(1, 2), false, 2})
+	})
+	t.Run("resumed with events that the client has", func(t *testing.T) {
+		c := qt.New(t)
+		reset := strings.TrimSuffix(streamScript(streamHead, eventTexts(1, 2)), closeMark) + resetMark
+		again := streamScript(streamHead, "id: 2\nda")
+		_, got := clientOf(c, "/stream/x", reset, again, noEvent)
+		c.Assert(got, qt.Equals, streamResult{200, eventTexts(1, 2), false, 3})
+	})
+	t.Run("resumed by the client", func(t *testing.T) {
+		c := qt.New(t)
+		runner := newScriptedRunner(c, noEvent)
+		_, server := newServerBench(c, runner, runner)
+		status, _, body, truncated := postRequest(c, server.URL, "/stream/x", "After", "7")
+		c.Assert(streamResult{status, body, truncated, len(runner.requests())}, qt.Equals, streamResult{200, "", false, 1})
+	})
+}
+
 // checkCutStream checks a stream that breaks off after the events in whole: it is resumed where the
 // route has that, also if the resumed one breaks off, and shown as incomplete otherwise.
 func checkCutStream(c *qt.C, script, whole string) {
