proxy: a stream without a length that ends at its deadline is not complete

Cause: an orderly end of the connection was taken for the end of the stream, whenever it came.

Change: from the deadline of the attempt on, the end of the connection does not show any more that a stream without a length is complete, so the client's connection is aborted. A stream that ends whole in that same moment can't be told from it; its request has used all of its time. Plain answers are as before: at the deadline a runner answers 504.

--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -25,6 +25,8 @@
 	events     eventSplitter
 	// resumed is true if the client has a part of the stream from an earlier attempt.
 	resumed bool
+	// deadlineMs is when the runner stops working on the request.
+	deadlineMs int64
 	// gap is true if events are missing between that part and this stream.
 	gap bool
 	// writeErr is the error of the last write to the client.
@@ -45,6 +47,7 @@
 	}
 	forwarder := streamForwarder{
 		exchange: e, sent: sent, controller: http.NewResponseController(e.writer), resumed: e.forwarded,
+		deadlineMs: attempt.DeadlineMs,
 	}
 	timing := streamTiming{arrivedMs: e.arrivedMs, attemptMs: e.attemptMs}
 	defer func() { e.countLateness(timing.cause(attempt.Route)) }()
@@ -165,15 +168,16 @@
 	return Completed
 }
 
-// isCut reports whether the bytes show that the runner did not finish the stream, although its
-// connection was closed in order. Where a length or chunks state the end, the runner has
-// stated that the stream is complete.
+// isCut reports whether the runner did not finish the stream, although its connection was closed
+// in order: the bytes show it, or the runner may have stopped at the deadline. Where a length or
+// chunks state the end, the runner has stated that the stream is complete.
 func (f *streamForwarder) isCut() bool {
 	if !f.sent.EndsWithConnection() || !mayBeEventStream(f.sent.Response.Header) {
 		return false
 	}
+	isPastDeadline := f.exchange.server.runtime.Clock().NowMs() >= f.deadlineMs
 	lacksEvent := f.exchange.eventExpected && !f.events.holdsWholeEvents()
-	return lacksEvent || f.events.endsWithinEvent()
+	return isPastDeadline || lacksEvent || f.events.endsWithinEvent()
 }
 
 // beganNextEvent reports whether a part of the event after the last one that was forwarded has
--- a/internal/proxy/streamend_test.go
+++ b/internal/proxy/streamend_test.go
@@ -1,11 +1,19 @@
 package proxy
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"myrtlewinch/internal/threads"
 )
 
 // streamScript is a stream of a scripted runner without its end: the head and the body are sent
@@ -188,6 +196,67 @@
 	})
 }
 
+// deadlineRunner starts a runner that sends the first two events of a stream without a length and
+// closes the connection in order when the time that the router gave it is over.
+func deadlineRunner(c *qt.C) (address string) {
+	c.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = listener.Close() })
+	threads.Go(func() {
+		connection, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = connection.Close() }()
+		request, err := http.ReadRequest(bufio.NewReader(connection))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		head := strings.ReplaceAll(streamHead, "TRY", request.Header.Get("Try"))
+		_, _ = io.WriteString(connection, head+"\r\n"+eventTexts(1, 2))
+		leftMs, _ := strconv.ParseInt(request.Header.Get("Left"), 10, 64)
+		<-time.After(time.Duration(leftMs) * time.Millisecond)
+	})
+	return listener.Addr().String()
+}
+
+// Guards against streams without a length that a runner ends because the time that it was given
+// is over: at that moment the end of the connection does not show that the stream is complete.
+func TestStreamThatEndsAtTheDeadlineIsNotComplete(t *testing.T) {
+	c := qt.New(t)
+	_, url, stop, err := startServer(plainCodec{}, exampleConfig(1), []string{deadlineRunner(c)}, io.Discard, unwrapped)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(stop)
+	status, _, body, truncated := postRequest(c, url, "/once/x", "Left", "200")
+	c.Assert(streamResult{status, body, truncated, 1}, qt.Equals, streamResult{200, eventTexts(1, 2), true, 1})
+}
+
+// A stream without a length that a planned stop of the router cuts is not complete, although it is
+// cut after a whole event.
+func TestStreamCutByTheShutdownIsNotComplete(t *testing.T) {
+	c := qt.New(t)
+	s, url, stop, err := startServer(plainCodec{}, exampleConfig(1), []string{deadlineRunner(c)}, io.Discard, unwrapped)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(stop)
+	client, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = client.Close() })
+	_, _ = io.WriteString(client, strings.Replace(wireRequest("/once/x", "t1"), "Left: 1500", "Model: m\r\nLeft: 5000", 1))
+	response, err := http.ReadResponse(bufio.NewReader(client), nil)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = response.Body.Close() }()
+	events := eventTexts(1, 2)
+	_, err = io.ReadFull(response.Body, make([]byte, len(events)))
+	c.Assert(err, qt.IsNil)
+	s.beginShutdown()
+	s.cancelAttempts()
+	rest, err := io.ReadAll(response.Body)
+	c.Assert(rest, qt.HasLen, 0)
+	c.Assert(err, qt.Equals, io.ErrUnexpectedEOF)
+}
+
 // checkCutStream checks a stream that breaks off after the events in whole: it is resumed where the
 // route has that, also if the resumed one breaks off, and shown as incomplete otherwise.
 func checkCutStream(c *qt.C, script, whole string) {
