election: the round of a ballot is on the disk before the ballot is used

What callers could have seen was not brought about: it takes a record of the first life that only one witness accepted and another record of the second life under the same ballot, after which two records of one epoch cannot be told apart.

Cause: the next round was taken from the record and the own witness's row, whose writes were not awaited; a promise of the own witness is not needed for a majority.

--- a/internal/election/machine.go
+++ b/internal/election/machine.go
@@ -94,6 +94,8 @@
 
 // attempt is the state of one ballot of this daemon as a candidate.
 type attempt struct {
+	// roundSaved is true once the round of the ballot is on the disk.
+	roundSaved bool
 	// prepareSentTo are the witnesses that were sent a Prepare. promisedBy are the witnesses
 	// that granted it. refusedBy are the witnesses that refused a request because of a
 	// higher ballot.
@@ -169,6 +171,8 @@
 type Saved struct {
 	Record protocol.EpochRecord
 	Ballot protocol.Ballot
+	// Round is the highest round of this daemon's own ballots.
+	Round uint64
 	// InitialDisk is true if the disk took part in the first start of the site.
 	InitialDisk bool
 }
@@ -177,7 +181,7 @@
 func New(config Config, saved Saved) Machine {
 	return Machine{
 		config: config, Record: saved.Record, RecordBallot: saved.Ballot, PrimaryAliveMs: config.StartMs,
-		initialDisk: saved.InitialDisk, notInitialDisks: map[string]bool{},
+		highestRound: saved.Round, initialDisk: saved.InitialDisk, notInitialDisks: map[string]bool{},
 	}
 }
 
--- a/internal/simulation/modelcheck/invariants.go
+++ b/internal/simulation/modelcheck/invariants.go
@@ -25,6 +25,8 @@
 	PositionMonotonic Invariant = "position forward"
 	// OneRecordPerEpoch: at most one record is ever chosen for an epoch.
 	OneRecordPerEpoch Invariant = "one record an epoch"
+	// BallotUsedOnce: no two lives of a process use the same ballot.
+	BallotUsedOnce Invariant = "one life a ballot"
 	// Recovers: a primary acknowledges a write within Scope.CatchUpMs after the end of
 	// the last fault.
 	Recovers Invariant = "recovers"
@@ -60,6 +62,8 @@
 	// chosenRecords holds, by epoch, the hash of the record that a majority
 	// accepted.
 	chosenRecords map[uint64]uint64
+	// ballotUsers holds, by ballot, the incarnation of the process that used it.
+	ballotUsers map[protocol.Ballot]int
 	// acknowledgedWrites is sorted.
 	acknowledgedWrites []int
 	// cachedHash is the hash of the fields above except violation, or 0 after a change.
@@ -69,13 +73,13 @@
 func newInvariants() invariants {
 	return invariants{
 		disks: map[protocol.MemberID]*diskState{}, acceptedBy: map[acceptedBallot][]protocol.MemberID{},
-		chosenRecords: map[uint64]uint64{},
+		chosenRecords: map[uint64]uint64{}, ballotUsers: map[protocol.Ballot]int{},
 	}
 }
 
 func (v *invariants) hash() uint64 {
 	if v.cachedHash == 0 {
-		v.cachedHash = hashOf(v.disks, v.acceptedBy, v.chosenRecords, v.acknowledgedWrites)
+		v.cachedHash = hashOf(v.disks, v.acceptedBy, v.chosenRecords, v.ballotUsers, v.acknowledgedWrites)
 	}
 	return v.cachedHash
 }
@@ -165,6 +169,19 @@
 	v.chosenRecords[record.Epoch] = hash
 }
 
+// checkBallot checks a request for a promise that a candidate sends. What a process proposed under
+// a ballot is lost with the process, so its next life must not use that ballot.
+func (v *invariants) checkBallot(candidate *member, ballot protocol.Ballot, atMs int64) {
+	user, isKnown := v.ballotUsers[ballot]
+	if isKnown && user != candidate.incarnation {
+		v.recordViolation(BallotUsedOnce, atMs, "%s uses the ballot %v of an earlier life", candidate.node.Name, ballot)
+	}
+	if !isKnown {
+		v.cachedHash = 0
+		v.ballotUsers[ballot] = candidate.incarnation
+	}
+}
+
 // checkPrimaries checks after a step that there is at most one primary, and that it
 // has all acknowledged writes.
 func (v *invariants) checkPrimaries(c *cluster) {
