faultsim: a successor that is cut off while it catches up counts as lost

Its trace, in ms: 14000 core-1 is killed for good, 14026 its successor core-4 starts, 15187 to 17768 core-2, core-3 and core-4 are cut off from each other, 17878 core-2 is elected, 18316 core-3 is a replica, 18447 core-2 is killed for good. Two of the witnesses core-1, core-2, core-3 are gone then.

Cause: the check of what the site must tolerate, not the replacement. So core-1 counted until 21768, and the loss at 18447 was the second of a site that bears one. The simulator counted a cut only where some controllers were still a majority.

Change: a controller that is still catching up and cut off from the majority starts its catch-up anew.

--- a/internal/simulation/faultsim/connectivity.go
+++ b/internal/simulation/faultsim/connectivity.go
@@ -47,6 +47,7 @@
 	majority := c.controllersInMajority(running, total)
 	c.observeControllers(running, total, majority)
 	c.observeNodeLinks(running, majority)
+	c.observeCatchUps(running, majority)
 }
 
 func (c *connectivity) observeNetwork() {
@@ -139,6 +140,16 @@
 	}
 }
 
+// observeCatchUps records a fault of each controller that is still catching up and is cut off from
+// the majority, also where no controllers are a majority: it catches up only after its return.
+func (c *connectivity) observeCatchUps(running []string, majority map[string]bool) {
+	for _, name := range running {
+		if !majority[name] && c.sim.countsAsLost(c.sim.nodes[name]) {
+			c.lastNodeFaultMs[name] = c.sim.NowMs()
+		}
+	}
+}
+
 // isConnectedSince reports whether both the node and the controllers have had no fault since
 // Bounds.InTouchMs before the given time.
 func (c *connectivity) isConnectedSince(name string, fromMs int64) bool {
--- a/internal/simulation/faultsim/faults.go
+++ b/internal/simulation/faultsim/faults.go
@@ -63,7 +63,8 @@
 }
 
 // isLossAllowed reports whether the controller is running and the site must tolerate its loss now.
-// A lost controller counts as lost until Bounds.CatchUpMs after it works again.
+// A lost controller counts as lost until Bounds.CatchUpMs after it works again; one that is cut off
+// from the majority within that time, until Bounds.CatchUpMs after it is connected again.
 func (sim *Simulation) isLossAllowed(n *node) bool {
 	lost := 0
 	for _, name := range sim.nodeNames(protocol.RoleController) {
