election: a repeated bootstrap keeps to its own record if its ballot is the higher

Known from docs/limits.md ("two half-recorded first records"), not brought about on processes: a seed that repeats its bootstrap learns first that its own first record was accepted under a higher ballot, then that another seed's was under a lower one, and goes on with the lower. If the first had been chosen, the site could be bootstrapped twice.

Cause: yieldToOtherBootstrap compared ballots only between adopted records, and did not note the ballot of a record that is the same as its own.

Change: it notes that ballot, and ignores a first record of a lower one whether the record at hand is its own or an adopted one.

--- a/internal/election/bootstrap.go
+++ b/internal/election/bootstrap.go
@@ -155,13 +155,19 @@
 	if m.bootstrap.Recover {
 		return m.yieldToLaterReplica(env, from, reply)
 	}
-	if reply.Record.Epoch == 0 || sameBootstrap(reply.Record, m.bootstrapRecord) {
+	if reply.Record.Epoch == 0 {
 		return false
 	}
-	// The record adopted before was accepted under a higher ballot, so this one was
-	// never chosen.
+	if sameBootstrap(reply.Record, m.bootstrapRecord) {
+		if m.attempt.newestRecordBallot.Less(reply.Kept) {
+			m.attempt.newestRecordBallot = reply.Kept
+		}
+		return false
+	}
+	// The proposed record, this daemon's own or an adopted one, was accepted under a higher
+	// ballot, so this one was never chosen.
 	isFirst := reply.Record.Epoch == firstEpoch
-	if m.adoptedBootstrap && isFirst && !m.attempt.newestRecordBallot.Less(reply.Kept) {
+	if isFirst && !m.attempt.newestRecordBallot.Less(reply.Kept) {
 		return false
 	}
 	// If that record lists this disk as a replica, there may be no other daemon to propose
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -1,6 +1,7 @@
 package election
 
 import (
+	"fmt"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -513,6 +514,43 @@
 	qt.Assert(t, h.machine.Record.Replicas, qt.DeepEquals, disks("a", "b"))
 }
 
+// Guards against a site that is bootstrapped twice: a seed that repeats its bootstrap went on with
+// another seed's record although its own had been accepted under a higher ballot, and so may have
+// been chosen. Of two first records the one of the higher ballot is proposed, whichever is learned
+// of first.
+func TestRepeatedBootstrapProposesTheRecordOfTheHigherBallot(t *testing.T) {
+	own := protocol.EpochRecord{Epoch: firstEpoch, Primary: "a", Replicas: disks("a", "b"), Witnesses: disks("a", "b", "c"), Before: disks("a", "b", "c")}
+	other := own
+	other.Primary, other.Replicas = "c", disks("c", "a")
+	for _, test := range []struct {
+		about            string
+		ownRound, others uint64
+		primary          string
+	}{
+		{"its own record is newer", 5, 3, "a"},
+		{"the other record is newer", 3, 5, "c"},
+	} {
+		replies := []protocol.PrepareReply{
+			{Granted: true, Record: own, Kept: protocol.Ballot{Round: test.ownRound, Name: "a"}},
+			{Granted: true, Record: other, Kept: protocol.Ballot{Round: test.others, Name: "c"}},
+		}
+		for _, order := range [][]int{{0, 1}, {1, 0}} {
+			t.Run(fmt.Sprint(test.about, order), func(t *testing.T) {
+				h := newHarness(t, Config{BootstrapBySeeds: true, FirstStart: true}, Saved{})
+				h.handle(func(m *Machine) { m.TickBootstrap(h.env) })
+				for i, from := range []string{"b", "c"} {
+					reply := replies[order[i]]
+					reply.Ballot = h.machine.Ballot
+					h.handle(func(m *Machine) { m.HandlePrepareReply(h.env, controller(from), reply) })
+				}
+				h.promiseBy(protocol.EpochRecord{}, "a")
+				qt.Assert(t, h.machine.Proposal, qt.IsNotNil)
+				qt.Assert(t, h.machine.Proposal.Primary, qt.Equals, test.primary)
+			})
+		}
+	}
+}
+
 func TestRejectedBootstraps(t *testing.T) {
 	cases := []struct {
 		about     string
