--- a/internal/simulation/faultsim/bugs.go
+++ b/internal/simulation/faultsim/bugs.go
@@ -36,6 +36,8 @@
 	NeverHeal bool
 	// SkipChunk loses a chunk where a stream is resumed.
 	SkipChunk bool
+	// CompleteCutStreams makes routers end a stream as complete where its runner cut it.
+	CompleteCutStreams bool
 	// IgnoreDiskFailure keeps a process running after a failed write without reopening its disk.
 	IgnoreDiskFailure bool
 	// WrongService sends some requests to a runner of another service.
--- a/internal/simulation/faultsim/bugs_test.go
+++ b/internal/simulation/faultsim/bugs_test.go
@@ -36,6 +36,7 @@
 		{RuleLookUp, InjectedBugs{DuplicateLookUp: true}, nil},
 		{RuleRecover, InjectedBugs{NeverHeal: true}, []string{"all killed"}},
 		{RuleOrder, InjectedBugs{SkipChunk: true}, []string{"runners reset"}},
+		{RuleOrder, InjectedBugs{CompleteCutStreams: true}, []string{"runners reset"}},
 		{RuleLost, InjectedBugs{IgnoreShutdown: true}, []string{"routers restarted in rounds"}},
 		{RuleRoute, InjectedBugs{WrongService: true}, nil},
 		{RuleDenied, InjectedBugs{DenyKnown: true}, []string{"crowd for rare models", "release"}},
--- a/internal/simulation/faultsim/proxied_request.go
+++ b/internal/simulation/faultsim/proxied_request.go
@@ -227,12 +227,12 @@
 // handleLostConnection handles the loss of the connection after the request was written and before
 // the response was complete.
 func (p *proxiedRequest) handleLostConnection(a *attempt) {
-	if p.isHeaderSent {
-		p.reportOutcome(proxy.AttemptEnded{Outcome: proxy.StreamBroken})
-		return
-	}
 	bugs := p.sim.Bugs
 	switch {
+	case p.isHeaderSent && bugs.CompleteCutStreams:
+		p.handleCompleteResponse()
+	case p.isHeaderSent:
+		p.reportOutcome(proxy.AttemptEnded{Outcome: proxy.StreamBroken})
 	case bugs.RejectLost:
 		p.finish()
 		p.sim.deliver(p.router, p.incarnation, proxy.ClientDisconnected{ID: p.id})
