--- a/internal/proxy/exchange_log_test.go
+++ b/internal/proxy/exchange_log_test.go
@@ -63,22 +63,22 @@
 // Names of the rules.
 const (
 	// The response is not one that a runner sent to this request.
-	ruleOwnResponse = "a client got what no runner answered to its request"
+	ruleOwnResponse = "a client got a response that no runner sent to its request"
 	// An unsafe request was sent again though it may have run.
-	ruleNotRepeated = "a request that may not be repeated was written again"
+	ruleNotRepeated = "a request that must not be repeated was sent again"
 	ruleAttemptOnce = "an attempt arrived more than once"
 	ruleMaxAttempts = "more attempts than the route allows"
 	// A request arrived on a connection before the response to the previous one.
-	ruleOneInFlight = "a request came before the exchange before it was over"
+	ruleOneInFlight = "a request arrived before the response to the previous one"
 	// A connection was reused after something invalid had been sent on it.
-	ruleInvalidConn = "a connection was used after a doubt"
+	ruleInvalidConn = "a connection was reused after an invalid response"
 	// The request does not state the ID of the runner.
-	ruleRunnerNamed = "a request reached a runner without naming it"
+	ruleRunnerNamed = "a request does not name its runner"
 	// A status that states that the request has not run, though it may have run.
-	ruleNotRunIsTrue = "a promise for a request that may have run"
+	ruleNotRunIsTrue = "a status states that a request which may have run has not run"
 	// A stream lacks events but ends like a complete one, or its events are wrong.
-	ruleCompleteStream = "a stream looks whole and is not"
-	ruleExtraBytes     = "a client got bytes that it did not ask for"
+	ruleCompleteStream = "a stream that is truncated or wrong looks complete"
+	ruleExtraBytes     = "a client got extra bytes"
 )
 
 const maxRouteAttempts = 3
